--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Versions of the tools that check the code.
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+REVIVE := github.com/mgechev/revive@v1.17.0
+
+.PHONY: build demo test lint bench soak generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test: build
+	./scripts/test.sh
+
+lint:
+	@unformatted=$$(go run $(GOFUMPT) -l .); if [ -n "$$unformatted" ]; then echo "not formatted:" $$unformatted; exit 1; fi
+	go vet ./...
+	go run $(REVIVE) -config revive.toml -set_exit_status ./...
+
+bench: build
+	go test -run '^$$' -bench . -benchmem ./...
+
+# Only whoever changes the schema needs protoc and its two generators.
+generate:
+	protoc -I admin --go_out=. --go_opt=module=github.com/gypsumhook/gypsum \
+		--connect-go_out=. --connect-go_opt=module=github.com/gypsumhook/gypsum admin/operator.proto
--- /dev/null
+++ b/adapt/engine.go
@@ -0,0 +1,156 @@
+package adapt
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// maxEvent bounds one server-sent event of an engine.
+const maxEvent = 1 << 20
+
+// doneMark is the data of the event behind a completion's last chunk.
+const doneMark = "[DONE]"
+
+// CompletionRequest is the body of an OpenAI-style completion, with the fields
+// by which engines resume a stream.
+type CompletionRequest struct {
+	RequestID    gypsum.RequestID `json:"request_id,omitempty"`
+	Model        string           `json:"model"`
+	Prompt       string           `json:"prompt"`
+	MaxTokens    int              `json:"max_tokens,omitempty"`
+	Seed         int64            `json:"seed,omitempty"`
+	Stream       bool             `json:"stream,omitempty"`
+	ResumeText   string           `json:"resume_text,omitempty"`
+	ResumeTokens int              `json:"resume_tokens,omitempty"`
+}
+
+// CompletionChunk is a chunk of an OpenAI-style completion.
+type CompletionChunk struct {
+	ID            gypsum.RequestID     `json:"id"`
+	Object        string               `json:"object"`
+	Model         string               `json:"model"`
+	Choices       []CompletionChoice   `json:"choices"`
+	WeightVersion gypsum.WeightVersion `json:"weight_version"`
+}
+
+// CompletionChoice is the text of a chunk.
+type CompletionChoice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	TokenIndex   int     `json:"token_index"`
+	Tokens       int     `json:"tokens"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// engine is the client of one model engine.
+//
+//	POST BASE/v1/completions  OpenAI-style, stream of server-sent events
+//	GET  BASE/load            gypsum.LoadReport
+//	POST BASE/order           gypsum.Order; 409 for an old fencing number
+type engine struct {
+	client *http.Client
+	base   string
+}
+
+// Generate is part of gypsum.Engine.
+func (e *engine) Generate(ctx context.Context, generation *gypsum.Generation, sink func(*gypsum.Chunk) error) error {
+	response, err := e.begin(ctx, generation)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEvent}) {
+		if err != nil {
+			return fmt.Errorf("read stream: %v: %w", err, gypsum.ErrBroken)
+		}
+		if event.Data == doneMark {
+			return nil
+		}
+		chunk, err := decodeChunk(event.Data, generation.ID)
+		if err != nil {
+			return err
+		}
+		if err := sink(chunk); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("stream ended early: %w", gypsum.ErrBroken)
+}
+
+// begin sends the request of a generation.
+func (e *engine) begin(ctx context.Context, generation *gypsum.Generation) (*http.Response, error) {
+	body, err := json.Marshal(CompletionRequest{
+		RequestID: generation.ID, Model: generation.Model, Prompt: generation.Prompt, MaxTokens: generation.MaxTokens,
+		Seed: generation.Seed, Stream: true, ResumeText: generation.ResumeText, ResumeTokens: generation.ResumeTokens,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode generation: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := e.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("send generation: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("engine answered status %d: %w", response.StatusCode, gypsum.ErrBroken)
+	}
+	return response, nil
+}
+
+// decodeChunk returns the chunk of an event, if it belongs to the request.
+func decodeChunk(data string, id gypsum.RequestID) (*gypsum.Chunk, error) {
+	var completion CompletionChunk
+	if err := json.Unmarshal([]byte(data), &completion); err != nil {
+		return nil, fmt.Errorf("decode chunk: %v: %w", err, gypsum.ErrBroken)
+	}
+	if completion.ID != id {
+		return nil, fmt.Errorf("chunk of %s in the stream of %s: %w", completion.ID, id, gypsum.ErrCrossed)
+	}
+	if len(completion.Choices) != 1 {
+		return nil, fmt.Errorf("chunk with %d choices: %w", len(completion.Choices), gypsum.ErrBroken)
+	}
+	choice := completion.Choices[0]
+	chunk := &gypsum.Chunk{Index: choice.TokenIndex, Text: choice.Text, Tokens: choice.Tokens, Version: completion.WeightVersion}
+	if choice.FinishReason != nil {
+		chunk.Finish = *choice.FinishReason
+	}
+	return chunk, nil
+}
+
+// Load is part of gypsum.Engine.
+func (e *engine) Load(ctx context.Context) (*gypsum.LoadReport, error) {
+	return load(ctx, e.client, e.base)
+}
+
+// load asks a backend server for its load.
+func load(ctx context.Context, client *http.Client, base string) (*gypsum.LoadReport, error) {
+	var report gypsum.LoadReport
+	if err := exchange(ctx, client, http.MethodGet, base+"/load", nil, &report); err != nil {
+		return nil, fmt.Errorf("read load: %w", err)
+	}
+	return &report, nil
+}
+
+// Order is part of gypsum.Engine.
+func (e *engine) Order(ctx context.Context, order gypsum.Order) error {
+	err := exchange(ctx, e.client, http.MethodPost, e.base+"/order", order, nil)
+	if hasStatus(err, http.StatusConflict) {
+		return fmt.Errorf("order: %w", gypsum.ErrStaleFence)
+	}
+	if err != nil {
+		return fmt.Errorf("order: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapt/http.go
@@ -0,0 +1,113 @@
+// Package adapt holds the clients of everything outside the service, each
+// speaking the published HTTP protocol of its system.
+package adapt
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/wire"
+)
+
+// Limits of connections to one host.
+const (
+	idlePerHost  = 256
+	idleTimeout  = time.Minute
+	errorExcerpt = 256
+)
+
+// NewClient returns an HTTP client whose connection errors are
+// gypsum.ErrNotHanded, and a function that closes its idle connections.
+func NewClient() (client *http.Client, cleanup func()) {
+	transport := &http.Transport{DialContext: wire.Dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}
+	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+}
+
+// newOnceClient returns a client for requests that must not be sent twice. The
+// standard transport repeats a request with an Idempotency-Key header on its
+// own when a reused connection breaks; fresh connections rule that out.
+func newOnceClient() *http.Client {
+	transport := &http.Transport{DialContext: wire.Dial, DisableKeepAlives: true}
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+}
+
+// noRedirect leaves redirects to the caller.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// statusError is an answer with an unexpected status.
+type statusError struct {
+	Status int
+	Body   string
+}
+
+// Error says the status and the start of the body.
+func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// hasStatus tells whether an error is an answer with the status.
+func hasStatus(err error, status int) bool {
+	var unexpected *statusError
+	return errors.As(err, &unexpected) && unexpected.Status == status
+}
+
+// exchange sends a JSON request and decodes the JSON answer into answer, also
+// when the status is 409 or 410.
+func exchange(ctx context.Context, client *http.Client, method, url string, body, answer any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(encoded))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if answer != nil && len(content) > 0 && (response.StatusCode < 300 || response.StatusCode == http.StatusGone) {
+		if err := json.Unmarshal(content, answer); err != nil {
+			return fmt.Errorf("decode answer: %w", err)
+		}
+	}
+	if response.StatusCode >= 300 {
+		return &statusError{Status: response.StatusCode, Body: string(content[:min(len(content), errorExcerpt)])}
+	}
+	return nil
+}
+
+// Dialer makes the clients of backend servers. It is a gypsum.Dialer.
+type Dialer struct {
+	Client *http.Client
+	once   *http.Client
+}
+
+// NewDialer returns a dialer and a function that closes its connections.
+func NewDialer() (dialer *Dialer, cleanup func()) {
+	client, cleanup := NewClient()
+	client.CheckRedirect = noRedirect
+	return &Dialer{Client: client, once: newOnceClient()}, cleanup
+}
+
+// Engine returns the client of a model engine.
+func (d *Dialer) Engine(host gypsum.Host) gypsum.Engine {
+	return &engine{client: d.Client, base: "http://" + host.Address}
+}
+
+// Plain returns the client of a replica of a plain service.
+func (d *Dialer) Plain(host gypsum.Host) gypsum.Plain {
+	return &plain{client: d.Client, once: d.once, base: "http://" + host.Address}
+}
--- /dev/null
+++ b/adapt/platform.go
@@ -0,0 +1,110 @@
+package adapt
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// NewLog returns the client of the platform's log service.
+//
+//	POST BASE/streams/NAME/records  {"records":["BASE64",...]}  ->  {"offset":N}
+//	GET  BASE/streams/NAME/records?from=N&max=N&wait=DURATION   ->  {"records":[...],"first":N,"next":N}
+//
+// A read of removed records answers 410 with first and next set.
+func NewLog(client *http.Client, base string) gypsum.Log {
+	return &logClient{client: client, base: base}
+}
+
+// logClient is the log made by NewLog.
+type logClient struct {
+	client *http.Client
+	base   string
+}
+
+// AppendRequest is the body of an append to the log service.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendAnswer is the answer to an append to the log service.
+type AppendAnswer struct {
+	Offset gypsum.Offset `json:"offset"`
+}
+
+// records returns the address of a stream's records.
+func (l *logClient) records(stream gypsum.StreamName) string {
+	return l.base + "/streams/" + url.PathEscape(string(stream)) + "/records"
+}
+
+// Append is part of gypsum.Log.
+func (l *logClient) Append(ctx context.Context, stream gypsum.StreamName, records [][]byte) (gypsum.Offset, error) {
+	var answer AppendAnswer
+	if err := exchange(ctx, l.client, http.MethodPost, l.records(stream), AppendRequest{Records: records}, &answer); err != nil {
+		return 0, fmt.Errorf("append: %v: %w", err, gypsum.ErrLogUnavailable)
+	}
+	return answer.Offset, nil
+}
+
+// Read is part of gypsum.Log.
+func (l *logClient) Read(ctx context.Context, read gypsum.LogRead) (*gypsum.LogPage, error) {
+	address := fmt.Sprintf("%s?from=%d&max=%d&wait=%s", l.records(read.Stream), read.From, read.Max, read.Wait)
+	var page gypsum.LogPage
+	err := exchange(ctx, l.client, http.MethodGet, address, nil, &page)
+	if hasStatus(err, http.StatusGone) {
+		return &page, fmt.Errorf("read: %w", gypsum.ErrTruncated)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read: %v: %w", err, gypsum.ErrLogUnavailable)
+	}
+	return &page, nil
+}
+
+// NewHostList returns the client of the platform's host list: GET BASE/hosts.
+func NewHostList(client *http.Client, base string) gypsum.HostList {
+	return &hostList{client: client, base: base}
+}
+
+// hostList is the list made by NewHostList.
+type hostList struct {
+	client *http.Client
+	base   string
+}
+
+// Hosts is part of gypsum.HostList.
+func (h *hostList) Hosts(ctx context.Context) ([]gypsum.Host, error) {
+	var hosts []gypsum.Host
+	if err := exchange(ctx, h.client, http.MethodGet, h.base+"/hosts", nil, &hosts); err != nil {
+		return nil, fmt.Errorf("read host list: %w", err)
+	}
+	return hosts, nil
+}
+
+// NewWeightStore returns the client of the platform's weight store:
+// GET BASE/models/NAME/latest -> {"version":N}.
+func NewWeightStore(client *http.Client, base string) gypsum.WeightStore {
+	return &weightStore{client: client, base: base}
+}
+
+// weightStore is the store made by NewWeightStore.
+type weightStore struct {
+	client *http.Client
+	base   string
+}
+
+// LatestAnswer is the weight store's answer on its newest version of a model.
+type LatestAnswer struct {
+	Version gypsum.WeightVersion `json:"version"`
+}
+
+// Latest is part of gypsum.WeightStore.
+func (w *weightStore) Latest(ctx context.Context, model string) (gypsum.WeightVersion, error) {
+	var answer LatestAnswer
+	if err := exchange(ctx, w.client, http.MethodGet, w.base+"/models/"+url.PathEscape(model)+"/latest", nil, &answer); err != nil {
+		return 0, fmt.Errorf("read newest version: %w", err)
+	}
+	return answer.Version, nil
+}
--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,203 @@
+// Package admin serves the operators' interface.
+package admin
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/admin/operatorv1"
+	"github.com/gypsumhook/gypsum/admin/operatorv1/operatorv1connect"
+	"github.com/gypsumhook/gypsum/config"
+	"github.com/gypsumhook/gypsum/node"
+)
+
+// Server serves the operators' interface of one daemon.
+type Server struct {
+	Node *node.Node
+}
+
+// Handler returns the HTTP handler of the interface.
+func (s *Server) Handler() (path string, handler http.Handler) {
+	return operatorv1connect.NewOperatorServiceHandler(s)
+}
+
+// apply makes a change and reports what became of it.
+func (s *Server) apply(ctx context.Context, header *operatorv1.Change, change *gypsum.Change) (*connect.Response[operatorv1.ChangeResponse], error) {
+	change.ID = header.GetChangeId()
+	change.Operator = header.GetOperator()
+	change.Base = gypsum.Revision(header.GetBaseRevision())
+	if change.Base < 0 {
+		current, err := s.current()
+		if err != nil {
+			return nil, err
+		}
+		change.Base = current.Base(change)
+	}
+	revision, err := s.Node.Editor().Apply(ctx, change)
+	s.Node.Logger.Info("change decided", "change", change.ID, "kind", change.Kind, "name", change.Name,
+		"operator", change.Operator, "base", change.Base, "revision", revision, "error", err)
+	if err != nil {
+		return nil, connect.NewError(codeOf(err), err)
+	}
+	return connect.NewResponse(&operatorv1.ChangeResponse{Revision: int64(revision)}), nil
+}
+
+// codeOf returns the RPC code of an error.
+func codeOf(err error) connect.Code {
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return connect.CodeAborted
+	case errors.Is(err, config.ErrInvalid):
+		return connect.CodeInvalidArgument
+	}
+	return connect.CodeUnavailable
+}
+
+// current returns the configuration in force.
+func (s *Server) current() (*config.Config, error) {
+	current := s.Node.View().Config
+	if current == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("this host has no configuration yet"))
+	}
+	return current, nil
+}
+
+// PutService creates or changes a service.
+func (s *Server) PutService(ctx context.Context, request *connect.Request[operatorv1.PutServiceRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	spec := serviceSpec(request.Msg.GetService())
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{
+		Kind: gypsum.ChangePutService, Name: string(spec.Name), Service: spec,
+	})
+}
+
+// DeleteService deletes a service.
+func (s *Server) DeleteService(ctx context.Context, request *connect.Request[operatorv1.DeleteRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{Kind: gypsum.ChangeDeleteService, Name: request.Msg.GetName()})
+}
+
+// PutPlan creates or changes a rollout plan.
+func (s *Server) PutPlan(ctx context.Context, request *connect.Request[operatorv1.PutPlanRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	spec := planSpec(request.Msg.GetPlan())
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{Kind: gypsum.ChangePutPlan, Name: string(spec.Name), Plan: spec})
+}
+
+// DeletePlan deletes a rollout plan.
+func (s *Server) DeletePlan(ctx context.Context, request *connect.Request[operatorv1.DeleteRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{Kind: gypsum.ChangeDeletePlan, Name: request.Msg.GetName()})
+}
+
+// Drain takes a backend server out of use.
+func (s *Server) Drain(ctx context.Context, request *connect.Request[operatorv1.DrainRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{Kind: gypsum.ChangeDrainBackend, Name: request.Msg.GetBackend()})
+}
+
+// Resume brings a backend server back into use.
+func (s *Server) Resume(ctx context.Context, request *connect.Request[operatorv1.DrainRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return s.apply(ctx, request.Msg.GetChange(), &gypsum.Change{Kind: gypsum.ChangeResumeBackend, Name: request.Msg.GetBackend()})
+}
+
+// ListServices returns the services in force.
+func (s *Server) ListServices(context.Context, *connect.Request[operatorv1.ListRequest]) (*connect.Response[operatorv1.ListServicesResponse], error) {
+	current, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	response := &operatorv1.ListServicesResponse{Revision: int64(current.Revision)}
+	for _, service := range current.Services {
+		response.Services = append(response.Services, serviceMessage(&service))
+	}
+	slices.SortFunc(response.Services, func(a, b *operatorv1.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return connect.NewResponse(response), nil
+}
+
+// ListPlans returns the rollout plans in force.
+func (s *Server) ListPlans(context.Context, *connect.Request[operatorv1.ListRequest]) (*connect.Response[operatorv1.ListPlansResponse], error) {
+	current, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	response := &operatorv1.ListPlansResponse{Revision: int64(current.Revision)}
+	for _, plan := range current.Plans {
+		response.Plans = append(response.Plans, planMessage(&plan))
+	}
+	slices.SortFunc(response.Plans, func(a, b *operatorv1.Plan) int { return cmp.Compare(a.Name, b.Name) })
+	return connect.NewResponse(response), nil
+}
+
+// GetStatus returns the members of the fleet and the backend servers' queues.
+func (s *Server) GetStatus(ctx context.Context, _ *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+	current, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	response := &operatorv1.GetStatusResponse{Revision: int64(current.Revision), LogDown: s.Node.LogDown()}
+	for _, status := range s.Node.Fleet(ctx) {
+		member := status.Member
+		response.Members = append(response.Members, &operatorv1.Member{
+			Host: string(member.ID), Address: member.Address, DataCentre: string(member.Location.DataCentre),
+			Region: string(member.Location.Region), State: string(status.State),
+			Incarnation: int64(member.Incarnation), Revision: int64(member.Revision),
+		})
+		for _, news := range member.Backends {
+			_, drained := current.Drained[news.ID]
+			response.Backends = append(response.Backends, &operatorv1.Backend{
+				Backend: string(news.ID), Owner: string(member.ID), Running: int32(news.Running), Queued: int32(news.Queued),
+				Slots: int32(news.Slots), WeightVersion: int64(news.Version), Leaving: news.Leaving, Down: news.Down,
+				Swapping: news.Swapping, Drained: drained,
+			})
+		}
+	}
+	slices.SortFunc(response.Backends, func(a, b *operatorv1.Backend) int { return cmp.Compare(a.Backend, b.Backend) })
+	return connect.NewResponse(response), nil
+}
+
+// serviceSpec returns the service of a message.
+func serviceSpec(message *operatorv1.Service) *gypsum.ServiceSpec {
+	return &gypsum.ServiceSpec{
+		Name: gypsum.ServiceName(message.GetName()), Kind: gypsum.HostKind(message.GetKind()), Model: message.GetModel(),
+		DefaultTimeout: message.GetDefaultTimeout().AsDuration(), MaxQueue: int(message.GetMaxQueue()),
+		MaxAway: int(message.GetMaxAway()), CrashLimit: int(message.GetCrashLimit()),
+		FollowWeights: message.GetFollowWeights(), Fenced: message.GetFenced(),
+	}
+}
+
+// serviceMessage returns the message of a service.
+func serviceMessage(service *config.Service) *operatorv1.Service {
+	spec := &service.Spec
+	return &operatorv1.Service{
+		Name: string(spec.Name), Kind: string(spec.Kind), Model: spec.Model, DefaultTimeout: durationpb.New(spec.DefaultTimeout),
+		MaxQueue: int32(spec.MaxQueue), MaxAway: int32(spec.MaxAway), CrashLimit: int32(spec.CrashLimit),
+		FollowWeights: spec.FollowWeights, Fenced: spec.Fenced, Revision: int64(service.Revision),
+	}
+}
+
+// planSpec returns the plan of a message.
+func planSpec(message *operatorv1.Plan) *gypsum.PlanSpec {
+	return &gypsum.PlanSpec{
+		Name: gypsum.PlanName(message.GetName()), Service: gypsum.ServiceName(message.GetService()),
+		Scorer: gypsum.ServiceName(message.GetScorer()), Prompts: message.GetPrompts(), Groups: int(message.GetGroups()),
+		GroupSize: int(message.GetGroupSize()), MaxTokens: int(message.GetMaxTokens()), MaxStaleness: int(message.GetMaxStaleness()),
+		Ahead: int(message.GetAhead()), SampleTimeout: message.GetSampleTimeout().AsDuration(), Share: int(message.GetShare()),
+		IdleWeight: message.GetIdleWeight(), StalenessWeight: message.GetStalenessWeight(),
+	}
+}
+
+// planMessage returns the message of a plan.
+func planMessage(plan *config.Plan) *operatorv1.Plan {
+	spec := &plan.Spec
+	return &operatorv1.Plan{
+		Name: string(spec.Name), Service: string(spec.Service), Scorer: string(spec.Scorer), Prompts: spec.Prompts,
+		Groups: int32(spec.Groups), GroupSize: int32(spec.GroupSize), MaxTokens: int32(spec.MaxTokens),
+		MaxStaleness: int32(spec.MaxStaleness), Ahead: int32(spec.Ahead), SampleTimeout: durationpb.New(spec.SampleTimeout),
+		Share: int32(spec.Share), IdleWeight: spec.IdleWeight, StalenessWeight: spec.StalenessWeight, Revision: int64(plan.Revision),
+	}
+}
--- /dev/null
+++ b/cmd/gypsumhook/main.go
@@ -0,0 +1,113 @@
+// Command gypsumhook is the daemon of the rollout service and its operators'
+// command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/gypsumhook/gypsum/daemon"
+	"github.com/gypsumhook/gypsum/setup"
+)
+
+// Exit codes.
+const (
+	exitFailure     = 1
+	exitUsage       = 2
+	exitSettings    = 3
+	exitConflict    = 4
+	exitInvalid     = 5
+	exitUnavailable = 6
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := newCommand().Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "gypsumhook:", err)
+	stop()
+	os.Exit(exitCode(err)) //nolint:gocritic // stop has been called.
+}
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	var coder cli.ExitCoder
+	switch {
+	case errors.As(err, &coder):
+		return coder.ExitCode()
+	case errors.Is(err, setup.ErrSettings):
+		return exitSettings
+	case errors.Is(err, errUsage):
+		return exitUsage
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeAborted:
+		return exitConflict
+	case connect.CodeInvalidArgument, connect.CodeNotFound:
+		return exitInvalid
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
+		return exitUnavailable
+	}
+	return exitFailure
+}
+
+// errUsage is a wrong use of the command line.
+var errUsage = errors.New("wrong usage")
+
+// newCommand returns the command line.
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:            "gypsumhook",
+		Usage:           "rollout service for reinforcement learning",
+		HideHelpCommand: true,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Commands: append([]*cli.Command{
+			{
+				Name: "serve", Usage: "run a daemon", Action: serve,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true}},
+			},
+			{
+				Name: "check-config", Usage: "check a settings file", Action: checkConfig,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true}},
+			},
+			{Name: "settings", Usage: "print all settings as a table", Action: printSettings},
+		}, operatorCommands()...),
+	}
+}
+
+// serve runs a daemon.
+func serve(ctx context.Context, command *cli.Command) error {
+	settings, err := setup.Read(command.String("config"))
+	if err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel})).With("host", settings.Host)
+	run := &daemon.Daemon{Settings: settings, Logger: logger}
+	return run.Run(ctx)
+}
+
+// checkConfig checks a settings file.
+func checkConfig(_ context.Context, command *cli.Command) error {
+	if _, err := setup.Read(command.String("config")); err != nil {
+		return err
+	}
+	fmt.Fprintln(command.Root().Writer, "ok")
+	return nil
+}
+
+// printSettings prints the settings as in docs/OPERATORS.md.
+func printSettings(_ context.Context, command *cli.Command) error {
+	fmt.Fprint(command.Root().Writer, setup.Table())
+	return nil
+}
--- /dev/null
+++ b/daemon/logger.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+)
+
+// newKratosLogger returns a logger for kratos that writes to slog.
+func newKratosLogger(logger *slog.Logger) klog.Logger { return &kratosLogger{logger: logger} }
+
+// kratosLogger is the logger made by newKratosLogger.
+type kratosLogger struct {
+	logger *slog.Logger
+}
+
+// levels are the levels of kratos in slog.
+var levels = map[klog.Level]slog.Level{
+	klog.LevelDebug: slog.LevelDebug, klog.LevelInfo: slog.LevelInfo, klog.LevelWarn: slog.LevelWarn,
+	klog.LevelError: slog.LevelError, klog.LevelFatal: slog.LevelError,
+}
+
+// Log is part of klog.Logger.
+func (k *kratosLogger) Log(level klog.Level, keyvals ...any) error {
+	message := "kratos"
+	var rest []any
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == "msg" {
+			message = fmt.Sprint(keyvals[i+1])
+			continue
+		}
+		rest = append(rest, fmt.Sprint(keyvals[i]), keyvals[i+1])
+	}
+	k.logger.Log(context.Background(), levels[level], message, rest...)
+	return nil
+}
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,93 @@
+package gypsum
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Chunk is a piece of an engine's answer.
+type Chunk struct {
+	// Index is the position of the chunk's first token in the answer.
+	Index  int    `json:"index"`
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+	// Version is the version of the weights that the engine reports for these tokens.
+	Version WeightVersion `json:"version"`
+	// Finish is why the answer ends ("stop", "length"), in its last chunk only.
+	Finish string `json:"finish,omitempty"`
+}
+
+// Generation is a request for tokens from an engine.
+type Generation struct {
+	ID        RequestID `json:"id"`
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens int       `json:"max_tokens"`
+	Seed      int64     `json:"seed,omitempty"`
+	// ResumeText and ResumeTokens are what another engine already gave.
+	ResumeText   string `json:"resume_text,omitempty"`
+	ResumeTokens int    `json:"resume_tokens,omitempty"`
+}
+
+// LoadReport is an engine's own word on itself. It lags behind.
+type LoadReport struct {
+	Incarnation Incarnation   `json:"incarnation"`
+	Running     int           `json:"running"`
+	Waiting     int           `json:"waiting"`
+	Slots       int           `json:"slots"`
+	Version     WeightVersion `json:"version"`
+	Swapping    bool          `json:"swapping,omitempty"`
+	Leaving     bool          `json:"leaving,omitempty"`
+	Fence       Offset        `json:"fence,omitempty"`
+	// CacheEvent is the number of the newest cache event. A jump means a gap.
+	CacheEvent int64 `json:"cache_event,omitempty"`
+}
+
+// Order is a target state for an engine. Orders are idempotent.
+type Order struct {
+	// Fence is the fencing number: the offset of the holder's epoch record.
+	Fence   Offset        `json:"fence"`
+	Model   string        `json:"model"`
+	Version WeightVersion `json:"version"`
+}
+
+// Engine is a client of one model engine.
+type Engine interface {
+	// Generate hands each chunk of the answer to sink, in order. Cancelling ctx
+	// cancels the request on the engine. It returns ErrNotHanded if no byte of
+	// the request left, ErrBroken or ErrCrossed if the answer cannot be used.
+	Generate(ctx context.Context, generation *Generation, sink func(*Chunk) error) error
+	Load(ctx context.Context) (*LoadReport, error)
+	// Order returns ErrStaleFence if the engine refuses the fencing number.
+	Order(ctx context.Context, order Order) error
+}
+
+// PlainRequest is a request for a plain service.
+type PlainRequest struct {
+	ID     RequestID   `json:"id"`
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Query  string      `json:"query,omitempty"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	// Once means that the request must not reach the service twice.
+	Once bool `json:"once,omitempty"`
+}
+
+// PlainResponse is the whole answer of a plain service.
+type PlainResponse struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+}
+
+// Plain is a client of one backend server of a plain service.
+type Plain interface {
+	// Do returns ErrNotHanded if no byte of the request left.
+	Do(ctx context.Context, request *PlainRequest) (*PlainResponse, error)
+	Load(ctx context.Context) (*LoadReport, error)
+}
+
+// LoadTimeout is how long a backend server may take to report its load.
+const LoadTimeout = time.Second
--- /dev/null
+++ b/epoch/stream.go
@@ -0,0 +1,536 @@
+// Package epoch keeps replicated state in a stream of the platform's log.
+//
+// The order of the records arbitrates between writers: an epoch record makes
+// its writer the holder of the stream, and a record written under an older
+// epoch that stands behind it is void for every reader. No clock takes part.
+package epoch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Machine is the state that the valid records of a stream build up. Its
+// methods are called from one goroutine.
+type Machine interface {
+	Apply(entry Entry)
+	Snapshot() ([]byte, error)
+	Restore(body []byte) error
+}
+
+// Entry is a valid record of a stream.
+type Entry struct {
+	Offset gypsum.Offset
+	Nonce  string
+	Body   []byte
+}
+
+// NoEpoch is the epoch of a stream that nobody has held yet.
+const NoEpoch gypsum.Offset = -1
+
+// readMax is the number of records asked for in one read.
+const readMax = 1000
+
+// readBackInterval is the time between two reads for a record that was
+// appended but is not yet shown.
+const readBackInterval = 20 * time.Millisecond
+
+// tickInterval is the time between two looks at what is due.
+const tickInterval = 50 * time.Millisecond
+
+// Stream is a reader and writer of one stream. Set the exported fields before Run.
+type Stream struct {
+	Log     gypsum.Log
+	Name    gypsum.StreamName
+	Machine Machine
+	Logger  *slog.Logger
+	// Unowned streams take records from any writer, without an epoch.
+	Unowned bool
+	// Stateless streams have no state but their epoch, so that removed records
+	// are not missed.
+	Stateless bool
+	// MinInterval is the least time between two appends; what arrives
+	// meanwhile is committed as one group.
+	MinInterval time.Duration
+	// Timeout bounds one append or read.
+	Timeout time.Duration
+	// PollInterval is the time between two reads when nothing is appended, 0
+	// for a stream that is read only on use.
+	PollInterval time.Duration
+	// SnapshotInterval is the longest age of the newest snapshot, 0 for none.
+	// It must be well below the log's retention.
+	SnapshotInterval time.Duration
+	// SnapshotEvery is the number of records after which a snapshot is due.
+	SnapshotEvery int
+	// Responsible tells whether this process is to write due snapshots. Any
+	// process may write one: its offset alone decides whether it is valid.
+	Responsible func() bool
+	// Repair, if set, gives the machine a state to go on from after the history
+	// was lost. It is called by the responsible process only.
+	Repair func()
+
+	requests chan *request
+	done     chan error
+	stopped  chan struct{}
+
+	mu        sync.Mutex
+	next      gypsum.Offset
+	epoch     gypsum.Offset
+	mine      bool
+	loaded    bool
+	lost      bool
+	appends   int64
+	waiting   map[string]*request
+	restoring bool
+
+	lastAppend   time.Time
+	lastRead     time.Time
+	lastSnapshot time.Time
+	sinceRecords int
+}
+
+// request is a record on its way into the stream.
+type request struct {
+	envelope envelope
+	result   chan error
+}
+
+// Start begins to serve the stream. The end of its goroutine is reported on Done.
+func (s *Stream) Start(ctx context.Context) {
+	s.requests = make(chan *request, 1024)
+	s.done = make(chan error, 1)
+	s.waiting = make(map[string]*request)
+	s.epoch = NoEpoch
+	s.lastSnapshot = time.Now()
+	s.stopped = make(chan struct{})
+	go func() {
+		defer close(s.stopped)
+		s.done <- s.run(ctx)
+	}()
+}
+
+// Stopped is closed when the stream's goroutine has ended.
+func (s *Stream) Stopped() <-chan struct{} { return s.stopped }
+
+// Done reports the end of the stream's goroutine.
+func (s *Stream) Done() <-chan error { return s.done }
+
+// Holds tells whether this process holds the newest epoch it has read.
+func (s *Stream) Holds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mine
+}
+
+// Epoch returns the newest epoch read and whether this process holds it.
+func (s *Stream) Epoch() (gypsum.Offset, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch, s.mine
+}
+
+// Loaded tells whether the stream has once been read to its end.
+func (s *Stream) Loaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// Lost tells whether retention removed records that no snapshot covers.
+func (s *Stream) Lost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// Appends returns the number of append calls made so far.
+func (s *Stream) Appends() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
+
+// Acquire makes this process the holder of the stream. When it returns nil,
+// every record before the new epoch has been applied.
+func (s *Stream) Acquire(ctx context.Context) error {
+	if s.Holds() {
+		return nil
+	}
+	return s.submit(ctx, envelope{Kind: kindEpoch})
+}
+
+// Append adds a record under the epoch that this process holds. It returns nil
+// once the record was read back as valid. On any error but ErrEpochLost the
+// record may yet become valid.
+func (s *Stream) Append(ctx context.Context, nonce string, body []byte) error {
+	return s.submit(ctx, envelope{Kind: kindRecord, Nonce: nonce, Body: body})
+}
+
+// AppendFact adds a record that is valid whoever holds the stream. It must only
+// state what has happened.
+func (s *Stream) AppendFact(ctx context.Context, body []byte) error {
+	return s.submit(ctx, envelope{Kind: kindFact, Body: body})
+}
+
+// Refresh reads the stream to its present end.
+func (s *Stream) Refresh(ctx context.Context) error {
+	return s.submit(ctx, envelope{Kind: kindRead})
+}
+
+// submit hands an envelope to the stream's goroutine and waits for its result.
+func (s *Stream) submit(ctx context.Context, env envelope) error {
+	if env.Nonce == "" {
+		env.Nonce = uuid.NewString()
+	}
+	req := &request{envelope: env, result: make(chan error, 1)}
+	select {
+	case s.requests <- req:
+	default:
+		return fmt.Errorf("stream %s: too many records wait: %w", s.Name, gypsum.ErrLogUnavailable)
+	}
+	select {
+	case err := <-req.result:
+		return err
+	case <-s.stopped:
+		return fmt.Errorf("stream %s has stopped: %w", s.Name, gypsum.ErrLogUnavailable)
+	case <-ctx.Done():
+		return fmt.Errorf("wait for stream %s: %w", s.Name, gypsum.ErrLogUnavailable)
+	}
+}
+
+// run serves requests, polls and writes due snapshots until ctx ends.
+func (s *Stream) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-s.requests:
+			s.commit(ctx, s.gather(ctx, first))
+		case <-ticker.C:
+			s.pollIfDue(ctx)
+			s.snapshotIfDue(ctx)
+		}
+	}
+}
+
+// gather waits until the next append is allowed and returns the group to commit.
+func (s *Stream) gather(ctx context.Context, first *request) []*request {
+	if wait := s.MinInterval - time.Since(s.lastAppend); wait > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	group := []*request{first}
+	for len(group) < readMax {
+		select {
+		case req := <-s.requests:
+			group = append(group, req)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// commit appends a group of records and reads until all are resolved.
+func (s *Stream) commit(ctx context.Context, group []*request) {
+	group = s.serveReads(ctx, s.refuseUnowned(group))
+	if len(group) == 0 {
+		return
+	}
+	records := make([][]byte, len(group))
+	s.mu.Lock()
+	for i, req := range group {
+		req.envelope.Epoch = s.epoch
+		records[i] = encode(&req.envelope)
+		s.waiting[req.envelope.Nonce] = req
+	}
+	s.appends++
+	s.mu.Unlock()
+
+	s.lastAppend = time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
+	offset, appendErr := s.Log.Append(callCtx, s.Name, records)
+	cancel()
+	var end gypsum.Offset
+	if appendErr == nil {
+		end = offset + gypsum.Offset(len(records))
+	}
+	s.failWaiting(appendErr, s.readBack(ctx, end))
+}
+
+// readBack reads the stream at least up to end. Reads may lag behind appends.
+func (s *Stream) readBack(ctx context.Context, end gypsum.Offset) error {
+	deadline := time.Now().Add(s.Timeout)
+	for {
+		err := s.catchUp(ctx)
+		if err != nil || s.next >= end || time.Now().After(deadline) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readBackInterval):
+		}
+	}
+}
+
+// serveReads answers the requests that only read.
+func (s *Stream) serveReads(ctx context.Context, group []*request) []*request {
+	appends := group[:0]
+	var reads []*request
+	for _, req := range group {
+		if req.envelope.Kind == kindRead {
+			reads = append(reads, req)
+		} else {
+			appends = append(appends, req)
+		}
+	}
+	if len(reads) == 0 {
+		return appends
+	}
+	err := s.catchUp(ctx)
+	for _, req := range reads {
+		req.result <- err
+	}
+	return appends
+}
+
+// refuseUnowned takes out records that need an epoch that is not held.
+func (s *Stream) refuseUnowned(group []*request) []*request {
+	if s.Unowned || s.Holds() {
+		return group
+	}
+	kept := group[:0]
+	for _, req := range group {
+		if req.envelope.Kind != kindRecord {
+			kept = append(kept, req)
+			continue
+		}
+		req.result <- fmt.Errorf("append to %s: %w", s.Name, gypsum.ErrEpochLost)
+	}
+	return kept
+}
+
+// failWaiting ends the requests that were not found in the stream.
+func (s *Stream) failWaiting(appendErr, readErr error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for nonce, req := range s.waiting {
+		delete(s.waiting, nonce)
+		switch {
+		case readErr != nil && errors.Is(readErr, gypsum.ErrHistoryLost):
+			req.result <- readErr
+		case appendErr != nil:
+			req.result <- fmt.Errorf("append to %s: %v: %w", s.Name, appendErr, gypsum.ErrLogUnavailable)
+		default:
+			req.result <- fmt.Errorf("read back %s: %v: %w", s.Name, readErr, gypsum.ErrLogUnavailable)
+		}
+	}
+}
+
+// pollIfDue reads the stream if it is polled and a read is due.
+func (s *Stream) pollIfDue(ctx context.Context) {
+	if s.PollInterval == 0 || time.Since(s.lastRead) < s.PollInterval {
+		return
+	}
+	if err := s.catchUp(ctx); err != nil && ctx.Err() == nil {
+		s.Logger.Debug("stream not read", "stream", s.Name, "error", err)
+	}
+}
+
+// catchUp reads and applies all records up to the stream's present end.
+func (s *Stream) catchUp(ctx context.Context) error {
+	s.lastRead = time.Now()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
+		page, err := s.Log.Read(callCtx, gypsum.LogRead{Stream: s.Name, From: s.next, Max: readMax})
+		cancel()
+		if errors.Is(err, gypsum.ErrTruncated) && page != nil {
+			s.beginRestore(page.First)
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("read %s from %d: %w", s.Name, s.next, err)
+		}
+		for _, record := range page.Records {
+			s.apply(record)
+		}
+		if s.next >= page.Next || len(page.Records) == 0 {
+			return s.finishRead()
+		}
+	}
+}
+
+// beginRestore skips to the oldest record left and looks for a snapshot there.
+func (s *Stream) beginRestore(first gypsum.Offset) {
+	s.Logger.Info("stream truncated", "stream", s.Name, "next", s.next, "first", first)
+	s.next = first
+	s.restoring = !s.Stateless
+}
+
+// finishRead notes that the end of the stream was reached.
+func (s *Stream) finishRead() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = s.restoring
+	if s.restoring {
+		return fmt.Errorf("stream %s: %w", s.Name, gypsum.ErrHistoryLost)
+	}
+	s.loaded = true
+	return nil
+}
+
+// apply takes one record into the state and resolves its request, if it is ours.
+func (s *Stream) apply(record gypsum.LogRecord) {
+	s.mu.Lock()
+	s.next = record.Offset + 1
+	env, err := decode(record.Data)
+	s.mu.Unlock()
+	if err != nil {
+		s.Logger.Warn("record not understood", "stream", s.Name, "offset", record.Offset, "error", err)
+		return
+	}
+	switch env.Kind {
+	case kindEpoch:
+		s.applyEpoch(record.Offset, env)
+	case kindSnapshot:
+		s.applySnapshot(record.Offset, env)
+	case kindRecord, kindFact:
+		s.applyRecord(record.Offset, env)
+	}
+}
+
+// applyEpoch makes the record's writer the holder.
+func (s *Stream) applyEpoch(offset gypsum.Offset, env *envelope) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = offset
+	s.mine = false
+	if s.restoring {
+		return
+	}
+	_, s.mine = s.waiting[env.Nonce]
+	s.resolve(env.Nonce, nil)
+}
+
+// applyRecord hands a valid record to the machine; one of an older epoch is void.
+func (s *Stream) applyRecord(offset gypsum.Offset, env *envelope) {
+	if s.restoring {
+		return
+	}
+	s.mu.Lock()
+	void := !s.Unowned && env.Kind == kindRecord && env.Epoch != s.epoch
+	s.mu.Unlock()
+	var result error
+	if void {
+		result = fmt.Errorf("record %d of %s: %w", offset, s.Name, gypsum.ErrEpochLost)
+	} else {
+		s.Machine.Apply(Entry{Offset: offset, Nonce: env.Nonce, Body: env.Body})
+		s.sinceRecords++
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resolve(env.Nonce, result)
+}
+
+// applySnapshot restores from a snapshot that covers all records before it.
+// Any other is void.
+func (s *Stream) applySnapshot(offset gypsum.Offset, env *envelope) {
+	var result error
+	if env.Covers != offset-1 {
+		result = fmt.Errorf("snapshot %d of %s covers %d only: %w", offset, s.Name, env.Covers, gypsum.ErrEpochLost)
+	} else {
+		s.acceptSnapshot(offset, env)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resolve(env.Nonce, result)
+}
+
+// acceptSnapshot notes a valid snapshot and, while restoring, takes it over.
+func (s *Stream) acceptSnapshot(offset gypsum.Offset, env *envelope) {
+	s.lastSnapshot = time.Now()
+	s.sinceRecords = 0
+	if !s.restoring {
+		return
+	}
+	if err := s.Machine.Restore(env.Body); err != nil {
+		s.Logger.Error("snapshot not restored", "stream", s.Name, "offset", offset, "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoring = false
+	s.mine = s.mine && s.epoch == env.Epoch
+	s.epoch = env.Epoch
+}
+
+// resolve ends the request with the nonce, if it waits here. The caller holds mu.
+func (s *Stream) resolve(nonce string, result error) {
+	if req, ok := s.waiting[nonce]; ok {
+		delete(s.waiting, nonce)
+		req.result <- result
+	}
+}
+
+// snapshotIfDue appends a snapshot if one is due and this process is responsible.
+func (s *Stream) snapshotIfDue(ctx context.Context) {
+	if s.SnapshotInterval == 0 || s.Responsible == nil {
+		return
+	}
+	if !s.snapshotDue() || !s.Responsible() {
+		return
+	}
+	err := s.catchUp(ctx)
+	if errors.Is(err, gypsum.ErrHistoryLost) && s.Repair != nil {
+		s.Logger.Error("stream history lost, going on from a repaired state", "stream", s.Name)
+		s.Repair()
+		err = nil
+	}
+	if err == nil && s.snapshotDue() {
+		s.commitSnapshot(ctx)
+	}
+	if s.snapshotDue() {
+		// A failed attempt is tried again after a part of the interval.
+		s.lastSnapshot = time.Now().Add(-s.SnapshotInterval * 3 / 4)
+		s.sinceRecords = 0
+	}
+}
+
+// snapshotDue tells whether the newest snapshot is too old.
+func (s *Stream) snapshotDue() bool {
+	return time.Since(s.lastSnapshot) >= s.SnapshotInterval ||
+		(s.SnapshotEvery > 0 && s.sinceRecords >= s.SnapshotEvery)
+}
+
+// commitSnapshot appends a snapshot of all that was read.
+func (s *Stream) commitSnapshot(ctx context.Context) {
+	body, err := s.Machine.Snapshot()
+	if err != nil {
+		s.Logger.Error("snapshot not made", "stream", s.Name, "error", err)
+		return
+	}
+	req := newRequest(envelope{Kind: kindSnapshot, Covers: s.next - 1, Body: body})
+	s.commit(ctx, []*request{req})
+	if err := <-req.result; err != nil {
+		s.Logger.Info("snapshot void", "stream", s.Name, "error", err)
+	}
+}
+
+// newRequest returns a request with a fresh nonce.
+func newRequest(env envelope) *request {
+	env.Nonce = uuid.NewString()
+	return &request{envelope: env, result: make(chan error, 1)}
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,115 @@
+package gypsum
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Outcome is what is known of a request that was refused or failed.
+type Outcome string
+
+// OutcomeNotRun means that no byte of the request was handed to a backend
+// server. OutcomeUnknown means that it may have run.
+const (
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason is the kind of a refusal or failure, for machines to read.
+type Reason string
+
+// The reasons of refusals and failures.
+const (
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonDeadlinePast    Reason = "deadline_past"
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonNoBackend       Reason = "no_backend_server"
+	ReasonNoConfiguration Reason = "no_configuration"
+	ReasonLogUnavailable  Reason = "log_unavailable"
+	ReasonKeyReused       Reason = "idempotency_key_reused"
+	ReasonKeyExpired      Reason = "idempotency_key_expired"
+	ReasonAlreadyStarted  Reason = "already_started"
+	ReasonPoison          Reason = "request_crashes_backend_servers"
+	ReasonBackendFailed   Reason = "backend_server_failed"
+	ReasonPeerFailed      Reason = "host_failed"
+	ReasonTimeout         Reason = "timeout"
+	ReasonShutdown        Reason = "shutting_down"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonStepPast        Reason = "step_past"
+)
+
+// Refusal is the final answer to a request that got no whole answer from a
+// backend server.
+type Refusal struct {
+	Reason     Reason        `json:"reason"`
+	Outcome    Outcome       `json:"outcome"`
+	Status     int           `json:"status"`
+	Detail     string        `json:"detail"`
+	RetryAfter time.Duration `json:"retry_after"`
+	// Backend names the backend server that failed or refused the request.
+	Backend BackendID `json:"backend,omitempty"`
+	// Crash is set if the backend server died while it ran the request.
+	Crash *Crash `json:"crash,omitempty"`
+	// Misrouted means that the receiving daemon cannot serve the call, and that
+	// another one may.
+	Misrouted bool `json:"misrouted,omitempty"`
+	// Final means that no further attempt can succeed.
+	Final bool `json:"final,omitempty"`
+}
+
+// Error returns the refusal as one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (outcome %s): %s", r.Reason, r.Outcome, r.Detail)
+}
+
+// NotRun returns a refusal of a request that was never handed to a backend
+// server. A retryAfter of zero means that coming back is of no use.
+func NotRun(reason Reason, status int, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Reason: reason, Outcome: OutcomeNotRun, Status: status, RetryAfter: retryAfter, Detail: detail}
+}
+
+// Unknown returns a failure of a request that may have run.
+func Unknown(reason Reason, status int, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Reason: reason, Outcome: OutcomeUnknown, Status: status, RetryAfter: retryAfter, Detail: detail}
+}
+
+// AsRefusal returns err as a refusal. An error that is not one becomes a
+// failure with an unknown outcome.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return Unknown(ReasonBackendFailed, http.StatusBadGateway, time.Second, err.Error())
+}
+
+// Errors of the platform's log.
+var (
+	// ErrLogUnavailable is an append or read without an answer. An append may
+	// have taken effect.
+	ErrLogUnavailable = errors.New("log unavailable")
+	// ErrTruncated is a read of records that retention has removed.
+	ErrTruncated = errors.New("records removed by retention")
+)
+
+// Errors of ownership and orders.
+var (
+	// ErrEpochLost is an act under an epoch that a newer one has replaced.
+	ErrEpochLost = errors.New("epoch lost")
+	// ErrHistoryLost is a stream whose records were removed before a snapshot
+	// covered them.
+	ErrHistoryLost = errors.New("stream history lost")
+	// ErrStaleFence is an order with an older fencing number than the engine
+	// has seen.
+	ErrStaleFence = errors.New("stale fencing number")
+	// ErrNotHanded marks a failure before the first byte reached the other side.
+	ErrNotHanded = errors.New("not handed over")
+	// ErrCrossed is an answer that belongs to another request.
+	ErrCrossed = errors.New("answer of another request")
+	// ErrBroken is an answer that ended early or has a gap.
+	ErrBroken = errors.New("answer broken off")
+)
--- /dev/null
+++ b/fake/engine.go
@@ -0,0 +1,440 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// words are the tokens of the fake engines.
+var words = strings.Fields("anchor berth cleat deck ebb fender gale hull inlet jib keel lee mast net oar pier quay reef sail tide")
+
+// Token returns the text of one token. It depends on the weights' version, so
+// that a text proves which versions made it.
+func Token(prompt string, seed int64, version gypsum.WeightVersion, index int) string {
+	hash := gypsum.Hash64(prompt, fmt.Sprint(seed, version, index))
+	return words[hash%uint64(len(words))] + " "
+}
+
+// Length returns the number of tokens of an answer.
+func Length(prompt string, seed int64, maxTokens int) int {
+	hash := gypsum.Hash64("length", prompt, fmt.Sprint(seed))
+	return 1 + maxTokens/2 + int(hash%uint64(max(1, maxTokens/2)))
+}
+
+// Text returns the answer that the segments' versions give.
+func Text(prompt string, seed int64, segments []gypsum.Segment) string {
+	var text strings.Builder
+	index := 0
+	for _, segment := range segments {
+		for range segment.Tokens {
+			text.WriteString(Token(prompt, seed, segment.Version, index))
+			index++
+		}
+	}
+	return text.String()
+}
+
+// Answer is a fault of an engine's answers.
+type Answer int
+
+// The faults of answers.
+const (
+	// AnswerGap leaves out a chunk.
+	AnswerGap Answer = iota + 1
+	// AnswerTwice gives each chunk twice.
+	AnswerTwice
+	// AnswerCut ends the stream without its last chunk.
+	AnswerCut
+	// AnswerCrossed gives the answer of another request.
+	AnswerCrossed
+	// AnswerUnversioned reports no version.
+	AnswerUnversioned
+)
+
+// Engine is a model engine in memory. Set the exported fields before use.
+type Engine struct {
+	Slots int
+	// TokenTime is the time of one token with all slots in use or fewer.
+	TokenTime time.Duration
+	// ChunkTokens is the number of tokens in a chunk.
+	ChunkTokens int
+	// SwapTime is the time of a change of weights.
+	SwapTime time.Duration
+	// IgnoreFence accepts orders with old fencing numbers.
+	IgnoreFence bool
+	// Poison is a part of a prompt that crashes the engine.
+	Poison string
+	// Straggle makes one answer in so many ten times slower, 0 for none.
+	Straggle int
+	// Lag is how old load reports are.
+	Lag time.Duration
+
+	// OnCrash is called by a crash, if set.
+	OnCrash func()
+
+	mu          sync.Mutex
+	incarnation gypsum.Incarnation
+	version     gypsum.WeightVersion
+	fence       gypsum.Offset
+	running     int
+	waiting     []chan struct{}
+	swapping    bool
+	leaving     bool
+	crashed     chan struct{}
+	down        bool
+	frozen      chan struct{}
+	fault       Answer
+	failSwaps   int
+	crashes     int
+	started     int
+	orders      []gypsum.Order
+	report      gypsum.LoadReport
+	reportAt    time.Time
+	cacheEvent  int64
+	newWork     []time.Time
+}
+
+// NewEngine returns an engine with version 1 of its weights.
+func NewEngine(slots int, tokenTime time.Duration) *Engine {
+	return &Engine{
+		Slots: slots, TokenTime: tokenTime, ChunkTokens: 4, SwapTime: 200 * time.Millisecond,
+		version: 1, fence: -1, incarnation: gypsum.Incarnation(time.Now().UnixMilli()), crashed: make(chan struct{}),
+	}
+}
+
+// SetAnswer puts the engine's answers into a fault, 0 ends it.
+func (e *Engine) SetAnswer(fault Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = fault
+}
+
+// SetLeaving makes the engine say that it is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetVersion sets the weights without an order.
+func (e *Engine) SetVersion(version gypsum.WeightVersion) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
+// FailSwaps makes the next changes of weights fail.
+func (e *Engine) FailSwaps(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failSwaps = count
+}
+
+// Crash ends the process: running answers break off, calls find nothing.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
+// crash ends the process. The caller holds mu.
+func (e *Engine) crash() {
+	if e.down {
+		return
+	}
+	if e.OnCrash != nil {
+		e.OnCrash()
+	}
+	e.down = true
+	e.crashes++
+	close(e.crashed)
+	e.running, e.waiting, e.swapping = 0, nil, false
+}
+
+// Restart starts a crashed process again, with the weights it had.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.down {
+		return
+	}
+	e.down = false
+	e.crashed = make(chan struct{})
+	e.incarnation = max(e.incarnation+1, gypsum.Incarnation(time.Now().UnixMilli()))
+	e.reportAt = time.Time{}
+}
+
+// Freeze stops the process until Thaw.
+func (e *Engine) Freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen == nil {
+		e.frozen = make(chan struct{})
+	}
+}
+
+// Thaw lets a frozen process go on.
+func (e *Engine) Thaw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Version returns the weights' version.
+func (e *Engine) Version() gypsum.WeightVersion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// Orders returns all orders that were carried out.
+func (e *Engine) Orders() []gypsum.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]gypsum.Order{}, e.orders...)
+}
+
+// NewWork returns when generations began.
+func (e *Engine) NewWork() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time{}, e.newWork...)
+}
+
+// reach waits while the engine is frozen and fails if it is down.
+func (e *Engine) reach(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		frozen, down := e.frozen, e.down
+		e.mu.Unlock()
+		if down {
+			return fmt.Errorf("connect to engine: %w", gypsum.ErrNotHanded)
+		}
+		if frozen == nil {
+			return ctx.Err()
+		}
+		select {
+		case <-frozen:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Load returns the engine's report, as old as Lag.
+func (e *Engine) Load(ctx context.Context) (*gypsum.LoadReport, error) {
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reportAt.IsZero() || time.Since(e.reportAt) >= e.Lag {
+		e.reportAt = time.Now()
+		e.report = gypsum.LoadReport{
+			Incarnation: e.incarnation, Running: e.running, Waiting: len(e.waiting), Slots: e.Slots,
+			Version: e.version, Swapping: e.swapping, Fence: e.fence, CacheEvent: e.cacheEvent,
+		}
+	}
+	report := e.report
+	report.Leaving = e.leaving
+	return &report, nil
+}
+
+// Order changes the weights.
+func (e *Engine) Order(ctx context.Context, order gypsum.Order) error {
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fence < e.fence && !e.IgnoreFence {
+		return fmt.Errorf("order with fence %d, newest is %d: %w", order.Fence, e.fence, gypsum.ErrStaleFence)
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.orders = append(e.orders, order)
+	if e.swapping || e.version == order.Version {
+		return nil
+	}
+	e.swapping = true
+	crashed := e.crashed
+	time.AfterFunc(e.SwapTime, func() { e.endSwap(order, crashed) })
+	return nil
+}
+
+// endSwap finishes a change of weights, unless it fails or the process died.
+func (e *Engine) endSwap(order gypsum.Order, crashed chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed != crashed || e.down {
+		return
+	}
+	e.swapping = false
+	if e.failSwaps > 0 {
+		e.failSwaps--
+		return
+	}
+	e.version = order.Version
+}
+
+// Generate gives the tokens of an answer. A change of weights in the midst
+// shows in the versions of the later chunks.
+func (e *Engine) Generate(ctx context.Context, generation *gypsum.Generation, sink func(*gypsum.Chunk) error) error {
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
+	crashed, err := e.enter(ctx, generation)
+	if err != nil {
+		return err
+	}
+	defer e.leave(crashed)
+	return e.stream(ctx, generation, crashed, sink)
+}
+
+// enter waits for a slot. Engines admit what arrives, in order.
+func (e *Engine) enter(ctx context.Context, generation *gypsum.Generation) (chan struct{}, error) {
+	e.mu.Lock()
+	crashed := e.crashed
+	e.newWork = append(e.newWork, time.Now())
+	e.cacheEvent++
+	if e.Poison != "" && strings.Contains(generation.Prompt, e.Poison) {
+		e.crash()
+		e.mu.Unlock()
+		return nil, fmt.Errorf("engine died: %w", gypsum.ErrBroken)
+	}
+	if e.running < e.Slots {
+		e.running++
+		e.mu.Unlock()
+		return crashed, nil
+	}
+	turn := make(chan struct{})
+	e.waiting = append(e.waiting, turn)
+	e.mu.Unlock()
+	select {
+	case <-turn:
+		return crashed, nil
+	case <-crashed:
+		return nil, fmt.Errorf("engine died: %w", gypsum.ErrBroken)
+	case <-ctx.Done():
+		e.giveUp(turn)
+		return nil, ctx.Err()
+	}
+}
+
+// giveUp takes a waiting request out, or passes its turn on.
+func (e *Engine) giveUp(turn chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, other := range e.waiting {
+		if other == turn {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			return
+		}
+	}
+	e.next()
+}
+
+// leave frees a slot.
+func (e *Engine) leave(crashed chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed == crashed && !e.down {
+		e.next()
+	}
+}
+
+// next gives a freed slot to the oldest waiting request. The caller holds mu.
+func (e *Engine) next() {
+	if len(e.waiting) > 0 {
+		close(e.waiting[0])
+		e.waiting = e.waiting[1:]
+		return
+	}
+	e.running--
+}
+
+// stream gives the chunks.
+func (e *Engine) stream(ctx context.Context, generation *gypsum.Generation, crashed chan struct{}, sink func(*gypsum.Chunk) error) error {
+	length := Length(generation.Prompt, generation.Seed, generation.MaxTokens)
+	pace := e.TokenTime
+	if e.Straggle > 0 && gypsum.Hash64(string(generation.ID))%uint64(e.Straggle) == 0 {
+		pace *= 10
+	}
+	for index := generation.ResumeTokens; index < length; {
+		count := min(e.ChunkTokens, length-index)
+		if err := e.wait(ctx, crashed, pace*time.Duration(count)); err != nil {
+			return err
+		}
+		chunk := e.chunk(generation, index, count, length)
+		index += count
+		if err := e.give(chunk, sink); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// wait spends the time of a chunk.
+func (e *Engine) wait(ctx context.Context, crashed chan struct{}, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-crashed:
+		return fmt.Errorf("engine died: %w", gypsum.ErrBroken)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return e.reach(ctx)
+}
+
+// chunk returns the tokens from index on.
+func (e *Engine) chunk(generation *gypsum.Generation, index, count, length int) *gypsum.Chunk {
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
+	chunk := &gypsum.Chunk{Index: index, Tokens: count, Version: version}
+	for i := range count {
+		chunk.Text += Token(generation.Prompt, generation.Seed, version, index+i)
+	}
+	if index+count >= length {
+		chunk.Finish = "stop"
+	}
+	return chunk
+}
+
+// give hands a chunk over, with the present fault of answers.
+func (e *Engine) give(chunk *gypsum.Chunk, sink func(*gypsum.Chunk) error) error {
+	e.mu.Lock()
+	fault := e.fault
+	e.mu.Unlock()
+	switch {
+	case fault == AnswerGap && chunk.Index > 0 && chunk.Finish == "":
+		return nil
+	case fault == AnswerCut && chunk.Finish != "":
+		return fmt.Errorf("stream ended early: %w", gypsum.ErrBroken)
+	case fault == AnswerCrossed:
+		return fmt.Errorf("chunk of another request: %w", gypsum.ErrCrossed)
+	case fault == AnswerUnversioned:
+		chunk.Version = 0
+	case fault == AnswerTwice:
+		if err := sink(chunk); err != nil {
+			return err
+		}
+	}
+	return sink(chunk)
+}
--- /dev/null
+++ b/hosts.go
@@ -0,0 +1,45 @@
+package gypsum
+
+import "context"
+
+// HostKind is what runs on a host.
+type HostKind string
+
+// The kinds of hosts.
+const (
+	KindDaemon HostKind = "daemon"
+	KindModel  HostKind = "model"
+	KindPlain  HostKind = "plain"
+)
+
+// Host is an entry of the platform's list of hosts.
+type Host struct {
+	ID       string      `json:"id"`
+	Kind     HostKind    `json:"kind"`
+	Location Location    `json:"location"`
+	Address  string      `json:"address"`
+	Service  ServiceName `json:"service,omitempty"`
+	Leaving  bool        `json:"leaving,omitempty"`
+}
+
+// HostList is the platform's list of live and leaving hosts. It lags behind.
+type HostList interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// WeightStore is the platform's rate-limited store of weights.
+type WeightStore interface {
+	// Latest returns the newest version of a model's weights.
+	Latest(ctx context.Context, model string) (WeightVersion, error)
+}
+
+// Dialer returns clients of backend servers.
+type Dialer interface {
+	Engine(host Host) Engine
+	Plain(host Host) Plain
+}
+
+// Scorer is a service that scores samples.
+type Scorer interface {
+	Score(ctx context.Context, sample *Sample) (float64, error)
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,175 @@
+// Package member keeps what a daemon knows of the other daemons: in its own
+// data centre each one, elsewhere a summary that the data centre's delegates
+// make. All of it is soft state, learned anew after a start.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Table is a daemon's knowledge of its data centre. The control goroutine owns
+// it. Set the exported fields before use.
+type Table struct {
+	Self gypsum.Member
+	// SuspectAfter is the silence after which a member gets no new work.
+	SuspectAfter time.Duration
+	// GoneAfter is the silence after which a member is forgotten.
+	GoneAfter time.Duration
+
+	entries map[gypsum.HostID]*entry
+}
+
+// entry is one other member.
+type entry struct {
+	member gypsum.Member
+	// Heard is when news of the member last advanced, by the local clock.
+	heard time.Time
+	// Seen is false until the member itself was heard of, not just the list's word.
+	seen bool
+	// FailedBeat is the newest beat known when a call to the member failed.
+	failed     bool
+	failedBeat int64
+}
+
+// Status is a member and what is believed of it.
+type Status struct {
+	Member gypsum.Member
+	State  gypsum.MemberState
+	// Silence is the time since news of the member last advanced.
+	Silence time.Duration
+}
+
+// NewTable returns a table that knows only its own daemon.
+func NewTable(self gypsum.Member) *Table {
+	return &Table{Self: self, entries: make(map[gypsum.HostID]*entry)}
+}
+
+// Seed adds the daemons of the platform's list. They get no work before they
+// are heard of.
+func (t *Table) Seed(hosts []gypsum.Host, now time.Time) {
+	for _, host := range hosts {
+		id := gypsum.HostID(host.ID)
+		if host.Kind != gypsum.KindDaemon || id == t.Self.ID || host.Location.DataCentre != t.Self.Location.DataCentre {
+			continue
+		}
+		if known, ok := t.entries[id]; ok {
+			known.member.Leaving = known.member.Leaving || host.Leaving
+			continue
+		}
+		t.entries[id] = &entry{
+			member: gypsum.Member{ID: id, Address: host.Address, Location: host.Location, Leaving: host.Leaving},
+			heard:  now,
+		}
+	}
+}
+
+// newer tells whether news with an incarnation and beat replaces a member's.
+func newer(incarnation gypsum.Incarnation, beat int64, known *gypsum.Member) bool {
+	if incarnation != known.Incarnation {
+		return incarnation > known.Incarnation
+	}
+	return beat > known.Beat
+}
+
+// Merge takes over news that is newer than what is known.
+func (t *Table) Merge(members []gypsum.Member, now time.Time) {
+	for _, member := range members {
+		if member.ID == t.Self.ID || member.Location.DataCentre != t.Self.Location.DataCentre {
+			continue
+		}
+		known, ok := t.entries[member.ID]
+		if ok && !newer(member.Incarnation, member.Beat, &known.member) {
+			continue
+		}
+		if !ok {
+			known = &entry{}
+			t.entries[member.ID] = known
+		}
+		known.member, known.heard, known.seen = member, now, true
+		if known.failed && member.Beat > known.failedBeat+1 {
+			known.failed = false
+		}
+	}
+}
+
+// Failed notes that a call to a member failed. It gets no new work until news
+// from it has advanced again.
+func (t *Table) Failed(id gypsum.HostID) {
+	if known, ok := t.entries[id]; ok {
+		known.failed = true
+		known.failedBeat = known.member.Beat
+	}
+}
+
+// Expire forgets members that were silent for too long.
+func (t *Table) Expire(now time.Time) {
+	for id, known := range t.entries {
+		if now.Sub(known.heard) > t.GoneAfter {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// state returns what is believed of a member.
+func (t *Table) state(known *entry, now time.Time) gypsum.MemberState {
+	switch silence := now.Sub(known.heard); {
+	case silence > t.GoneAfter:
+		return gypsum.StateGone
+	case known.member.Leaving:
+		return gypsum.StateLeaving
+	case !known.seen || known.failed || silence > t.SuspectAfter:
+		return gypsum.StateSuspect
+	}
+	return gypsum.StateAlive
+}
+
+// List returns all members of the data centre with their states, by name.
+func (t *Table) List(now time.Time) []Status {
+	own := gypsum.StateAlive
+	if t.Self.Leaving {
+		own = gypsum.StateLeaving
+	}
+	list := []Status{{Member: t.Self, State: own}}
+	for _, known := range t.entries {
+		list = append(list, Status{Member: known.member, State: t.state(known, now), Silence: now.Sub(known.heard)})
+	}
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	return list
+}
+
+// Digests returns what the table has, for a peer to compare with.
+func (t *Table) Digests() []gypsum.MemberDigest {
+	digests := []gypsum.MemberDigest{{ID: t.Self.ID, Incarnation: t.Self.Incarnation, Beat: t.Self.Beat}}
+	for id, known := range t.entries {
+		if known.seen {
+			digests = append(digests, gypsum.MemberDigest{ID: id, Incarnation: known.member.Incarnation, Beat: known.member.Beat})
+		}
+	}
+	return digests
+}
+
+// News returns the members of which the table has newer news than the digests.
+func (t *Table) News(digests []gypsum.MemberDigest) []gypsum.Member {
+	has := make(map[gypsum.HostID]gypsum.Member, len(digests))
+	for _, digest := range digests {
+		has[digest.ID] = gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat}
+	}
+	var news []gypsum.Member
+	add := func(member gypsum.Member) {
+		known, ok := has[member.ID]
+		if !ok || newer(member.Incarnation, member.Beat, &known) {
+			news = append(news, member)
+		}
+	}
+	add(t.Self)
+	for _, known := range t.entries {
+		if known.seen {
+			add(known.member)
+		}
+	}
+	return news
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,274 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/member"
+	"github.com/gypsumhook/gypsum/route"
+)
+
+// errLeaving is the state of a daemon that has begun to shut down.
+var errLeaving = errors.New("daemon is leaving")
+
+// tickInterval is the time between two rounds of the control goroutine.
+const tickInterval = 100 * time.Millisecond
+
+// control is the control state of a daemon. One goroutine owns it and
+// publishes immutable views.
+type control struct {
+	node       *Node
+	table      *member.Table
+	summaries  *member.Summaries
+	listed     []gypsum.Host
+	backends   map[gypsum.BackendID]gypsum.Host
+	lastTick   time.Time
+	lastGossip time.Time
+	lastList   time.Time
+	listing    bool
+	dirty      bool
+}
+
+// newControl returns the state of a daemon that knows only itself.
+func newControl(n *Node) *control {
+	summaries := member.NewSummaries(n.Self.Location.DataCentre)
+	summaries.GoneAfter = n.Tuning.GoneAfter
+	return &control{
+		node: n, table: n.newTable(), summaries: summaries,
+		backends: make(map[gypsum.BackendID]gypsum.Host),
+	}
+}
+
+// run serves events and ticks until ctx ends.
+func (c *control) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	c.lastTick = time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case update := <-c.node.events:
+			update(c)
+			c.dirty = true
+		case <-ticker.C:
+			c.tick(ctx, time.Now())
+		}
+		if c.dirty && len(c.node.events) == 0 {
+			c.publish(ctx, time.Now())
+		}
+	}
+}
+
+// tick does what is due.
+func (c *control) tick(ctx context.Context, now time.Time) {
+	if now.Sub(c.lastTick) > c.node.Tuning.SuspectAfter {
+		c.thaw(now)
+	}
+	c.lastTick = now
+	c.table.Expire(now)
+	c.summaries.Expire(now)
+	if now.Sub(c.lastList) >= c.node.Tuning.ListInterval && !c.listing {
+		c.lastList, c.listing = now, true
+		c.node.goTask(func() { c.node.fetchList(ctx) })
+	}
+	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval {
+		c.lastGossip = now
+		c.beat(now)
+		c.spread(ctx)
+	}
+	if c.node.editor.Stream.Loaded() {
+		c.node.machine.Loaded()
+	}
+	c.dirty = true
+}
+
+// thaw makes the daemon a new incarnation after its process was frozen: others
+// may have taken over its part, and its knowledge is old.
+func (c *control) thaw(now time.Time) {
+	c.node.Logger.Warn("daemon was frozen", "for", now.Sub(c.lastTick))
+	c.table.Self.Incarnation = max(c.table.Self.Incarnation+1, gypsum.Incarnation(now.UnixMilli()))
+}
+
+// beat renews the daemon's own entry.
+func (c *control) beat(time.Time) {
+	c.table.Self.Beat++
+	c.table.Self.Revision = c.node.book.Revision()
+	c.table.Self.Backends = c.node.owned.news()
+	c.makeSummary()
+}
+
+// fetchList asks the platform for its list of hosts.
+func (n *Node) fetchList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.Tuning.LogTimeout)
+	defer cancel()
+	hosts, err := n.Hosts.Hosts(ctx)
+	n.post(func(c *control) {
+		c.listing = false
+		if err != nil {
+			n.Logger.Debug("host list not read", "error", err)
+			return
+		}
+		c.takeList(hosts)
+	})
+}
+
+// takeList takes over the platform's list.
+func (c *control) takeList(hosts []gypsum.Host) {
+	c.listed = hosts
+	c.table.Seed(hosts, time.Now())
+	c.backends = make(map[gypsum.BackendID]gypsum.Host, len(hosts))
+	for _, host := range hosts {
+		if host.Kind != gypsum.KindDaemon {
+			c.backends[gypsum.BackendID(host.ID)] = host
+		}
+	}
+	c.node.tracked.keep(c.backends)
+}
+
+// publish makes a new view and lets the daemon's parts follow it.
+func (c *control) publish(ctx context.Context, now time.Time) {
+	c.dirty = false
+	view := c.makeView(now)
+	c.node.view.Store(view)
+	c.node.owned.follow(view)
+	c.node.plans.follow(view)
+	c.node.shards.follow(view)
+	c.node.keepers.follow(view)
+	_ = ctx
+}
+
+// makeView returns the present view.
+func (c *control) makeView(now time.Time) *View {
+	view := &View{
+		Made: now, Self: c.table.Self, Members: c.table.List(now), Others: c.summaries.Others(),
+		Config: c.node.book.Current(), Backends: c.backends,
+	}
+	for i := range view.Members {
+		if view.Members[i].State == gypsum.StateAlive {
+			view.Alive = append(view.Alive, view.Members[i].Member)
+		}
+	}
+	view.Known = append(view.Known, view.Alive...)
+	for i := range view.Others {
+		for _, brief := range view.Others[i].Members {
+			view.Known = append(view.Known, gypsum.Member{ID: brief.ID, Address: brief.Address, Location: view.Others[i].Location})
+		}
+	}
+	for _, host := range c.listed {
+		if host.Kind == gypsum.KindDaemon {
+			view.Listed = append(view.Listed, host)
+		}
+	}
+	c.addPools(view, now)
+	return view
+}
+
+// addPools adds the backend servers whose queues are owned in the own data
+// centre, by service, and the other data centres' summaries of them.
+func (c *control) addPools(view *View, now time.Time) {
+	view.Pools = make(map[gypsum.ServiceName]*route.Pool)
+	view.Centres = make(map[gypsum.ServiceName][]route.Centre)
+	if view.Config == nil {
+		return
+	}
+	for service, backends := range c.poolMembers(view) {
+		var previous *route.Pool
+		if old := c.node.view.Load(); old != nil {
+			previous = old.Pools[service]
+		}
+		pool := route.NewPool(backends, previous, now)
+		view.Pools[service] = pool
+		slots, busy := pool.Load()
+		view.Centres[service] = append(view.Centres[service], route.Centre{
+			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy,
+		})
+	}
+	for i := range view.Others {
+		other := &view.Others[i]
+		for _, load := range other.Loads {
+			view.Centres[load.Service] = append(view.Centres[load.Service], route.Centre{
+				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Members: other.Members,
+			})
+		}
+	}
+}
+
+// poolMembers returns the backend servers of the own data centre's pools.
+func (c *control) poolMembers(view *View) map[gypsum.ServiceName][]route.Backend {
+	news := make(map[gypsum.BackendID]gypsum.BackendNews)
+	for i := range view.Members {
+		for _, item := range view.Members[i].Member.Backends {
+			if view.Members[i].State == gypsum.StateAlive || news[item.ID].ID == "" {
+				news[item.ID] = item
+			}
+		}
+	}
+	members := make(map[gypsum.ServiceName][]route.Backend)
+	for id, host := range c.backends {
+		service, ok := view.Config.Services[host.Service]
+		if !ok || service.Spec.Kind != host.Kind {
+			continue
+		}
+		owner, ok := view.backendOwner(&host)
+		if !ok || owner.Location.DataCentre != view.Self.Location.DataCentre {
+			continue
+		}
+		known := news[id]
+		_, drained := view.Config.Drained[id]
+		members[host.Service] = append(members[host.Service], route.Backend{
+			Host: host, Owner: owner, News: known, Tracker: c.node.tracked.get(id),
+			Closed: drained || host.Leaving || known.Leaving || known.Down || known.Swapping,
+		})
+	}
+	return members
+}
+
+// makeSummary makes the data centre's summary if this daemon is a delegate.
+func (c *control) makeSummary() {
+	view := c.node.View()
+	if view == nil || !isDelegate(view) {
+		return
+	}
+	summary := gypsum.Summary{
+		Location: c.table.Self.Location, Maker: c.table.Self.ID,
+		Incarnation: c.table.Self.Incarnation, Beat: c.table.Self.Beat,
+	}
+	for i := range view.Alive {
+		summary.Members = append(summary.Members, gypsum.MemberBrief{ID: view.Alive[i].ID, Address: view.Alive[i].Address})
+	}
+	summary.Roster = member.RosterOf(summary.Members)
+	for service, pool := range view.Pools {
+		slots, busy := pool.Load()
+		summary.Loads = append(summary.Loads, gypsum.ServiceLoad{Service: service, Replicas: pool.Open(), Slots: slots, Busy: busy})
+	}
+	c.summaries.Merge([]gypsum.Summary{summary}, time.Now())
+}
+
+// delegates is the number of daemons that speak for a data centre.
+const delegates = 2
+
+// isDelegate tells whether this daemon speaks for its data centre.
+func isDelegate(view *View) bool {
+	own := gypsum.Rendezvous("delegate", string(view.Self.ID))
+	higher := 0
+	alive := false
+	for i := range view.Alive {
+		if view.Alive[i].ID == view.Self.ID {
+			alive = true
+		} else if gypsum.Rendezvous("delegate", string(view.Alive[i].ID)) > own {
+			higher++
+		}
+	}
+	return alive && higher < delegates
+}
+
+// shuffled returns the items in random order.
+func shuffled[T any](items []T) []T {
+	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+	return items
+}
--- /dev/null
+++ b/node/gossip.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/config"
+	"github.com/gypsumhook/gypsum/member"
+)
+
+// centresPerRound bounds the data centres that a delegate asks in one round.
+const centresPerRound = 3
+
+// gossipCounts counts the exchanges of a daemon.
+type gossipCounts struct {
+	rounds atomic.Int64
+	failed atomic.Int64
+	in     atomic.Int64
+	out    atomic.Int64
+}
+
+// ControlBytes returns the bytes of control messages received and sent.
+func (n *Node) ControlBytes() (in, out int64) {
+	return n.gossip.in.Load(), n.gossip.out.Load()
+}
+
+// count adds the size of a control message to a counter.
+func count(counter *atomic.Int64, message any) {
+	body, err := cbor.Marshal(message)
+	if err == nil {
+		counter.Add(int64(len(body)) + messageOverhead)
+	}
+}
+
+// messageOverhead is about what a control message takes beside its body.
+const messageOverhead = 100
+
+// spread asks some members for news, and other data centres if this daemon is
+// a delegate.
+func (c *control) spread(ctx context.Context) {
+	view := c.node.View()
+	targets := c.near(view)
+	if isDelegate(view) || len(view.Others) == 0 {
+		targets = append(targets, c.far(view)...)
+	}
+	for _, target := range targets {
+		gossip := c.gossipFor(&target)
+		c.node.goTask(func() { c.node.ask(ctx, target, gossip) })
+	}
+}
+
+// near returns some members of the own data centre.
+func (c *control) near(view *View) []gypsum.Member {
+	var targets []gypsum.Member
+	for i := range view.Members {
+		if status := &view.Members[i]; status.Member.ID != view.Self.ID && status.State != gypsum.StateGone {
+			targets = append(targets, status.Member)
+		}
+	}
+	targets = shuffled(targets)
+	return targets[:min(len(targets), c.node.Tuning.GossipFanout)]
+}
+
+// far returns one member each of some other data centres.
+func (c *control) far(view *View) []gypsum.Member {
+	byCentre := make(map[gypsum.DataCentre][]gypsum.Member)
+	for _, known := range view.Known {
+		byCentre[known.Location.DataCentre] = append(byCentre[known.Location.DataCentre], known)
+	}
+	for _, host := range view.Listed {
+		if centre := host.Location.DataCentre; len(byCentre[centre]) == 0 && !host.Leaving {
+			// Known only from the list: try any, one at a time.
+			byCentre[centre] = append(byCentre[centre], c.listedIn(view, centre)...)
+		}
+	}
+	delete(byCentre, view.Self.Location.DataCentre)
+	var targets []gypsum.Member
+	for _, members := range byCentre {
+		targets = append(targets, shuffled(members)[0])
+	}
+	targets = shuffled(targets)
+	return targets[:min(len(targets), centresPerRound)]
+}
+
+// listedIn returns the daemons of a data centre in the platform's list.
+func (c *control) listedIn(view *View, centre gypsum.DataCentre) []gypsum.Member {
+	var members []gypsum.Member
+	for _, host := range view.Listed {
+		if host.Location.DataCentre == centre && !host.Leaving {
+			members = append(members, gypsum.Member{ID: gypsum.HostID(host.ID), Address: host.Address, Location: host.Location})
+		}
+	}
+	return members
+}
+
+// gossipFor returns the request for news to a member.
+func (c *control) gossipFor(target *gypsum.Member) *gypsum.Gossip {
+	gossip := &gypsum.Gossip{
+		From: c.table.Self, Summaries: c.summaries.Digests(),
+		Revision: c.node.book.Revision(), Crashes: c.node.crashes.list(time.Now()),
+	}
+	if target.Location.DataCentre == c.table.Self.Location.DataCentre {
+		gossip.Digests = c.table.Digests()
+	} else {
+		gossip.From.Backends = nil
+	}
+	return gossip
+}
+
+// ask exchanges news with a member.
+func (n *Node) ask(ctx context.Context, target gypsum.Member, gossip *gypsum.Gossip) {
+	ctx, cancel := context.WithTimeout(ctx, n.Tuning.SuspectAfter)
+	defer cancel()
+	n.gossip.rounds.Add(1)
+	count(&n.gossip.out, gossip)
+	answer, err := n.Peers.Gossip(ctx, target, gossip)
+	if err == nil {
+		count(&n.gossip.in, answer)
+	}
+	if err != nil {
+		n.gossip.failed.Add(1)
+		return
+	}
+	n.takeConfig(answer.Config)
+	n.crashes.merge(answer.Crashes, time.Now())
+	n.post(func(c *control) {
+		c.table.Merge(answer.Members, time.Now())
+		c.summaries.Merge(answer.Summaries, time.Now())
+	})
+}
+
+// takeConfig takes over a configuration learned from a peer if it is newer.
+func (n *Node) takeConfig(body []byte) {
+	if len(body) == 0 {
+		return
+	}
+	learned, err := config.Decode(body)
+	if err != nil {
+		n.Logger.Warn("configuration of a peer not understood", "error", err)
+		return
+	}
+	if n.book.Offer(learned) {
+		n.Logger.Info("configuration learned from a peer", "revision", learned.Revision)
+	}
+}
+
+// HandleGossip answers a peer's request for news, and takes in the peer's own.
+func (n *Node) HandleGossip(ctx context.Context, gossip *gypsum.Gossip) (*gypsum.GossipAnswer, error) {
+	count(&n.gossip.in, gossip)
+	n.crashes.merge(gossip.Crashes, time.Now())
+	answers := make(chan *gypsum.GossipAnswer, 1)
+	n.post(func(c *control) {
+		near := gossip.From.Location.DataCentre == c.table.Self.Location.DataCentre
+		if near {
+			c.table.Merge([]gypsum.Member{gossip.From}, time.Now())
+		}
+		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries)}
+		if near || gossip.All {
+			answer.Members = c.table.News(gossip.Digests)
+		}
+		answers <- answer
+	})
+	select {
+	case answer := <-answers:
+		answer.Crashes = n.crashes.list(time.Now())
+		n.addConfig(answer, gossip.Revision)
+		count(&n.gossip.out, answer)
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.stopped:
+		return nil, errLeaving
+	}
+}
+
+// addConfig adds the configuration to an answer if the asker's is older.
+func (n *Node) addConfig(answer *gypsum.GossipAnswer, has gypsum.Revision) {
+	current := n.book.Current()
+	if current == nil || current.Revision <= has {
+		return
+	}
+	body, err := config.Encode(current)
+	if err != nil {
+		n.Logger.Error("configuration not encoded", "error", err)
+		return
+	}
+	answer.Config = body
+}
+
+// Fleet returns the members of all data centres with their revisions. Data
+// centres that do not answer are left out.
+func (n *Node) Fleet(ctx context.Context) []member.Status {
+	view := n.View()
+	fleet := append([]member.Status{}, view.Members...)
+	for i := range view.Others {
+		for _, brief := range view.Others[i].Members {
+			peer := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: view.Others[i].Location}
+			callCtx, cancel := context.WithTimeout(ctx, n.Tuning.SuspectAfter)
+			answer, err := n.Peers.Gossip(callCtx, peer, &gypsum.Gossip{From: view.Self, Revision: view.Config.Revision, All: true})
+			cancel()
+			if err != nil {
+				continue
+			}
+			for _, found := range answer.Members {
+				fleet = append(fleet, member.Status{Member: found, State: stateOf(&found)})
+			}
+			break
+		}
+	}
+	return fleet
+}
+
+// stateOf returns the state that a member's own word gives it.
+func stateOf(found *gypsum.Member) gypsum.MemberState {
+	if found.Leaving {
+		return gypsum.StateLeaving
+	}
+	return gypsum.StateAlive
+}
--- /dev/null
+++ b/order/keeper.go
@@ -0,0 +1,246 @@
+// Package order brings the engines of a service in a data centre to the newest
+// weights. The holder of the orders' stream gives the orders; the offset of its
+// epoch record is their fencing number.
+package order
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/epoch"
+)
+
+// Times of the orders.
+const (
+	workInterval = 200 * time.Millisecond
+	restInterval = 2 * time.Second
+	orderTimeout = 3 * time.Second
+	// SettleTime is how long an order of an earlier holder can still be on its
+	// way to an engine that ignores fencing numbers.
+	settleTime = orderTimeout + time.Second
+	orderSeen  = 5 * time.Second
+)
+
+// awayParts is the part of the replicas that may change weights at once if the
+// service sets no number: 1/awayParts.
+const awayParts = 4
+
+// Keeper gives the orders of one service in one data centre. Set the exported
+// fields before Start.
+type Keeper struct {
+	Stream *epoch.Stream
+	Store  gypsum.WeightStore
+	Dialer gypsum.Dialer
+	// Spec returns the service in force, false if it was deleted.
+	Spec func() (gypsum.ServiceSpec, bool)
+	// Engines returns the engines of the service in the data centre.
+	Engines func() []gypsum.Host
+	// Owner tells whether this daemon is to give the orders.
+	Owner func() bool
+	// LoadsPerSecond is the limit of the weight store, 0 for none.
+	LoadsPerSecond float64
+	Logger         *slog.Logger
+
+	target   gypsum.WeightVersion
+	ordered  map[string]time.Time
+	nextLoad time.Time
+	settled  time.Time
+	done     chan error
+}
+
+// Start begins to give orders whenever this daemon is the owner.
+func (k *Keeper) Start(ctx context.Context) {
+	k.ordered = make(map[string]time.Time)
+	k.done = make(chan error, 1)
+	k.Stream.Start(ctx)
+	go func() { k.done <- k.run(ctx) }()
+}
+
+// Wait returns when the keeper's goroutines have ended.
+func (k *Keeper) Wait() {
+	<-k.done
+	<-k.Stream.Done()
+}
+
+// run looks at the engines until ctx ends.
+func (k *Keeper) run(ctx context.Context) error {
+	for {
+		wait := workInterval
+		if !k.Owner() || k.round(ctx) {
+			wait = restInterval
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+// round gives the orders that are due; it returns true if none is left.
+func (k *Keeper) round(ctx context.Context) bool {
+	spec, ok := k.Spec()
+	if !ok || !spec.FollowWeights {
+		return true
+	}
+	if latest, err := k.latest(ctx, spec.Model); err != nil {
+		k.Logger.Debug("newest weights not known", "model", spec.Model, "error", err)
+	} else {
+		k.target = max(k.target, latest)
+	}
+	states := k.states(ctx)
+	behind := slices.DeleteFunc(slices.Clone(states), func(s engineState) bool {
+		return s.failed || s.report.Version >= k.target
+	})
+	if len(behind) == 0 {
+		return true
+	}
+	fence, err := k.hold(ctx, &spec)
+	if err != nil {
+		k.Logger.Warn("orders not possible", "service", spec.Name, "error", err)
+		return false
+	}
+	k.orderBehind(ctx, &spec, states, behind, fence)
+	return false
+}
+
+// latest returns the newest version in the weight store.
+func (k *Keeper) latest(ctx context.Context, model string) (gypsum.WeightVersion, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	version, err := k.Store.Latest(ctx, model)
+	if err != nil {
+		return 0, fmt.Errorf("ask weight store: %w", err)
+	}
+	return version, nil
+}
+
+// engineState is an engine and its own word on itself.
+type engineState struct {
+	host   gypsum.Host
+	report gypsum.LoadReport
+	failed bool
+}
+
+// states asks all engines for their reports.
+func (k *Keeper) states(ctx context.Context) []engineState {
+	hosts := k.Engines()
+	states := make([]engineState, len(hosts))
+	var asked sync.WaitGroup
+	for i, host := range hosts {
+		asked.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, gypsum.LoadTimeout)
+			defer cancel()
+			states[i] = engineState{host: host}
+			report, err := k.Dialer.Engine(host).Load(callCtx)
+			if err != nil {
+				states[i].failed = true
+				return
+			}
+			states[i].report = *report
+		})
+	}
+	asked.Wait()
+	return states
+}
+
+// hold returns the fencing number, once this daemon holds the epoch.
+func (k *Keeper) hold(ctx context.Context, spec *gypsum.ServiceSpec) (gypsum.Offset, error) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if !k.Stream.Holds() {
+		if err := k.Stream.Acquire(callCtx); err != nil {
+			return 0, fmt.Errorf("acquire epoch of orders: %w", err)
+		}
+		k.settled = time.Now()
+		if !spec.Fenced {
+			k.settled = k.settled.Add(settleTime)
+		}
+	}
+	if time.Now().Before(k.settled) {
+		return 0, fmt.Errorf("orders of the earlier holder may still arrive: %w", gypsum.ErrEpochLost)
+	}
+	fence, mine := k.Stream.Epoch()
+	if !mine {
+		return 0, fmt.Errorf("hold epoch of orders: %w", gypsum.ErrEpochLost)
+	}
+	return fence, nil
+}
+
+// orderBehind orders engines that are behind, the oldest version first, as
+// long as few enough are away and the weight store's limit allows.
+func (k *Keeper) orderBehind(ctx context.Context, spec *gypsum.ServiceSpec, states, behind []engineState, fence gypsum.Offset) {
+	away := 0
+	for _, state := range states {
+		if state.failed || state.report.Swapping || k.waits(&state) {
+			away++
+		}
+	}
+	limit := spec.MaxAway
+	if limit == 0 {
+		limit = max(1, len(states)/awayParts)
+	}
+	slices.SortFunc(behind, func(a, b engineState) int {
+		return cmp.Or(cmp.Compare(a.report.Version, b.report.Version), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	for _, state := range behind {
+		if away >= limit || time.Now().Before(k.nextLoad) {
+			return
+		}
+		if state.report.Swapping || k.waits(&state) {
+			continue
+		}
+		away++
+		k.pace()
+		k.give(ctx, &state, gypsum.Order{Fence: fence, Model: spec.Model, Version: k.target})
+	}
+}
+
+// waits tells whether an engine was ordered a short time ago and is not there yet.
+func (k *Keeper) waits(state *engineState) bool {
+	at, ok := k.ordered[state.host.ID]
+	return ok && state.report.Version < k.target && time.Since(at) < orderSeen
+}
+
+// pace sets the time of the next order to the weight store's limit.
+func (k *Keeper) pace() {
+	if k.LoadsPerSecond > 0 {
+		k.nextLoad = time.Now().Add(time.Duration(float64(time.Second) / k.LoadsPerSecond))
+	}
+}
+
+// give sends one order.
+func (k *Keeper) give(ctx context.Context, state *engineState, order gypsum.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	k.ordered[state.host.ID] = time.Now()
+	err := k.Dialer.Engine(state.host).Order(ctx, order)
+	k.Logger.Info("weights ordered", "backend", state.host.ID, "from", state.report.Version,
+		"to", order.Version, "fence", order.Fence, "error", err)
+	if errors.Is(err, gypsum.ErrStaleFence) {
+		if err := k.Stream.Refresh(ctx); err != nil {
+			k.Logger.Warn("newer holder not read", "error", err)
+		}
+	}
+}
+
+// Machine is the state of a stream of orders: nothing but its epoch, since the
+// target is in the weight store and the engines tell their own state.
+type Machine struct{}
+
+// Apply is part of epoch.Machine.
+func (Machine) Apply(epoch.Entry) {}
+
+// Snapshot is part of epoch.Machine.
+func (Machine) Snapshot() ([]byte, error) { return []byte{}, nil }
+
+// Restore is part of epoch.Machine.
+func (Machine) Restore([]byte) error { return nil }
--- /dev/null
+++ b/plan/score.go
@@ -0,0 +1,54 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// scorePath is the path at which scoring services take samples.
+const scorePath = "/score"
+
+// scoreAnswer is the answer of a scoring service.
+type scoreAnswer struct {
+	Score *float64 `json:"score"`
+}
+
+// score asks the plan's scoring service for a sample's score. The call is
+// idempotent.
+func (b *Book) score(ctx context.Context, spec *gypsum.PlanSpec, sample *gypsum.Sample) (float64, error) {
+	body, err := json.Marshal(sample)
+	if err != nil {
+		return 0, fmt.Errorf("encode sample: %w", err)
+	}
+	id := newRequestID()
+	call := &gypsum.Call{
+		ID: id, Service: spec.Scorer, Class: gypsum.ClassTrainer, Stage: gypsum.StagePlace,
+		Budget: spec.SampleTimeout, Tenant: string(b.name), Weight: spec.Share,
+		Fingerprint: gypsum.FingerprintOf(spec.Scorer, scorePath, body),
+		Plain: &gypsum.PlainRequest{
+			ID: id, Method: http.MethodPost, Path: scorePath,
+			Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
+		},
+	}
+	var answer scoreAnswer
+	err = b.Route.Run(ctx, call, func(event *gypsum.Event) error {
+		if event.Response == nil {
+			return nil
+		}
+		if event.Response.Status != http.StatusOK {
+			return fmt.Errorf("status %d: %w", event.Response.Status, gypsum.ErrBroken)
+		}
+		return json.Unmarshal(event.Response.Body, &answer)
+	})
+	if err != nil {
+		return 0, fmt.Errorf("call scorer: %w", err)
+	}
+	if answer.Score == nil {
+		return 0, fmt.Errorf("answer without score: %w", gypsum.ErrBroken)
+	}
+	return *answer.Score, nil
+}
--- /dev/null
+++ b/queue/line.go
@@ -0,0 +1,256 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// NewPriority returns a line that serves live calls before trainers' calls:
+// live calls by nearest deadline, trainers' by weighted fair shares.
+func NewPriority() gypsum.Line {
+	return &priorityLine{trainers: make(map[string]*share), tenants: make(map[tenantKey]int)}
+}
+
+// tenantKey is a tenant within its class.
+type tenantKey struct {
+	class  gypsum.Class
+	tenant string
+}
+
+// priorityLine is the line made by NewPriority.
+type priorityLine struct {
+	live     deadlineHeap
+	liveWork time.Duration
+	trainers map[string]*share
+	waiting  int
+	tenants  map[tenantKey]int
+	// Clock is the virtual time of the trainers' fair shares.
+	clock float64
+}
+
+// share is the line of one trainer's plan.
+type share struct {
+	calls []*gypsum.Waiting
+	// Finish is the virtual time up to which the plan has used its share.
+	finish float64
+}
+
+// Push adds a call to the line.
+func (l *priorityLine) Push(waiting *gypsum.Waiting) {
+	l.waiting++
+	l.tenants[tenantKey{waiting.Call.Class, waiting.Call.Tenant}]++
+	if waiting.Call.Class == gypsum.ClassLive {
+		l.liveWork += waiting.Work
+		heap.Push(&l.live, waiting)
+		return
+	}
+	plan, ok := l.trainers[waiting.Call.Tenant]
+	if !ok {
+		plan = &share{finish: l.clock}
+		l.trainers[waiting.Call.Tenant] = plan
+	}
+	if len(plan.calls) == 0 {
+		plan.finish = max(plan.finish, l.clock)
+	}
+	plan.calls = append(plan.calls, waiting)
+}
+
+// Pop returns the next call: a live one, or a trainer's if slots beyond the
+// reserve are free.
+func (l *priorityLine) Pop(state gypsum.QueueState) *gypsum.Waiting {
+	if len(l.live) > 0 {
+		waiting, _ := heap.Pop(&l.live).(*gypsum.Waiting)
+		l.liveWork -= waiting.Work
+		l.left(waiting)
+		return waiting
+	}
+	if state.Running-state.LiveRunning >= state.Slots-state.Reserve {
+		return nil
+	}
+	return l.popTrainer()
+}
+
+// popTrainer returns the oldest call of the plan that is furthest behind its share.
+func (l *priorityLine) popTrainer() *gypsum.Waiting {
+	var next *share
+	for _, plan := range l.trainers {
+		if len(plan.calls) > 0 && (next == nil || before(plan, next)) {
+			next = plan
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	waiting := next.calls[0]
+	next.calls = next.calls[1:]
+	l.clock = next.finish
+	next.finish += waiting.Work.Seconds() / float64(max(1, waiting.Call.Weight))
+	l.left(waiting)
+	return waiting
+}
+
+// before tells whether plan a is served before plan b.
+func before(a, b *share) bool {
+	if a.finish != b.finish {
+		return a.finish < b.finish
+	}
+	return a.calls[0].Arrived.Before(b.calls[0].Arrived)
+}
+
+// left updates the counts for a call that leaves the line.
+func (l *priorityLine) left(waiting *gypsum.Waiting) {
+	l.waiting--
+	key := tenantKey{waiting.Call.Class, waiting.Call.Tenant}
+	if l.tenants[key]--; l.tenants[key] <= 0 {
+		delete(l.tenants, key)
+	}
+	if plan, ok := l.trainers[waiting.Call.Tenant]; ok && len(plan.calls) == 0 && plan.finish <= l.clock {
+		delete(l.trainers, waiting.Call.Tenant)
+	}
+}
+
+// Remove takes a call out of the line.
+func (l *priorityLine) Remove(waiting *gypsum.Waiting) bool {
+	if waiting.Call.Class == gypsum.ClassLive {
+		if waiting.Position < 0 || waiting.Position >= len(l.live) || l.live[waiting.Position] != waiting {
+			return false
+		}
+		heap.Remove(&l.live, waiting.Position)
+		l.liveWork -= waiting.Work
+		l.left(waiting)
+		return true
+	}
+	plan, ok := l.trainers[waiting.Call.Tenant]
+	if !ok {
+		return false
+	}
+	for i, other := range plan.calls {
+		if other == waiting {
+			plan.calls = append(plan.calls[:i], plan.calls[i+1:]...)
+			l.left(waiting)
+			return true
+		}
+	}
+	return false
+}
+
+// Ahead returns the work before a call that is about to be pushed.
+func (l *priorityLine) Ahead(waiting *gypsum.Waiting) time.Duration {
+	var work time.Duration
+	for _, other := range l.live {
+		if waiting.Call.Class != gypsum.ClassLive || other.Deadline.Before(waiting.Deadline) {
+			work += other.Work
+		}
+	}
+	if waiting.Call.Class == gypsum.ClassLive {
+		return work
+	}
+	for tenant, plan := range l.trainers {
+		for i, other := range plan.calls {
+			// Of other plans, about as many calls go first as of the call's own.
+			if tenant == waiting.Call.Tenant || i < l.Tenant(gypsum.ClassTrainer, waiting.Call.Tenant) {
+				work += other.Work
+			}
+		}
+	}
+	return work
+}
+
+// Len returns the number of waiting calls.
+func (l *priorityLine) Len() int { return l.waiting }
+
+// Tenant returns the number of waiting calls of a tenant.
+func (l *priorityLine) Tenant(class gypsum.Class, tenant string) int {
+	return l.tenants[tenantKey{class, tenant}]
+}
+
+// deadlineHeap is a heap of live calls, the nearest deadline first.
+type deadlineHeap []*gypsum.Waiting
+
+// Len is part of heap.Interface.
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+
+// Swap is part of heap.Interface.
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].Position, h[j].Position = i, j
+}
+
+// Push is part of heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	waiting, _ := x.(*gypsum.Waiting)
+	waiting.Position = len(*h)
+	*h = append(*h, waiting)
+}
+
+// Pop is part of heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	last.Position = -1
+	*h = old[:len(old)-1]
+	return last
+}
+
+// NewFIFO returns a line that serves calls in the order of arrival, whatever
+// their class and deadline.
+func NewFIFO() gypsum.Line {
+	return &fifoLine{}
+}
+
+// fifoLine is the line made by NewFIFO.
+type fifoLine struct {
+	calls []*gypsum.Waiting
+}
+
+// Push adds a call at the end.
+func (l *fifoLine) Push(waiting *gypsum.Waiting) { l.calls = append(l.calls, waiting) }
+
+// Pop returns the oldest call.
+func (l *fifoLine) Pop(gypsum.QueueState) *gypsum.Waiting {
+	if len(l.calls) == 0 {
+		return nil
+	}
+	first := l.calls[0]
+	l.calls = l.calls[1:]
+	return first
+}
+
+// Remove takes a call out of the line.
+func (l *fifoLine) Remove(waiting *gypsum.Waiting) bool {
+	for i, other := range l.calls {
+		if other == waiting {
+			l.calls = append(l.calls[:i], l.calls[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Ahead returns the work of all waiting calls.
+func (l *fifoLine) Ahead(*gypsum.Waiting) time.Duration {
+	var work time.Duration
+	for _, other := range l.calls {
+		work += other.Work
+	}
+	return work
+}
+
+// Len returns the number of waiting calls.
+func (l *fifoLine) Len() int { return len(l.calls) }
+
+// Tenant returns the number of waiting calls of a tenant.
+func (l *fifoLine) Tenant(class gypsum.Class, tenant string) int {
+	count := 0
+	for _, other := range l.calls {
+		if other.Call.Class == class && other.Call.Tenant == tenant {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,348 @@
+// Package queue holds the calls that wait for one backend server. Engines know
+// no priorities and admit what arrives, so the waiting happens here.
+package queue
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Executor takes a call to the backend server itself.
+type Executor interface {
+	Execute(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error
+	// Crashed tells whether the backend server has died since the time.
+	Crashed(ctx context.Context, since time.Time) bool
+}
+
+// crashShadow is how long after the end of a suspect call a crash is blamed on
+// it alone.
+const crashShadow = time.Second
+
+// Queue is the line of calls before one backend server. Set the exported
+// fields before the first Run.
+type Queue struct {
+	Backend   gypsum.BackendID
+	Owner     gypsum.HostID
+	Line      gypsum.Line
+	Admission gypsum.Admission
+	Executor  Executor
+	MaxQueue  int
+	Logger    *slog.Logger
+	// OnCrash counts a crash and returns the count to spread.
+	OnCrash func(fingerprint gypsum.Fingerprint) gypsum.Crash
+
+	mu          sync.Mutex
+	slots       int
+	running     int
+	liveRunning int
+	runningWork time.Duration
+	closed      gypsum.Reason
+	meter       meter
+	reserve     reserve
+	aborts      map[*gypsum.Waiting]context.CancelCauseFunc
+	suspect     chan struct{}
+	suspectEnd  time.Time
+	once        sync.Once
+}
+
+// State is a queue's load.
+type State struct {
+	Running int
+	Queued  int
+	Slots   int
+	// Latency is the expected time of a call.
+	Latency time.Duration
+}
+
+// init makes the parts that have no use before the first call.
+func (q *Queue) init() {
+	q.once.Do(func() {
+		q.suspect = make(chan struct{}, 1)
+		q.aborts = make(map[*gypsum.Waiting]context.CancelCauseFunc)
+		if q.slots == 0 {
+			q.slots = 1
+		}
+	})
+}
+
+// SetSlots sets how many calls the backend server runs at once.
+func (q *Queue) SetSlots(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.slots = max(1, slots)
+	q.startNext()
+}
+
+// Close refuses new calls from now on and those that wait, but not those that
+// run. The empty reason opens the queue again.
+func (q *Queue) Close(reason gypsum.Reason) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = reason
+	if reason == "" {
+		q.startNext()
+		return
+	}
+	for {
+		waiting := q.Line.Pop(gypsum.QueueState{Slots: 1 << 20})
+		if waiting == nil {
+			return
+		}
+		close(waiting.Turn)
+	}
+}
+
+// Abort ends the running calls that may be run again elsewhere, because the
+// backend server no longer answers.
+func (q *Queue) Abort() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for waiting, cancel := range q.aborts {
+		if !waiting.Call.Once() {
+			cancel(errAborted)
+		}
+	}
+}
+
+// errAborted is the cause of the end of a call whose backend server is down.
+var errAborted = errors.New("backend server no longer answers")
+
+// State returns the queue's load.
+func (q *Queue) State() State {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return State{Running: q.running, Queued: q.Line.Len(), Slots: max(1, q.slots), Latency: q.meter.typical()}
+}
+
+// Run waits for the call's turn and runs it on the backend server.
+func (q *Queue) Run(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
+	q.init()
+	if call.Suspicion > 0 {
+		release, err := q.enterSuspect(ctx)
+		if err != nil {
+			return err
+		}
+		defer release()
+	}
+	waiting, err := q.enter(call)
+	if err != nil {
+		return err
+	}
+	if err := q.await(ctx, waiting); err != nil {
+		return err
+	}
+	return q.execute(ctx, waiting, sink)
+}
+
+// enterSuspect lets one call at a time run that is suspected of crashing
+// backend servers, so that a further crash can be blamed on it alone.
+func (q *Queue) enterSuspect(ctx context.Context) (release func(), err error) {
+	select {
+	case q.suspect <- struct{}{}:
+	case <-ctx.Done():
+		return nil, gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call waited")
+	}
+	return func() {
+		q.mu.Lock()
+		q.suspectEnd = time.Now()
+		q.mu.Unlock()
+		<-q.suspect
+	}, nil
+}
+
+// enter admits a call into the line.
+func (q *Queue) enter(call *gypsum.Call) (*gypsum.Waiting, error) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed != "" {
+		return nil, q.moved()
+	}
+	waiting := &gypsum.Waiting{
+		Call: call, Arrived: now, Deadline: now.Add(call.Budget),
+		Work: q.meter.expect(call), Turn: make(chan struct{}),
+	}
+	q.reserve.arrived(call.Class, now)
+	if refusal := q.Admission.Admit(q.state(waiting), waiting, now); refusal != nil {
+		refusal.Backend = q.Backend
+		return nil, refusal
+	}
+	q.Line.Push(waiting)
+	q.startNext()
+	return waiting, nil
+}
+
+// state returns what the policies need to decide on a call. The caller holds mu.
+func (q *Queue) state(waiting *gypsum.Waiting) gypsum.QueueState {
+	state := gypsum.QueueState{
+		Slots: max(1, q.slots), Running: q.running, LiveRunning: q.liveRunning,
+		Waiting: q.Line.Len(), MaxQueue: q.MaxQueue, RunningWork: q.runningWork,
+		Reserve: q.reserve.slots(time.Now(), max(1, q.slots)), Margin: q.meter.margin(),
+	}
+	if waiting == nil {
+		return state
+	}
+	state.TenantWaits = q.Line.Tenant(waiting.Call.Class, waiting.Call.Tenant)
+	state.AheadWork = q.Line.Ahead(waiting)
+	if state.Running >= state.Slots || state.AheadWork > 0 {
+		// On average the running calls are half done.
+		state.ExpectedWait = (state.AheadWork + state.RunningWork/2) / time.Duration(state.Slots)
+	}
+	return state
+}
+
+// startNext gives free slots to the next calls. The caller holds mu.
+func (q *Queue) startNext() {
+	for q.closed == "" && q.running < max(1, q.slots) {
+		waiting := q.Line.Pop(q.state(nil))
+		if waiting == nil {
+			return
+		}
+		q.running++
+		q.runningWork += waiting.Work
+		if waiting.Call.Class == gypsum.ClassLive {
+			q.liveRunning++
+			q.reserve.running(q.liveRunning, time.Now())
+		}
+		waiting.Position = started
+		close(waiting.Turn)
+	}
+}
+
+// started is the Position of a call that holds a slot.
+const started = -2
+
+// await waits for a call's turn. It gives up when the call could no longer end
+// in time.
+func (q *Queue) await(ctx context.Context, waiting *gypsum.Waiting) error {
+	timer := time.NewTimer(time.Until(waiting.Deadline.Add(-waiting.Work)))
+	defer timer.Stop()
+	select {
+	case <-waiting.Turn:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if waiting.Position == started {
+		return nil
+	}
+	if !q.Line.Remove(waiting) {
+		return q.moved()
+	}
+	if ctx.Err() != nil {
+		return gypsum.NotRun(gypsum.ReasonCancelled, http.StatusGatewayTimeout, 0, "the caller gave up while the call waited")
+	}
+	return gypsum.NotRun(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, q.drainTime(), "the call waited too long to end in time")
+}
+
+// moved refuses a call that another queue may take. The caller holds mu.
+func (q *Queue) moved() *gypsum.Refusal {
+	reason := q.closed
+	if reason == "" {
+		reason = gypsum.ReasonNoBackend
+	}
+	refusal := gypsum.NotRun(reason, http.StatusServiceUnavailable, time.Second, "the backend server takes no new calls")
+	refusal.Backend, refusal.Misrouted = q.Backend, true
+	return refusal
+}
+
+// drainTime is the time in which the present line will have been served. The
+// caller holds mu.
+func (q *Queue) drainTime() time.Duration {
+	work := q.meter.typical() * time.Duration(q.Line.Len()+q.running)
+	return max(minRetryAfter, work/time.Duration(max(1, q.slots)))
+}
+
+// execute runs a call that holds a slot and frees the slot.
+func (q *Queue) execute(ctx context.Context, waiting *gypsum.Waiting, sink gypsum.Sink) error {
+	call := waiting.Call
+	begin := time.Now()
+	tokens := 0
+	var err error
+	defer func() { q.finish(waiting, time.Since(begin), tokens, err == nil) }()
+	if begin.After(waiting.Deadline) {
+		err = gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed before the call could start")
+		return err
+	}
+	deadlineCtx, cancel := context.WithDeadline(ctx, waiting.Deadline)
+	defer cancel()
+	runCtx, abort := context.WithCancelCause(deadlineCtx)
+	defer abort(nil)
+	q.mu.Lock()
+	q.aborts[waiting] = abort
+	q.mu.Unlock()
+	err = q.Executor.Execute(runCtx, call, func(event *gypsum.Event) error {
+		if event.Chunk != nil {
+			tokens += event.Chunk.Tokens
+		}
+		return sink(event)
+	})
+	if err == nil {
+		return sink(&gypsum.Event{End: &gypsum.End{Backend: q.Backend}})
+	}
+	return q.failure(runCtx, call, err, begin)
+}
+
+// finish frees a call's slot and learns from its time.
+func (q *Queue) finish(waiting *gypsum.Waiting, took time.Duration, tokens int, whole bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running--
+	delete(q.aborts, waiting)
+	q.runningWork -= waiting.Work
+	if waiting.Call.Class == gypsum.ClassLive {
+		q.liveRunning--
+	}
+	if whole {
+		q.meter.learn(waiting.Call, took, tokens)
+	}
+	q.startNext()
+}
+
+// failure turns an executor's error into a refusal that says what is known.
+func (q *Queue) failure(ctx context.Context, call *gypsum.Call, err error, begin time.Time) *gypsum.Refusal {
+	var refusal *gypsum.Refusal
+	switch {
+	case errors.As(err, &refusal):
+	case errors.Is(err, gypsum.ErrNotHanded):
+		refusal = gypsum.NotRun(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server was not reached: %v", err))
+	case errors.Is(context.Cause(ctx), errAborted):
+		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, errAborted.Error())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refusal = gypsum.Unknown(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call ran")
+	case ctx.Err() != nil:
+		refusal = gypsum.Unknown(gypsum.ReasonCancelled, http.StatusGatewayTimeout, 0, "the caller gave up while the call ran")
+	default:
+		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server failed: %v", err))
+		q.blame(ctx, call, refusal, begin)
+	}
+	refusal.Backend = q.Backend
+	return refusal
+}
+
+// blame counts a crash against a call that ran when its backend server died.
+// Calls that were never near a crash go free if a suspect ran beside them.
+func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), gypsum.LoadTimeout)
+	defer cancel()
+	if !q.Executor.Crashed(probeCtx, begin) {
+		return
+	}
+	q.mu.Lock()
+	shadowed := len(q.suspect) > 0 || time.Since(q.suspectEnd) < crashShadow
+	q.mu.Unlock()
+	if call.Suspicion == 0 && shadowed {
+		return
+	}
+	crash := q.OnCrash(call.Fingerprint)
+	refusal.Crash = &crash
+}
--- /dev/null
+++ b/route/centre.go
@@ -0,0 +1,124 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// fullLoad is the load from which calls are better placed elsewhere.
+const fullLoad = 1.0
+
+// Centre is a data centre that serves a service.
+type Centre struct {
+	Location gypsum.Location
+	Own      bool
+	Slots    int
+	Busy     int
+	Members  []gypsum.MemberBrief
+}
+
+// Load returns the centre's work in parts of its slots.
+func (c *Centre) Load() float64 { return float64(c.Busy) / float64(max(1, c.Slots)) }
+
+// ChooseCentre returns the centre for a call from a region: the own one while
+// it has room, then one of the region, then one of another region if the
+// budget allows; if none has room, the least loaded near one.
+func ChooseCentre(centres []Centre, region gypsum.Region, mayCross bool) (*Centre, string) {
+	var best *Centre
+	why := ""
+	bestRank := 0
+	for i := range centres {
+		centre := &centres[i]
+		if centre.Slots == 0 {
+			continue
+		}
+		rank, rule := centreRank(centre, region)
+		if rank >= rankCross && !mayCross {
+			continue
+		}
+		if best == nil || rank < bestRank || (rank == bestRank && centre.Load() < best.Load()) {
+			best, bestRank, why = centre, rank, rule
+		}
+	}
+	return best, why
+}
+
+// Ranks of centres, the best first.
+const (
+	rankOwn = iota
+	rankRegion
+	rankCross
+	rankRegionFull
+	rankCrossFull
+)
+
+// centreRank returns the rank of a centre and the rule that gives it.
+func centreRank(centre *Centre, region gypsum.Region) (int, string) {
+	full := centre.Load() >= fullLoad
+	near := centre.Location.Region == region
+	switch {
+	case centre.Own && !full:
+		return rankOwn, "own_data_centre"
+	case near && !full:
+		return rankRegion, "own_region"
+	case !full:
+		return rankCross, "other_region"
+	case near:
+		return rankRegionFull, "own_region_full"
+	}
+	return rankCrossFull, "other_region_full"
+}
+
+// Budget bounds the bytes that a class of calls may send between regions.
+type Budget struct {
+	// Rate is the bytes allowed in a second, 0 for no bound.
+	Rate gypsum.Bytes
+
+	mu    sync.Mutex
+	left  float64
+	last  time.Time
+	spent gypsum.Bytes
+}
+
+// burst is the time whose bytes may be spent at once.
+const burst = 2 * time.Second
+
+// Allows tells whether a call may cross now.
+func (b *Budget) Allows(now time.Time) bool {
+	if b.Rate == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return b.left > 0
+}
+
+// Spend counts bytes that crossed.
+func (b *Budget) Spend(bytes gypsum.Bytes, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.left -= float64(bytes)
+	b.spent += bytes
+}
+
+// Spent returns all bytes that have crossed.
+func (b *Budget) Spent() gypsum.Bytes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spent
+}
+
+// refill adds what was earned since the last look. The caller holds mu.
+func (b *Budget) refill(now time.Time) {
+	full := float64(b.Rate) * burst.Seconds()
+	if b.last.IsZero() {
+		b.left = full
+	} else {
+		b.left = min(full, b.left+now.Sub(b.last).Seconds()*float64(b.Rate))
+	}
+	b.last = now
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,196 @@
+// Package route places calls on backend servers: first a data centre, then a
+// backend server in it.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// ringPoints is the number of points of a backend server on the hash ring.
+const ringPoints = 16
+
+// Times of ejection after consecutive failures.
+const (
+	ejectAfter = 3
+	ejectBase  = time.Second
+	ejectMax   = 30 * time.Second
+)
+
+// ejectParts bounds the ejected backend servers to 1/ejectParts of a pool.
+const ejectParts = 3
+
+// Tracker is what this daemon itself knows of a backend server, kept over the
+// pools it is in.
+type Tracker struct {
+	sent     atomic.Int64
+	failures atomic.Int64
+	until    atomic.Int64
+}
+
+// Reported notes that a load report arrived, which includes what was sent before.
+func (t *Tracker) Reported() { t.sent.Store(0) }
+
+// Sent notes that a call was sent.
+func (t *Tracker) Sent() { t.sent.Add(1) }
+
+// Succeeded notes a whole answer.
+func (t *Tracker) Succeeded() {
+	t.failures.Store(0)
+	t.until.Store(0)
+}
+
+// Failed notes a failure of the backend server. Several in a row eject it for
+// a time that doubles.
+func (t *Tracker) Failed(now time.Time) {
+	failures := t.failures.Add(1)
+	if failures < ejectAfter {
+		return
+	}
+	wait := ejectMax
+	if shift := failures - ejectAfter; shift < 5 {
+		wait = ejectBase << shift
+	}
+	t.until.Store(now.Add(wait).UnixNano())
+}
+
+// Ejected tells whether the backend server gets no calls now.
+func (t *Tracker) Ejected(now time.Time) bool {
+	return now.UnixNano() < t.until.Load()
+}
+
+// Backend is a backend server of a pool.
+type Backend struct {
+	Host    gypsum.Host
+	Owner   gypsum.Member
+	News    gypsum.BackendNews
+	Tracker *Tracker
+	// Closed means that it gets no new calls: leaving, drained, down or swapping.
+	Closed bool
+}
+
+// Pool is the set of backend servers of a service in a data centre. It is
+// immutable but for the trackers.
+type Pool struct {
+	backends []Backend
+	index    map[gypsum.BackendID]int
+	ring     []point
+	slots    int
+	busy     int
+	open     int
+	ejected  int
+	made     time.Time
+}
+
+// point is a place on the hash ring.
+type point struct {
+	hash  uint64
+	index int
+}
+
+// NewPool returns a pool of the backend servers. If previous has the same
+// members, their ring is used again.
+func NewPool(backends []Backend, previous *Pool, now time.Time) *Pool {
+	slices.SortFunc(backends, func(a, b Backend) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	pool := &Pool{backends: backends, index: make(map[gypsum.BackendID]int, len(backends)), made: now}
+	for i := range backends {
+		backend := &backends[i]
+		pool.index[gypsum.BackendID(backend.Host.ID)] = i
+		if backend.Closed {
+			continue
+		}
+		pool.open++
+		pool.slots += max(1, backend.News.Slots)
+		pool.busy += backend.News.Running + backend.News.Queued
+		if backend.Tracker.Ejected(now) {
+			pool.ejected++
+		}
+	}
+	if previous != nil && pool.sameMembers(previous) {
+		pool.ring = previous.ring
+	} else {
+		pool.ring = newRing(backends)
+	}
+	return pool
+}
+
+// sameMembers tells whether two pools have the same backend servers.
+func (p *Pool) sameMembers(other *Pool) bool {
+	return slices.EqualFunc(p.backends, other.backends, func(a, b Backend) bool { return a.Host.ID == b.Host.ID })
+}
+
+// newRing returns the hash ring of the backend servers.
+func newRing(backends []Backend) []point {
+	ring := make([]point, 0, len(backends)*ringPoints)
+	for i := range backends {
+		for n := range ringPoints {
+			ring = append(ring, point{gypsum.Hash64(backends[i].Host.ID, string(rune('a'+n))), i})
+		}
+	}
+	slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
+}
+
+// Len returns the number of backend servers.
+func (p *Pool) Len() int { return len(p.backends) }
+
+// Open returns the number of backend servers that may get calls.
+func (p *Pool) Open() int { return p.open }
+
+// Load returns the slots of the open backend servers and the calls there.
+func (p *Pool) Load() (slots, busy int) { return p.slots, p.busy }
+
+// Mean returns the mean load of the open backend servers in parts of their slots.
+func (p *Pool) Mean() float64 { return float64(p.busy) / float64(max(1, p.slots)) }
+
+// At returns a candidate by its index.
+func (p *Pool) At(index int) gypsum.Candidate {
+	backend := &p.backends[index]
+	return gypsum.Candidate{
+		ID:    gypsum.BackendID(backend.Host.ID),
+		Slots: max(1, backend.News.Slots),
+		Busy:  backend.News.Running + backend.News.Queued,
+		Sent:  int(backend.Tracker.sent.Load()),
+	}
+}
+
+// Near returns the index of the n-th candidate on the hash ring after a point.
+func (p *Pool) Near(hash uint64, n int) int {
+	at, _ := slices.BinarySearchFunc(p.ring, hash, func(p point, hash uint64) int { return cmp.Compare(p.hash, hash) })
+	return p.ring[(at+n)%len(p.ring)].index
+}
+
+// Usable tells whether the candidate may get the call.
+func (p *Pool) Usable(index int, call *gypsum.Call) bool {
+	backend := &p.backends[index]
+	if backend.Closed || slices.Contains(call.Excluded, gypsum.BackendID(backend.Host.ID)) {
+		return false
+	}
+	if known := backend.News.Version; known > 0 && known < call.MinVersion {
+		return false
+	}
+	// With too many ejected, ejection says more of the network than of them.
+	return p.ejected*ejectParts > p.open || !backend.Tracker.Ejected(p.made)
+}
+
+// Find returns a backend server by its name.
+func (p *Pool) Find(id gypsum.BackendID) (*Backend, bool) {
+	index, ok := p.index[id]
+	if !ok {
+		return nil, false
+	}
+	return &p.backends[index], true
+}
+
+// Hosts returns the hosts of all backend servers of the pool.
+func (p *Pool) Hosts() []gypsum.Host {
+	hosts := make([]gypsum.Host, len(p.backends))
+	for i := range p.backends {
+		hosts[i] = p.backends[i].Host
+	}
+	return hosts
+}
--- /dev/null
+++ b/setup/table.go
@@ -0,0 +1,21 @@
+package setup
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Table returns all settings as a Markdown table.
+func Table() string {
+	var table strings.Builder
+	table.WriteString("| section | key | default | unit | allowed | meaning |\n|---|---|---|---|---|---|\n")
+	for _, setting := range Defaults().List() {
+		standard := setting.Default
+		if standard == "" {
+			standard = "(required)"
+		}
+		fmt.Fprintf(&table, "| %s | %s | %s | %s | %s | %s |\n",
+			setting.Section, setting.Key, standard, setting.Unit, setting.Allowed, setting.Doc)
+	}
+	return table.String()
+}
