A planned stop cuts off no request; a new host waits until it knows the fleet

Cause: SIGTERM cancelled the context that kratos derives its requests' and stops' contexts from, so that the drain wait and the requests in flight ended at once. A daemon just started gave plans to owners that the others did not agree with, because it had not heard of them; a failed score threw its sample away. Change: signals end only the listening; readiness waits for news of each listed host (at most 3 s); scores are asked for again; a call whose backend server was closed meanwhile goes to another one or another data centre. Ruled out: the engines (their logs show client cancellations only). The demo now counts each unknown outcome as a broken promise.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -147,6 +147,9 @@
 			Region: string(member.Location.Region), State: string(status.State),
 			Incarnation: int64(member.Incarnation), Revision: int64(member.Revision),
 		})
+		if status.State != gypsum.StateAlive {
+			continue
+		}
 		for _, news := range member.Backends {
 			_, drained := current.Drained[news.ID]
 			response.Backends = append(response.Backends, &operatorv1.Backend{
--- a/call.go
+++ b/call.go
@@ -71,6 +71,8 @@
 	MinVersion WeightVersion `json:"min_version,omitempty"`
 	// Excluded are backend servers that failed the call.
 	Excluded []BackendID `json:"excluded,omitempty"`
+	// Avoided are data centres that could not take the call.
+	Avoided []DataCentre `json:"avoided,omitempty"`
 }
 
 // Event is a piece of the answer to a call. Exactly one field is set.
--- a/cmd/gypsumhook/main.go
+++ b/cmd/gypsumhook/main.go
@@ -94,7 +94,8 @@
 	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel})).With("host", settings.Host)
 	run := &daemon.Daemon{Settings: settings, Logger: logger}
-	return run.Run(ctx)
+	// The daemon handles signals itself: requests in flight outlive them.
+	return run.Run(context.WithoutCancel(ctx))
 }
 
 // checkConfig checks a settings file.
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -260,6 +260,9 @@
 	case err == nil:
 		d.answers[kind]++
 	case errors.As(err, &refusal):
+		if refusal.Outcome != gypsum.OutcomeNotRun {
+			d.broken = append(d.broken, fmt.Sprintf("%s was cut off: %v", kind, refusal))
+		}
 		d.refused[fmt.Sprintf("%s %s/%s", kind, refusal.Reason, refusal.Outcome)]++
 	case strings.Contains(err.Error(), "connection refused"):
 		d.refused[kind+" entry host stopped"]++
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,8 +40,8 @@
 	entry *entry.Entry
 }
 
-// Run serves until ctx ends or the process is told to stop, and then until the
-// requests in flight have ended.
+// Run serves until ctx ends or the process gets SIGTERM or SIGINT, and then
+// until the requests in flight have ended. Neither cancels them.
 func (d *Daemon) Run(ctx context.Context) error {
 	cleanup := d.build()
 	defer cleanup()
@@ -57,10 +57,12 @@
 	peers := d.server(d.Settings.Peers, peersPath, peersHandler)
 	operators := d.operatorsServer()
 	app := kratos.New(
-		kratos.Name("gypsumhook"), kratos.ID(string(d.Settings.Host)), kratos.Context(ctx),
+		kratos.Name("gypsumhook"), kratos.ID(string(d.Settings.Host)), kratos.Context(context.WithoutCancel(ctx)),
 		kratos.Logger(newKratosLogger(d.Logger)), kratos.Server(callers, peers, operators),
 		kratos.StopTimeout(d.Settings.DrainTimeout), kratos.BeforeStop(d.drain),
 	)
+	stopOnDone := context.AfterFunc(ctx, func() { _ = app.Stop() })
+	defer stopOnDone()
 	if err := app.Run(); err != nil {
 		return fmt.Errorf("run servers: %w", err)
 	}
--- a/errors.go
+++ b/errors.go
@@ -52,6 +52,8 @@
 	RetryAfter time.Duration `json:"retry_after"`
 	// Backend names the backend server that failed or refused the request.
 	Backend BackendID `json:"backend,omitempty"`
+	// Centre names the data centre that has no backend server for the request.
+	Centre DataCentre `json:"centre,omitempty"`
 	// Crash is set if the backend server died while it ran the request.
 	Crash *Crash `json:"crash,omitempty"`
 	// Misrouted means that the receiving daemon cannot serve the call, and that
--- a/member/table.go
+++ b/member/table.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// Silent tells whether a member of the list was never heard of.
+func (t *Table) Silent(id gypsum.HostID) bool {
+	known, ok := t.entries[id]
+	return id != t.Self.ID && (!ok || !known.seen)
+}
+
 // state returns what is believed of a member.
 func (t *Table) state(known *entry, now time.Time) gypsum.MemberState {
 	switch silence := now.Sub(known.heard); {
--- a/node/control.go
+++ b/node/control.go
@@ -15,6 +15,9 @@
 // errLeaving is the state of a daemon that has begun to shut down.
 var errLeaving = errors.New("daemon is leaving")
 
+// errSettling is the state of a daemon that has not heard of the fleet yet.
+var errSettling = errors.New("daemon has not heard of the fleet yet")
+
 // tickInterval is the time between two rounds of the control goroutine.
 const tickInterval = 100 * time.Millisecond
 
@@ -30,6 +33,8 @@
 	lastGossip time.Time
 	lastList   time.Time
 	listing    bool
+	listRead   bool
+	begun      time.Time
 	dirty      bool
 }
 
@@ -48,6 +53,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	c.lastTick = time.Now()
+	c.begun = c.lastTick
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,7 +125,7 @@
 
 // takeList takes over the platform's list.
 func (c *control) takeList(hosts []gypsum.Host) {
-	c.listed = hosts
+	c.listed, c.listRead = hosts, true
 	c.table.Seed(hosts, time.Now())
 	c.backends = make(map[gypsum.BackendID]gypsum.Host, len(hosts))
 	for _, host := range hosts {
@@ -164,10 +170,34 @@
 			view.Listed = append(view.Listed, host)
 		}
 	}
+	view.Settled = c.settled(view, now)
 	c.addPools(view, now)
 	return view
 }
 
+// settleTime is how long a new daemon waits for news of others that the list names.
+const settleTime = 3 * time.Second
+
+// settled tells whether the daemon has heard of the fleet, so that it gives
+// the same items to the same owners as the others do.
+func (c *control) settled(view *View, now time.Time) bool {
+	if !c.listRead {
+		return false
+	}
+	heard := map[gypsum.DataCentre]bool{}
+	for _, known := range view.Known {
+		heard[known.Location.DataCentre] = true
+	}
+	missing := 0
+	for _, host := range view.Listed {
+		near := host.Location.DataCentre == view.Self.Location.DataCentre
+		if (near && c.table.Silent(gypsum.HostID(host.ID))) || !heard[host.Location.DataCentre] {
+			missing++
+		}
+	}
+	return missing == 0 || (!c.begun.IsZero() && now.Sub(c.begun) > settleTime)
+}
+
 // addPools adds the backend servers whose queues are owned in the own data
 // centre, by service, and the other data centres' summaries of them.
 func (c *control) addPools(view *View, now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -234,6 +234,8 @@
 		return fmt.Errorf("no configuration was learned yet: %w", gypsum.ErrLogUnavailable)
 	case view.Self.Leaving:
 		return errLeaving
+	case !view.Settled:
+		return errSettling
 	}
 	return nil
 }
--- a/node/router.go
+++ b/node/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +61,7 @@
 		}
 		onward := *call
 		onward.Stage, onward.Budget, onward.Hops = gypsum.StageOnce, gypsum.Remaining(deadline), call.Hops+1
-		n.Logger.Info("key routed", "request", call.ID, "service", call.Service, "shard", item, "host", owner.ID, "attempt", attempt)
+		n.Logger.Info("key routed", "request", call.ID, "service", call.Service, "shard", item, "to_host", owner.ID, "attempt", attempt)
 		err := n.submit(ctx, view, owner, &onward, sink)
 		if err == nil {
 			return nil
@@ -207,7 +208,7 @@
 	if refusal.Reason == gypsum.ReasonBackendFailed && refusal.Backend != "" {
 		t.node.tracked.get(refusal.Backend).Failed(time.Now())
 	}
-	if refusal.Backend != "" && !refusal.Misrouted {
+	if refusal.Backend != "" {
 		t.call.Excluded = append(t.call.Excluded, refusal.Backend)
 	}
 	return refusal
@@ -221,21 +222,35 @@
 	if t.call.Once() && t.handed {
 		return 0, false
 	}
-	if refusal.Misrouted {
+	switch {
+	case refusal.Reason == gypsum.ReasonNoBackend:
+		return 0, t.avoid(refusal)
+	case refusal.Misrouted:
 		return misroutedWait, true
 	}
 	switch refusal.Reason {
 	case gypsum.ReasonOverloaded:
 		t.overloads++
 		return 0, t.overloads < maxOverloads
-	case gypsum.ReasonNoBackend:
-		return misroutedWait, refusal.Backend != ""
 	case gypsum.ReasonBackendFailed, gypsum.ReasonPeerFailed:
 		return 0, t.node.retries.Take() && t.recover()
 	}
 	return 0, false
 }
 
+// avoid prepares a call for another backend server, or another data centre if
+// the one tried has none left; false if there is nowhere else to go.
+func (t *journey) avoid(refusal *gypsum.Refusal) bool {
+	if refusal.Backend != "" {
+		return true
+	}
+	if refusal.Centre == "" || slices.Contains(t.call.Avoided, refusal.Centre) {
+		return false
+	}
+	t.call.Avoided = append(t.call.Avoided, refusal.Centre)
+	return true
+}
+
 // recover prepares the call for an attempt after its answer broke off.
 func (t *journey) recover() bool {
 	t.node.Stats.Retries.Add(1)
@@ -285,6 +300,11 @@
 		}
 		return nil, ""
 	}
+	if len(call.Avoided) > 0 {
+		centres = slices.DeleteFunc(slices.Clone(centres), func(centre route.Centre) bool {
+			return slices.Contains(call.Avoided, centre.Location.DataCentre)
+		})
+	}
 	return route.ChooseCentre(centres, view.Self.Location.Region, mayCross)
 }
 
@@ -294,24 +314,27 @@
 	onward.Stage, onward.Centre = gypsum.StagePlace, centre.Location.DataCentre
 	target := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: centre.Location}
 	n.Logger.Info("call sent to data centre", "request", onward.ID, "service", onward.Service, "data_centre", centre.Location.DataCentre,
-		"host", brief.ID, "why", rule, "load", centre.Load(), "weighed", len(view.Centres[onward.Service]))
+		"to_host", brief.ID, "why", rule, "load", centre.Load(), "weighed", len(view.Centres[onward.Service]))
 	return target, onward, nil
 }
 
 // chooseNear places the call on a backend server of the own data centre.
 func (n *Node) chooseNear(view *View, onward *gypsum.Call, rule string) (gypsum.Member, *gypsum.Call, *gypsum.Refusal) {
 	pool := view.Pools[onward.Service]
-	if pool == nil || pool.Len() == 0 {
-		return gypsum.Member{}, nil, gypsum.NotRun(gypsum.ReasonNoBackend, http.StatusServiceUnavailable, time.Second, "no backend server is here")
+	var placement gypsum.Placement
+	ok := false
+	if pool != nil && pool.Len() > 0 {
+		placement, ok = n.Placer.Place(onward, pool)
 	}
-	placement, ok := n.Placer.Place(onward, pool)
 	if !ok {
-		return gypsum.Member{}, nil, gypsum.NotRun(gypsum.ReasonNoBackend, http.StatusServiceUnavailable, time.Second, "no backend server can take the call now")
+		refusal := gypsum.NotRun(gypsum.ReasonNoBackend, http.StatusServiceUnavailable, time.Second, "no backend server here can take the call now")
+		refusal.Centre = view.Self.Location.DataCentre
+		return gypsum.Member{}, nil, refusal
 	}
 	backend, _ := pool.Find(placement.Backend)
 	backend.Tracker.Sent()
 	onward.Stage, onward.Target = gypsum.StageQueue, placement.Backend
-	n.Logger.Info("call placed", "request", onward.ID, "service", onward.Service, "backend", placement.Backend, "host", backend.Owner.ID,
+	n.Logger.Info("call placed", "request", onward.ID, "service", onward.Service, "backend", placement.Backend, "to_host", backend.Owner.ID,
 		"why", placement.Why, "centre_why", rule, "weighed", placement.Weighed, "load", placement.Load, "excluded", len(onward.Excluded))
 	return backend.Owner, onward, nil
 }
--- a/node/server.go
+++ b/node/server.go
@@ -114,7 +114,7 @@
 	if !ok {
 		return nil, gypsum.NotRun(gypsum.ReasonPeerFailed, http.StatusServiceUnavailable, time.Second, "no host owns the plan now")
 	}
-	n.Logger.Info("pull routed", "plan", pull.Plan, "step", pull.Step, "number", pull.Number, "host", owner.ID)
+	n.Logger.Info("pull routed", "plan", pull.Plan, "step", pull.Step, "number", pull.Number, "to_host", owner.ID)
 	if owner.ID == view.Self.ID {
 		return n.HandlePull(ctx, pull)
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -25,6 +25,8 @@
 	Pools    map[gypsum.ServiceName]*route.Pool
 	Centres  map[gypsum.ServiceName][]route.Centre
 	Backends map[gypsum.BackendID]gypsum.Host
+	// Settled means that the daemon has heard of the fleet.
+	Settled bool
 	// Listed are the daemons of the platform's list.
 	Listed []gypsum.Host
 }
--- a/plan/fill.go
+++ b/plan/fill.go
@@ -161,12 +161,24 @@
 	if spec.Scorer == "" {
 		return sample, nil
 	}
-	score, err := b.score(ctx, spec, sample)
-	if err != nil {
-		return nil, fmt.Errorf("score sample: %w", err)
+	return b.scored(ctx, spec, sample)
+}
+
+// scored adds the score to a sample. It tries again until the attempt's
+// deadline, since the sample has cost more than its score.
+func (b *Book) scored(ctx context.Context, spec *gypsum.PlanSpec, sample *gypsum.Sample) (*gypsum.Sample, error) {
+	for {
+		score, err := b.score(ctx, spec, sample)
+		if err == nil {
+			sample.Score = &score
+			return sample, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("score sample: %w", err)
+		case <-time.After(scoreAgain):
+		}
 	}
-	sample.Score = &score
-	return sample, nil
 }
 
 // checkSample refuses samples that are not whole or lack a version.
--- a/plan/score.go
+++ b/plan/score.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/gypsumhook/gypsum"
 )
@@ -12,6 +13,9 @@
 // scorePath is the path at which scoring services take samples.
 const scorePath = "/score"
 
+// scoreAgain is the wait before a sample's score is asked for again.
+const scoreAgain = 100 * time.Millisecond
+
 // scoreAnswer is the answer of a scoring service.
 type scoreAnswer struct {
 	Score *float64 `json:"score"`
