--- a/fake/log.go
+++ b/fake/log.go
@@ -50,7 +50,7 @@
 
 // NewLog returns an empty log.
 func NewLog() *Log {
-	return &Log{streams: make(map[gypsum.StreamName]*logStream)}
+	return &Log{streams: make(map[gypsum.StreamName]*logStream), LateBy: 3 * time.Second}
 }
 
 // SetFault puts the log into a fault, 0 ends it.
@@ -60,6 +60,20 @@
 	l.fault = fault
 }
 
+// SetDelay sets the time a call takes.
+func (l *Log) SetDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Delay = delay
+}
+
+// SetRetention sets the number of records kept in each stream.
+func (l *Log) SetRetention(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Retention = records
+}
+
 // Appends returns the number of append calls carried out.
 func (l *Log) Appends() int64 {
 	l.mu.Lock()
--- a/fake/network.go
+++ b/fake/network.go
@@ -18,9 +18,10 @@
 	servers map[gypsum.HostID]gypsum.Server
 	places  map[gypsum.HostID]gypsum.Location
 	dead    map[gypsum.HostID]chan struct{}
+	since   map[gypsum.HostID]time.Time
+	killed  map[gypsum.HostID]bool
 	frozen  map[gypsum.HostID]chan struct{}
 	cut     map[[2]gypsum.HostID]bool
-	bytes   map[[2]gypsum.Region]int64
 	calls   map[gypsum.HostID]int64
 }
 
@@ -29,7 +30,7 @@
 	return &Network{
 		Near: near, Far: far,
 		servers: make(map[gypsum.HostID]gypsum.Server), places: make(map[gypsum.HostID]gypsum.Location),
-		dead: make(map[gypsum.HostID]chan struct{}), frozen: make(map[gypsum.HostID]chan struct{}),
+		dead: make(map[gypsum.HostID]chan struct{}), killed: make(map[gypsum.HostID]bool), since: make(map[gypsum.HostID]time.Time), frozen: make(map[gypsum.HostID]chan struct{}),
 		cut: make(map[[2]gypsum.HostID]bool), calls: make(map[gypsum.HostID]int64),
 	}
 }
@@ -47,22 +48,31 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.servers, id)
+	w.killed[id] = true
 	close(w.dead[id])
+	if frozen, ok := w.frozen[id]; ok {
+		close(frozen)
+		delete(w.frozen, id)
+	}
 }
 
 // Freeze stops a daemon's exchanges until Thaw.
 func (w *Network) Freeze(id gypsum.HostID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.frozen[id] = make(chan struct{})
+	if _, ok := w.frozen[id]; !ok {
+		w.frozen[id], w.since[id] = make(chan struct{}), time.Now()
+	}
 }
 
 // Thaw lets a frozen daemon go on.
 func (w *Network) Thaw(id gypsum.HostID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	close(w.frozen[id])
-	delete(w.frozen, id)
+	if frozen, ok := w.frozen[id]; ok {
+		close(frozen)
+		delete(w.frozen, id)
+	}
 }
 
 // Cut breaks the way between two daemons, or mends it.
@@ -91,12 +101,23 @@
 	return w.calls[id]
 }
 
-// Gate waits while a daemon is frozen.
+// Frozen returns since when a daemon is frozen, false if it is not.
+func (w *Network) Frozen(id gypsum.HostID) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, frozen := w.frozen[id]
+	return w.since[id], frozen
+}
+
+// Gate waits while a daemon is frozen and fails once it was killed.
 func (w *Network) Gate(ctx context.Context, id gypsum.HostID) error {
 	for {
 		w.mu.Lock()
-		frozen := w.frozen[id]
+		frozen, killed := w.frozen[id], w.killed[id]
 		w.mu.Unlock()
+		if killed {
+			return fmt.Errorf("%s was killed: %w", id, gypsum.ErrBroken)
+		}
 		if frozen == nil {
 			return ctx.Err()
 		}
@@ -182,23 +203,20 @@
 // Submit hands a call to another daemon.
 func (p *peers) Submit(ctx context.Context, to gypsum.Member, call *gypsum.Call, sink gypsum.Sink) error {
 	copied := *call
-	var mu sync.Mutex
-	closed := false
-	defer func() {
-		mu.Lock()
-		defer mu.Unlock()
-		closed = true
-	}()
+	// Taken by each event, and by the end of the exchange for good.
+	open := make(chan struct{}, 1)
+	defer func() { open <- struct{}{} }()
 	return p.call(ctx, to.ID, func(ctx context.Context, server gypsum.Server) error {
 		return server.HandleSubmit(ctx, &copied, func(event *gypsum.Event) error {
 			if err := p.network.pass(ctx, to.ID, p.self); err != nil {
 				return err
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			if closed {
-				return context.Canceled
+			select {
+			case open <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
 			}
+			defer func() { <-open }()
 			return sink(event)
 		})
 	})
--- a/member/summary.go
+++ b/member/summary.go
@@ -13,10 +13,14 @@
 type Summaries struct {
 	// Own is the daemon's data centre, whose summaries are kept for others only.
 	Own gypsum.DataCentre
+	// SuspectAfter is the silence after which a data centre gets no new work.
+	SuspectAfter time.Duration
 	// GoneAfter is the silence after which a summary is forgotten.
 	GoneAfter time.Duration
 
 	entries map[gypsum.HostID]*summaryEntry
+	// Failed is when calls to members elsewhere failed last.
+	failed map[gypsum.HostID]time.Time
 }
 
 // summaryEntry is the newest summary of one maker.
@@ -27,7 +31,7 @@
 
 // NewSummaries returns a store without summaries.
 func NewSummaries(own gypsum.DataCentre) *Summaries {
-	return &Summaries{Own: own, entries: make(map[gypsum.HostID]*summaryEntry)}
+	return &Summaries{Own: own, entries: make(map[gypsum.HostID]*summaryEntry), failed: make(map[gypsum.HostID]time.Time)}
 }
 
 // Merge takes over newer summaries.
@@ -55,13 +59,22 @@
 	return beat > known.Beat
 }
 
-// Expire forgets summaries that have not advanced for too long.
+// Failed notes that a call to a member of another data centre failed. It gets
+// no new work for a while, in which its own data centre notices too.
+func (s *Summaries) Failed(id gypsum.HostID, now time.Time) { s.failed[id] = now }
+
+// Expire forgets summaries that have not advanced for too long, and old failures.
 func (s *Summaries) Expire(now time.Time) {
 	for maker, known := range s.entries {
 		if now.Sub(known.heard) > s.GoneAfter {
 			delete(s.entries, maker)
 		}
 	}
+	for id, at := range s.failed {
+		if now.Sub(at) > s.SuspectAfter {
+			delete(s.failed, id)
+		}
+	}
 }
 
 // Digests returns what the store has.
@@ -98,12 +111,13 @@
 	return news
 }
 
-// Others returns the freshest summary of each other data centre, by name.
-func (s *Summaries) Others() []gypsum.Summary {
+// Others returns the freshest summary of each other data centre, by name,
+// without data centres that are silent and members that failed.
+func (s *Summaries) Others(now time.Time) []gypsum.Summary {
 	freshest := make(map[gypsum.DataCentre]*summaryEntry)
 	for _, known := range s.entries {
 		centre := known.summary.Location.DataCentre
-		if centre == s.Own {
+		if centre == s.Own || now.Sub(known.heard) > s.SuspectAfter {
 			continue
 		}
 		if best, ok := freshest[centre]; !ok || known.heard.After(best.heard) {
@@ -112,7 +126,14 @@
 	}
 	others := make([]gypsum.Summary, 0, len(freshest))
 	for _, known := range freshest {
-		others = append(others, known.summary)
+		summary := known.summary
+		summary.Members = slices.DeleteFunc(slices.Clone(summary.Members), func(member gypsum.MemberBrief) bool {
+			_, failed := s.failed[member.ID]
+			return failed
+		})
+		if len(summary.Members) > 0 {
+			others = append(others, summary)
+		}
 	}
 	slices.SortFunc(others, func(a, b gypsum.Summary) int {
 		return cmp.Compare(a.Location.DataCentre, b.Location.DataCentre)
--- a/node/control.go
+++ b/node/control.go
@@ -38,10 +38,20 @@
 	dirty      bool
 }
 
+// centreSilence is how many times longer than a member a data centre may be
+// silent: its news takes several hops.
+const centreSilence = 2
+
+// failed notes that a call to a member failed.
+func (c *control) failed(id gypsum.HostID) {
+	c.table.Failed(id)
+	c.summaries.Failed(id, time.Now())
+}
+
 // newControl returns the state of a daemon that knows only itself.
 func newControl(n *Node) *control {
 	summaries := member.NewSummaries(n.Self.Location.DataCentre)
-	summaries.GoneAfter = n.Tuning.GoneAfter
+	summaries.GoneAfter, summaries.SuspectAfter = n.Tuning.GoneAfter, centreSilence*n.Tuning.SuspectAfter
 	return &control{
 		node: n, table: n.newTable(), summaries: summaries,
 		backends: make(map[gypsum.BackendID]gypsum.Host),
@@ -151,7 +161,7 @@
 // makeView returns the present view.
 func (c *control) makeView(now time.Time) *View {
 	view := &View{
-		Made: now, Self: c.table.Self, Members: c.table.List(now), Others: c.summaries.Others(),
+		Made: now, Self: c.table.Self, Members: c.table.List(now), Others: c.summaries.Others(now),
 		Config: c.node.book.Current(), Backends: c.backends,
 	}
 	for i := range view.Members {
--- a/node/router.go
+++ b/node/router.go
@@ -186,6 +186,9 @@
 			return nil
 		}
 	}
+	if event.Restart {
+		t.joiner = gypsum.Joiner{}
+	}
 	if event.End != nil && t.call.Generation != nil && !t.joiner.Whole() {
 		return fmt.Errorf("end of answer: %w", gypsum.ErrBroken)
 	}
@@ -382,12 +385,12 @@
 	case errors.As(err, &refusal):
 		return refusal
 	case errors.Is(err, gypsum.ErrNotHanded):
-		n.post(func(c *control) { c.table.Failed(target.ID) })
+		n.post(func(c *control) { c.failed(target.ID) })
 		refusal = gypsum.NotRun(gypsum.ReasonPeerFailed, http.StatusServiceUnavailable, time.Second, fmt.Sprintf("host %s was not reached", target.ID))
 		refusal.Misrouted = true
 		return refusal
 	case errors.Is(context.Cause(ctx), errSilent):
-		n.post(func(c *control) { c.table.Failed(target.ID) })
+		n.post(func(c *control) { c.failed(target.ID) })
 		return gypsum.Unknown(gypsum.ReasonPeerFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("host %s has gone silent", target.ID))
 	case ctx.Err() != nil:
 		return gypsum.Unknown(gypsum.ReasonCancelled, http.StatusGatewayTimeout, 0, "the caller gave up or the deadline passed")
--- a/node/server.go
+++ b/node/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -16,10 +15,11 @@
 // HandleSubmit serves a call that another daemon has handed over. It gives
 // signs of life until the answer has ended.
 func (n *Node) HandleSubmit(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
-	var mu sync.Mutex
+	// A send can take long, so that it is guarded by a channel, not a mutex.
+	sending := make(chan struct{}, 1)
 	send := func(event *gypsum.Event) error {
-		mu.Lock()
-		defer mu.Unlock()
+		sending <- struct{}{}
+		defer func() { <-sending }()
 		return sink(event)
 	}
 	if err := send(&gypsum.Event{Alive: true}); err != nil {
--- a/order/keeper.go
+++ b/order/keeper.go
@@ -21,7 +21,9 @@
 // Times of the orders.
 const (
 	workInterval = 200 * time.Millisecond
-	restInterval = 2 * time.Second
+	restInterval = 500 * time.Millisecond
+	// LookInterval is the time between two looks at engines that need no order.
+	lookInterval = 2 * time.Second
 	orderTimeout = 3 * time.Second
 	// SettleTime is how long an order of an earlier holder can still be on its
 	// way to an engine that ignores fencing numbers.
@@ -50,6 +52,7 @@
 	Logger         *slog.Logger
 
 	target   gypsum.WeightVersion
+	looked   time.Time
 	ordered  map[string]time.Time
 	nextLoad time.Time
 	settled  time.Time
@@ -91,18 +94,23 @@
 	if !ok || !spec.FollowWeights {
 		return true
 	}
-	if latest, err := k.latest(ctx, spec.Model); err != nil {
+	latest, err := k.latest(ctx, spec.Model)
+	if err != nil {
 		k.Logger.Debug("newest weights not known", "model", spec.Model, "error", err)
-	} else {
-		k.target = max(k.target, latest)
 	}
+	if latest <= k.target && time.Since(k.looked) < lookInterval {
+		return true
+	}
+	k.target = max(k.target, latest)
 	states := k.states(ctx)
 	behind := slices.DeleteFunc(slices.Clone(states), func(s engineState) bool {
 		return s.failed || s.report.Version >= k.target
 	})
 	if len(behind) == 0 {
+		k.looked = time.Now()
 		return true
 	}
+	k.looked = time.Time{}
 	fence, err := k.hold(ctx, &spec)
 	if err != nil {
 		k.Logger.Warn("orders not possible", "service", spec.Name, "error", err)
--- a/plan/fill.go
+++ b/plan/fill.go
@@ -108,7 +108,8 @@
 		Budget: spec.SampleTimeout, Tenant: string(b.name), Weight: spec.Share,
 		Affinity: gypsum.Hash64(prompt), Recovery: gypsum.RecoveryResume,
 		Fingerprint: gypsum.FingerprintOf(spec.Service, "sample", []byte(prompt)),
-		MinVersion:  b.version - gypsum.WeightVersion(spec.MaxStaleness),
+		// At one version a step, the trainer will be so far when it uses the sample.
+		MinVersion: b.version + gypsum.WeightVersion(place.Step-b.step-spec.MaxStaleness),
 		Generation: &gypsum.Generation{
 			ID: id, Prompt: prompt, MaxTokens: spec.MaxTokens,
 			Seed: int64(gypsum.Hash64(string(b.name), place.String()) >> 1),
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -330,19 +330,30 @@
 }
 
 // blame counts a crash against a call that ran when its backend server died.
-// Calls that were never near a crash go free if a suspect ran beside them.
+// The refusal does not wait for it beyond the call's deadline.
 func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
-	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), gypsum.LoadTimeout)
+	blamed := make(chan *gypsum.Crash, 1)
+	go func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) }()
+	select {
+	case refusal.Crash = <-blamed:
+	case <-ctx.Done():
+	}
+}
+
+// countCrash returns the count of a call's crashes if its backend server died.
+// Calls that were never near a crash go free if a suspect ran beside them.
+func (q *Queue) countCrash(ctx context.Context, call *gypsum.Call, begin time.Time) *gypsum.Crash {
+	ctx, cancel := context.WithTimeout(ctx, gypsum.LoadTimeout)
 	defer cancel()
-	if !q.Executor.Crashed(probeCtx, begin) {
-		return
+	if !q.Executor.Crashed(ctx, begin) {
+		return nil
 	}
 	q.mu.Lock()
 	shadowed := len(q.suspect) > 0 || time.Since(q.suspectEnd) < crashShadow
 	q.mu.Unlock()
 	if call.Suspicion == 0 && shadowed {
-		return
+		return nil
 	}
 	crash := q.OnCrash(call.Fingerprint)
-	refusal.Crash = &crash
+	return &crash
 }
