Keys need no holder: the first intent in the log decides; weights leave time to reopen

Cause: shards of idempotency keys were held by an epoch, which cost an append at each take-over and refused orders while the holder was cut from the log. Breaking the epoch check on purpose turned no test red: whoever writes an intent reads the stream back up to it, and the first intent of a key wins for every reader, so that the log's order alone decides. The epoch stays where a number is needed, for orders to engines. Change: any daemon may write to a shard's stream; the soft owner does, chosen among those that say they reach the log. A daemon changing weights counts as away until the others can know that it is back. Ruled out: leases (rest on clocks), one leader for all keys (one host's outage stops all orders).

--- a/epoch/envelope.go
+++ b/epoch/envelope.go
@@ -15,18 +15,16 @@
 	kindEpoch    kind = "epoch"
 	kindRecord   kind = "record"
 	kindSnapshot kind = "snapshot"
-	// kindFact is a record that is valid under any epoch: it states what has
-	// happened and decides nothing.
-	kindFact kind = "fact"
 	// kindRead is a request to read only. It never stands in the log.
 	kindRead kind = "read"
 )
 
 // envelope is the form of each record in the log.
 type envelope struct {
-	Kind  kind          `json:"kind"`
-	Nonce string        `json:"nonce"`
-	Epoch gypsum.Offset `json:"epoch"`
+	Kind  kind   `json:"kind"`
+	Nonce string `json:"nonce"`
+	// Epoch is the newest epoch that a snapshot includes.
+	Epoch gypsum.Offset `json:"epoch,omitempty"`
 	// Covers is the newest offset that a snapshot includes.
 	Covers gypsum.Offset `json:"covers,omitempty"`
 	Body   []byte        `json:"body,omitempty"`
--- a/epoch/stream.go
+++ b/epoch/stream.go
@@ -1,8 +1,9 @@
 // Package epoch keeps replicated state in a stream of the platform's log.
 //
-// The order of the records arbitrates between writers: an epoch record makes
-// its writer the holder of the stream, and a record written under an older
-// epoch that stands behind it is void for every reader. No clock takes part.
+// Any process may write. The order of the records arbitrates: every reader
+// builds the same state from them, and a writer acts on a record only once it
+// has read it back. Where an act needs a fencing number, an epoch record makes
+// its writer the holder of the stream until the next one. No clock takes part.
 package epoch
 
 import (
@@ -18,7 +19,7 @@
 	"github.com/gypsumhook/gypsum"
 )
 
-// Machine is the state that the valid records of a stream build up. Its
+// Machine is the state that the records of a stream build up. Its
 // methods are called from one goroutine.
 type Machine interface {
 	Apply(entry Entry)
@@ -26,7 +27,7 @@
 	Restore(body []byte) error
 }
 
-// Entry is a valid record of a stream.
+// Entry is a record of a stream.
 type Entry struct {
 	Offset gypsum.Offset
 	Nonce  string
@@ -52,8 +53,6 @@
 	Name    gypsum.StreamName
 	Machine Machine
 	Logger  *slog.Logger
-	// Unowned streams take records from any writer, without an epoch.
-	Unowned bool
 	// Stateless streams have no state but their epoch, so that removed records
 	// are not missed.
 	Stateless bool
@@ -167,19 +166,12 @@
 	return s.submit(ctx, envelope{Kind: kindEpoch})
 }
 
-// Append adds a record under the epoch that this process holds. It returns nil
-// once the record was read back as valid. On any error but ErrEpochLost the
-// record may yet become valid.
+// Append adds a record and returns nil once it was read back. On any error the
+// record may yet appear in the stream.
 func (s *Stream) Append(ctx context.Context, nonce string, body []byte) error {
 	return s.submit(ctx, envelope{Kind: kindRecord, Nonce: nonce, Body: body})
 }
 
-// AppendFact adds a record that is valid whoever holds the stream. It must only
-// state what has happened.
-func (s *Stream) AppendFact(ctx context.Context, body []byte) error {
-	return s.submit(ctx, envelope{Kind: kindFact, Body: body})
-}
-
 // Refresh reads the stream to its present end.
 func (s *Stream) Refresh(ctx context.Context) error {
 	return s.submit(ctx, envelope{Kind: kindRead})
@@ -245,14 +237,13 @@
 
 // commit appends a group of records and reads until all are resolved.
 func (s *Stream) commit(ctx context.Context, group []*request) {
-	group = s.serveReads(ctx, s.refuseUnowned(group))
+	group = s.serveReads(ctx, group)
 	if len(group) == 0 {
 		return
 	}
 	records := make([][]byte, len(group))
 	s.mu.Lock()
 	for i, req := range group {
-		req.envelope.Epoch = s.epoch
 		records[i] = encode(&req.envelope)
 		s.waiting[req.envelope.Nonce] = req
 	}
@@ -307,22 +298,6 @@
 	return appends
 }
 
-// refuseUnowned takes out records that need an epoch that is not held.
-func (s *Stream) refuseUnowned(group []*request) []*request {
-	if s.Unowned || s.Holds() {
-		return group
-	}
-	kept := group[:0]
-	for _, req := range group {
-		if req.envelope.Kind != kindRecord {
-			kept = append(kept, req)
-			continue
-		}
-		req.result <- fmt.Errorf("append to %s: %w", s.Name, gypsum.ErrEpochLost)
-	}
-	return kept
-}
-
 // failWaiting ends the requests that were not found in the stream.
 func (s *Stream) failWaiting(appendErr, readErr error) {
 	s.mu.Lock()
@@ -407,7 +382,7 @@
 		s.applyEpoch(record.Offset, env)
 	case kindSnapshot:
 		s.applySnapshot(record.Offset, env)
-	case kindRecord, kindFact:
+	case kindRecord:
 		s.applyRecord(record.Offset, env)
 	}
 }
@@ -425,24 +400,16 @@
 	s.resolve(env.Nonce, nil)
 }
 
-// applyRecord hands a valid record to the machine; one of an older epoch is void.
+// applyRecord hands a record to the machine.
 func (s *Stream) applyRecord(offset gypsum.Offset, env *envelope) {
 	if s.restoring {
 		return
 	}
-	s.mu.Lock()
-	void := !s.Unowned && env.Kind == kindRecord && env.Epoch != s.epoch
-	s.mu.Unlock()
-	var result error
-	if void {
-		result = fmt.Errorf("record %d of %s: %w", offset, s.Name, gypsum.ErrEpochLost)
-	} else {
-		s.Machine.Apply(Entry{Offset: offset, Nonce: env.Nonce, Body: env.Body})
-		s.sinceRecords++
-	}
+	s.Machine.Apply(Entry{Offset: offset, Nonce: env.Nonce, Body: env.Body})
+	s.sinceRecords++
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.resolve(env.Nonce, result)
+	s.resolve(env.Nonce, nil)
 }
 
 // applySnapshot restores from a snapshot that covers all records before it.
@@ -522,7 +489,10 @@
 		s.Logger.Error("snapshot not made", "stream", s.Name, "error", err)
 		return
 	}
-	req := newRequest(envelope{Kind: kindSnapshot, Covers: s.next - 1, Body: body})
+	s.mu.Lock()
+	env := envelope{Kind: kindSnapshot, Covers: s.next - 1, Epoch: s.epoch, Body: body}
+	s.mu.Unlock()
+	req := newRequest(env)
 	s.commit(ctx, []*request{req})
 	if err := <-req.result; err != nil {
 		s.Logger.Info("snapshot void", "stream", s.Name, "error", err)
--- a/member/summary.go
+++ b/member/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -143,9 +144,9 @@
 
 // RosterOf returns the hash of a list of members.
 func RosterOf(members []gypsum.MemberBrief) uint64 {
-	parts := make([]string, 0, 2*len(members))
+	parts := make([]string, 0, 3*len(members))
 	for _, member := range members {
-		parts = append(parts, string(member.ID), member.Address)
+		parts = append(parts, string(member.ID), member.Address, strconv.FormatBool(member.LogDown))
 	}
 	return gypsum.Hash64(parts...)
 }
--- a/node/control.go
+++ b/node/control.go
@@ -113,6 +113,7 @@
 // beat renews the daemon's own entry.
 func (c *control) beat(time.Time) {
 	c.table.Self.Beat++
+	c.table.Self.LogDown = c.node.LogDown()
 	c.table.Self.Revision = c.node.book.Revision()
 	c.table.Self.Backends = c.node.owned.news()
 	c.makeSummary()
@@ -172,7 +173,9 @@
 	view.Known = append(view.Known, view.Alive...)
 	for i := range view.Others {
 		for _, brief := range view.Others[i].Members {
-			view.Known = append(view.Known, gypsum.Member{ID: brief.ID, Address: brief.Address, Location: view.Others[i].Location})
+			view.Known = append(view.Known, gypsum.Member{
+				ID: brief.ID, Address: brief.Address, Location: view.Others[i].Location, LogDown: brief.LogDown,
+			})
 		}
 	}
 	for _, host := range c.listed {
@@ -279,7 +282,9 @@
 		Incarnation: c.table.Self.Incarnation, Beat: c.table.Self.Beat,
 	}
 	for i := range view.Alive {
-		summary.Members = append(summary.Members, gypsum.MemberBrief{ID: view.Alive[i].ID, Address: view.Alive[i].Address})
+		summary.Members = append(summary.Members, gypsum.MemberBrief{
+			ID: view.Alive[i].ID, Address: view.Alive[i].Address, LogDown: view.Alive[i].LogDown,
+		})
 	}
 	summary.Roster = member.RosterOf(summary.Members)
 	for service, pool := range view.Pools {
--- a/node/node.go
+++ b/node/node.go
@@ -147,7 +147,7 @@
 // Start runs the daemon until ctx ends. The returned clean-up function waits
 // for the end of all its goroutines.
 func (n *Node) Start(ctx context.Context) (cleanup func()) {
-	n.health = &epoch.Health{Log: n.Log, Refusals: n.Tuning.LogTimeout}
+	n.health = &epoch.Health{Log: n.Log, Refusals: 2*n.Tuning.LogTimeout + n.Tuning.LogPoll}
 	n.book = &config.Book{}
 	n.machine = config.NewMachine(n.book)
 	n.events = make(chan func(*control), 1024)
@@ -180,7 +180,7 @@
 func (n *Node) startConfig(ctx context.Context) {
 	stream := &epoch.Stream{
 		Log: n.health, Name: config.Stream, Machine: n.machine, Logger: n.Logger,
-		Unowned: true, Timeout: n.Tuning.LogTimeout, PollInterval: n.Tuning.LogPoll,
+		Timeout: n.Tuning.LogTimeout, PollInterval: n.Tuning.LogPoll,
 		SnapshotInterval: n.Tuning.SnapshotInterval, SnapshotEvery: n.Tuning.SnapshotEvery,
 		Responsible: func() bool { return n.View().owns("snapshot/config", n.Home) },
 		Repair:      n.machine.Adopt,
--- a/node/router.go
+++ b/node/router.go
@@ -48,20 +48,20 @@
 // runOnce hands a non-idempotent call to the daemon that holds its key's shard.
 func (n *Node) runOnce(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
 	deadline := time.Now().Add(call.Budget)
-	item := shardItem(n.shardOf(call.Key))
+	shard := n.shardOf(call.Key)
 	handed := false
 	for attempt := 1; ; attempt++ {
 		view := n.View()
 		if view.Config == nil {
 			return noConfiguration()
 		}
-		owner, ok := view.owner(item, n.Home)
+		owner, ok := view.keyHolder(shard, n.Home)
 		if !ok {
 			return gypsum.NotRun(gypsum.ReasonPeerFailed, http.StatusServiceUnavailable, time.Second, "no host holds keys now")
 		}
 		onward := *call
 		onward.Stage, onward.Budget, onward.Hops = gypsum.StageOnce, gypsum.Remaining(deadline), call.Hops+1
-		n.Logger.Info("key routed", "request", call.ID, "service", call.Service, "shard", item, "to_host", owner.ID, "attempt", attempt)
+		n.Logger.Info("key routed", "request", call.ID, "service", call.Service, "shard", shard, "to_host", owner.ID, "attempt", attempt)
 		err := n.submit(ctx, view, owner, &onward, sink)
 		if err == nil {
 			return nil
--- a/node/server.go
+++ b/node/server.go
@@ -83,8 +83,8 @@
 // serveOnce runs a non-idempotent call if this daemon holds its key's shard.
 func (n *Node) serveOnce(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
 	shard := n.shardOf(call.Key)
-	if !n.View().owns(shardItem(shard), n.Home) {
-		return misrouted("the key's shard is held elsewhere")
+	if !n.View().holds(shard, n.Home) {
+		return misrouted("the key's shard is guarded elsewhere")
 	}
 	guard := n.shards.get(shard)
 	if n.LogDown() {
--- a/node/shards.go
+++ b/node/shards.go
@@ -39,7 +39,7 @@
 		return
 	}
 	for shard := range s.node.Tuning.Shards {
-		if view.owns(shardItem(shard), s.node.Home) {
+		if view.holds(shard, s.node.Home) {
 			s.get(shard)
 		}
 	}
@@ -58,11 +58,11 @@
 		Log: n.health, Name: gypsum.StreamName(shardItem(shard)), Machine: machine, Logger: n.Logger,
 		MinInterval: n.Tuning.GroupInterval, Timeout: n.Tuning.LogTimeout,
 		SnapshotInterval: n.Tuning.SnapshotInterval, SnapshotEvery: n.Tuning.SnapshotEvery,
-		Responsible: func() bool { return n.View().owns(shardItem(shard), n.Home) },
+		Responsible: func() bool { return n.View().holds(shard, n.Home) },
 		Repair:      machine.Repair,
 	}
 	guard := &once.Guard{
-		Stream: stream, Machine: machine, AcquireTimeout: 2 * n.Tuning.LogTimeout, Logger: n.Logger,
+		Stream: stream, Machine: machine, AppendTimeout: 2 * n.Tuning.LogTimeout, Logger: n.Logger,
 		Dispatch: gypsum.RunnerFunc(n.place),
 	}
 	wait := guard.Start(s.ctx)
--- a/node/view.go
+++ b/node/view.go
@@ -81,6 +81,27 @@
 	return ok && owner.ID == v.Self.ID
 }
 
+// keyHolder returns the live member that guards a shard of idempotency keys:
+// one that reaches the platform's log, if any does.
+func (v *View) keyHolder(shard int, home gypsum.Region) (gypsum.Member, bool) {
+	var reaching []gypsum.Member
+	for _, known := range v.inRegion(home) {
+		if !known.LogDown {
+			reaching = append(reaching, known)
+		}
+	}
+	if len(reaching) == 0 {
+		return v.owner(shardItem(shard), home)
+	}
+	return ownerIn(shardItem(shard), reaching)
+}
+
+// holds tells whether this daemon guards a shard.
+func (v *View) holds(shard int, home gypsum.Region) bool {
+	holder, ok := v.keyHolder(shard, home)
+	return ok && holder.ID == v.Self.ID
+}
+
 // ownsInCentre tells whether this daemon owns an item in its data centre.
 func (v *View) ownsInCentre(item string) bool {
 	owner, ok := ownerIn(item, v.Alive)
--- a/once/guard.go
+++ b/once/guard.go
@@ -36,16 +36,17 @@
 // clockSlack is how far a caller's clock may be ahead.
 const clockSlack = time.Minute
 
-// Guard runs the requests of one shard, each at most once. Set the exported
-// fields before Start.
+// Guard runs the requests of one shard, each at most once. Several daemons may
+// guard the same shard: the first intent of a key in the stream decides. Set the
+// exported fields before Start.
 type Guard struct {
 	Stream  *epoch.Stream
 	Machine *Machine
 	// Dispatch takes a request to a backend server.
 	Dispatch gypsum.Runner
-	// AcquireTimeout bounds the wait for the shard's epoch and for an intent.
-	AcquireTimeout time.Duration
-	Logger         *slog.Logger
+	// AppendTimeout bounds the wait for a record.
+	AppendTimeout time.Duration
+	Logger        *slog.Logger
 
 	mu      sync.Mutex
 	active  map[gypsum.IdempotencyKey]*attempt
@@ -171,11 +172,8 @@
 // reserve writes the call's intent. It returns neither answer nor error if the
 // call may run, and the earlier answer if the key has one.
 func (g *Guard) reserve(ctx context.Context, call *gypsum.Call, nonce string, deadline time.Time) (*gypsum.PlainResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(call.Budget, g.AcquireTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(call.Budget, g.AppendTimeout))
 	defer cancel()
-	if err := g.Stream.Acquire(ctx); err != nil {
-		return nil, refusalOf(err)
-	}
 	if state, ok := g.known(ctx, call.Key); ok && state.Kind != kindNotRun {
 		return settled(state, call)
 	}
@@ -185,18 +183,15 @@
 	}
 	intent := &record{Kind: kindIntent, Key: call.Key, Attempt: nonce, Digest: call.Fingerprint, At: time.Now().UnixMilli()}
 	if err := g.Stream.Append(ctx, nonce, encode(intent)); err != nil {
-		g.release(call.Key, nonce, err)
+		g.release(call.Key, nonce)
 		return nil, refusalOf(err)
 	}
 	state, ok := g.Machine.lookup(call.Key)
-	if !ok {
-		return nil, refusalOf(gypsum.ErrEpochLost)
-	}
-	if state.Attempt != nonce {
+	if !ok || state.Attempt != nonce {
 		return settled(state, call)
 	}
 	if time.Now().After(deadline) {
-		g.release(call.Key, nonce, gypsum.ErrLogUnavailable)
+		g.release(call.Key, nonce)
 		return nil, gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, retryOwner, "the deadline passed before the request could start")
 	}
 	return nil, nil
@@ -216,10 +211,7 @@
 }
 
 // release records that an intent which may stand in the stream is not used.
-func (g *Guard) release(key gypsum.IdempotencyKey, nonce string, cause error) {
-	if errors.Is(cause, gypsum.ErrEpochLost) {
-		return
-	}
+func (g *Guard) release(key gypsum.IdempotencyKey, nonce string) {
 	g.running.Add(1)
 	go func() {
 		defer g.running.Done()
@@ -252,14 +244,13 @@
 	return answer, end, nil
 }
 
-// recordOutcome appends the outcome of an attempt. It is a fact that only the
-// writer of the intent knows, and valid under any later epoch too. It goes on
-// for a while when the log is out.
+// recordOutcome appends the outcome of an attempt, which only the writer of its
+// intent knows. It goes on for a while when the log is out.
 func (g *Guard) recordOutcome(ctx context.Context, outcome *record) {
 	body := encode(outcome)
 	for until := time.Now().Add(outcomePatience); time.Now().Before(until); {
-		callCtx, cancel := context.WithTimeout(ctx, g.AcquireTimeout)
-		err := g.Stream.AppendFact(callCtx, body)
+		callCtx, cancel := context.WithTimeout(ctx, g.AppendTimeout)
+		err := g.Stream.Append(callCtx, "", body)
 		cancel()
 		if err == nil {
 			return
@@ -309,10 +300,7 @@
 
 // refusalOf turns a failure to reserve a key into a refusal.
 func refusalOf(err error) *gypsum.Refusal {
-	switch {
-	case errors.Is(err, gypsum.ErrEpochLost):
-		return gypsum.NotRun(gypsum.ReasonPeerFailed, http.StatusServiceUnavailable, retryOwner, "another host has taken over the key's shard")
-	case errors.Is(err, gypsum.ErrHistoryLost):
+	if errors.Is(err, gypsum.ErrHistoryLost) {
 		return gypsum.Unknown(gypsum.ReasonKeyExpired, http.StatusServiceUnavailable, retryLog, "the record of earlier requests was lost")
 	}
 	return gypsum.NotRun(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, retryLog, "the platform's log does not answer; the request was not started")
--- a/once/machine.go
+++ b/once/machine.go
@@ -1,6 +1,7 @@
 // Package once runs non-idempotent requests at most once. Each idempotency key
-// belongs to a shard; the holder of the shard's stream writes an intent, reads
-// it back and only then lets the request run.
+// belongs to a shard with a stream in the log. A daemon writes an intent, reads
+// the stream back, and lets the request run only if its intent is the first of
+// its key.
 package once
 
 import (
--- a/order/keeper.go
+++ b/order/keeper.go
@@ -22,6 +22,8 @@
 const (
 	workInterval = 200 * time.Millisecond
 	restInterval = 500 * time.Millisecond
+	// ReopenTime is how long the news that an engine is back takes to reach all.
+	reopenTime = time.Second
 	// LookInterval is the time between two looks at engines that need no order.
 	lookInterval = 2 * time.Second
 	orderTimeout = 3 * time.Second
@@ -64,6 +66,8 @@
 type given struct {
 	version gypsum.WeightVersion
 	at      time.Time
+	// Reached is when the engine was first seen at the version.
+	reached time.Time
 }
 
 // Start begins to give orders whenever this daemon is the owner.
@@ -195,7 +199,7 @@
 func (k *Keeper) orderBehind(ctx context.Context, spec *gypsum.ServiceSpec, states, behind []engineState, fence gypsum.Offset) {
 	away := 0
 	for _, state := range states {
-		if state.failed || state.report.Swapping || k.waits(&state) {
+		if state.failed || state.report.Swapping || k.waits(&state) || k.reopens(&state) {
 			away++
 		}
 	}
@@ -225,6 +229,20 @@
 	return ok && last.version == k.target && state.report.Version < k.target && time.Since(last.at) < orderSeen
 }
 
+// reopens tells whether an engine has changed its weights so recently that the
+// daemons may not know yet that it takes calls again.
+func (k *Keeper) reopens(state *engineState) bool {
+	last, ok := k.ordered[state.host.ID]
+	if !ok || state.report.Version < last.version {
+		return false
+	}
+	if last.reached.IsZero() {
+		last.reached = time.Now()
+		k.ordered[state.host.ID] = last
+	}
+	return time.Since(last.reached) < reopenTime
+}
+
 // pace sets the time of the next order to the weight store's limit.
 func (k *Keeper) pace() {
 	if k.LoadsPerSecond > 0 {
--- a/peers.go
+++ b/peers.go
@@ -26,6 +26,8 @@
 	Beat        int64       `json:"beat"`
 	Leaving     bool        `json:"leaving,omitempty"`
 	Revision    Revision    `json:"revision"`
+	// LogDown means that the member does not reach the platform's log.
+	LogDown bool `json:"log_down,omitempty"`
 	// Backends are the backend servers the member owns the queue of.
 	Backends []BackendNews `json:"backends,omitempty"`
 }
@@ -69,6 +71,7 @@
 type MemberBrief struct {
 	ID      HostID `json:"id"`
 	Address string `json:"address"`
+	LogDown bool   `json:"log_down,omitempty"`
 }
 
 // SummaryDigest is the newest summary that the sender of a gossip has.
