One set of callers, trainers and checks for the fleet in one process, the demo and processes

Cause: the demo and the fleet each had their own callers and checks. Change: package check holds them, package client the callers' side of HTTP; the demo and package fleet use both. Ruled out: keeping the copies (they had begun to differ in what counts as cut off).

--- a/adapt/engine.go
+++ b/adapt/engine.go
@@ -73,7 +73,7 @@
 		if event.Data == doneMark {
 			return nil
 		}
-		chunk, err := decodeChunk(event.Data, generation.ID)
+		chunk, err := DecodeChunk(event.Data, generation.ID)
 		if err != nil {
 			return err
 		}
@@ -109,13 +109,14 @@
 	return response, nil
 }
 
-// decodeChunk returns the chunk of an event, if it belongs to the request.
-func decodeChunk(data string, id gypsum.RequestID) (*gypsum.Chunk, error) {
+// DecodeChunk returns the chunk of an event, if it belongs to the request. An
+// empty id takes chunks of any request.
+func DecodeChunk(data string, id gypsum.RequestID) (*gypsum.Chunk, error) {
 	var completion CompletionChunk
 	if err := json.Unmarshal([]byte(data), &completion); err != nil {
 		return nil, fmt.Errorf("decode chunk: %v: %w", err, gypsum.ErrBroken)
 	}
-	if completion.ID != id {
+	if id != "" && completion.ID != id {
 		return nil, fmt.Errorf("chunk of %s in the stream of %s: %w", completion.ID, id, gypsum.ErrCrossed)
 	}
 	if len(completion.Choices) != 1 {
--- a/fleet/caller.go
+++ b/check/caller.go
@@ -1,13 +1,11 @@
-package fleet
+package check
 
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
@@ -16,78 +14,18 @@
 // lateGrace is how far behind its deadline a final answer may be.
 const lateGrace = 100 * time.Millisecond
 
-// Result is what a caller saw of one call.
-type Result struct {
-	Kind string
-	Key  gypsum.IdempotencyKey
-	Via  gypsum.HostID
-	At   time.Time
-	Took time.Duration
-	// Answer is the whole answer, empty if there was none.
-	Answer  string
-	Refusal *gypsum.Refusal
-}
-
-// Record is what all callers and trainers have seen.
-type Record struct {
-	mu      sync.Mutex
-	results []Result
-	broken  []string
-	samples int
-	steps   int
-	idle    time.Duration
-	stale   int
-}
-
-// add keeps a result.
-func (r *Record) add(result Result) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.results = append(r.results, result)
-}
-
-// breach keeps a broken promise.
-func (r *Record) breach(format string, values ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.broken = append(r.broken, fmt.Sprintf(format, values...))
-}
-
-// Results returns all results so far.
-func (r *Record) Results() []Result {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Result{}, r.results...)
-}
-
-// Answered returns the number of whole answers of a kind after a moment.
-func (r *Record) Answered(kind string, after time.Time) int {
-	count := 0
-	for _, result := range r.Results() {
-		if result.Kind == kind && result.Answer != "" && result.At.After(after) {
-			count++
-		}
-	}
-	return count
-}
-
-// Samples returns the number of samples delivered, and of steps whole.
-func (r *Record) Samples() (samples, steps int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.samples, r.steps
-}
-
-// Idle returns the time that trainers waited for samples.
-func (r *Record) Idle() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.idle
-}
+// The services and the plan that checks run against.
+const (
+	ModelService gypsum.ServiceName = "crew-match"
+	PlainService gypsum.ServiceName = "roster"
+	PlanName     gypsum.PlanName    = "season"
+	Model                           = "crew"
+)
 
-// Caller sends calls to one fleet and keeps what it saw.
+// Caller sends calls and keeps what it saw. Set the exported fields before use.
 type Caller struct {
-	Fleet  *Fleet
+	// Dial returns the way to an entry host.
+	Dial   func(via gypsum.HostID) gypsum.Runner
 	Record *Record
 	// Timeout is the deadline of each call.
 	Timeout time.Duration
@@ -133,59 +71,14 @@
 // run sends a call and keeps the result.
 func (c *Caller) run(ctx context.Context, kind string, via gypsum.HostID, call *gypsum.Call) Result {
 	result := Result{Kind: kind, Key: call.Key, Via: via, At: time.Now()}
-	running := c.Fleet.Node(via)
-	if running == nil {
-		result.Refusal = gypsum.NotRun(gypsum.ReasonPeerFailed, 0, 0, "entry host does not run")
-		c.Record.add(result)
-		return result
-	}
-	joiner, answer, ended, err := c.send(ctx, via, running, call)
-	result.Took = time.Since(result.At)
-	switch {
-	case err != nil:
-		result.Refusal = gypsum.AsRefusal(err)
-	case !ended:
-		c.Record.breach("%s ended without mark", kind)
-	case call.Generation != nil:
-		result.Answer = joiner.Text()
-		c.checkText(call, joiner)
-	default:
-		result.Answer = answer
-	}
-	c.Record.add(result)
-	return result
-}
-
-// errEntryDied is what a caller sees when its entry host dies or freezes.
-var errEntryDied = errors.New("connection to the entry host lost")
-
-// send runs a call on a daemon as a caller beyond a connection would see it: a
-// frozen daemon gives no answer before the caller's own timeout.
-func (c *Caller) send(ctx context.Context, via gypsum.HostID, running gypsum.Runner, call *gypsum.Call) (*gypsum.Joiner, string, bool, error) {
 	joiner, answer, ended := &gypsum.Joiner{}, "", false
-	timeout, cancel := context.WithTimeout(ctx, call.Budget)
-	defer cancel()
-	if err := c.Fleet.Network.Gate(timeout, via); err != nil {
-		return joiner, answer, ended, gypsum.Unknown(gypsum.ReasonPeerFailed, 0, 0, errEntryDied.Error())
-	}
-	// The connection ends when the entry host dies.
-	connection, disconnect := context.WithCancel(ctx)
-	defer disconnect()
-	died := c.Fleet.Died(via)
-	go func() {
-		select {
-		case <-died:
-			disconnect()
-		case <-connection.Done():
-		}
-	}()
-	err := running.Run(connection, call, func(event *gypsum.Event) error {
+	err := c.Dial(via).Run(ctx, call, func(event *gypsum.Event) error {
 		switch {
 		case event.Restart:
 			*joiner = gypsum.Joiner{}
 		case event.Chunk != nil:
 			if _, err := joiner.Add(event.Chunk); err != nil {
-				return err
+				return fmt.Errorf("join answer: %w", err)
 			}
 		case event.Response != nil:
 			answer = string(event.Response.Body)
@@ -194,11 +87,20 @@
 		}
 		return nil
 	})
-	gateErr := c.Fleet.Network.Gate(timeout, via)
-	if (gateErr != nil && ctx.Err() == nil) || connection.Err() != nil {
-		return joiner, answer, ended, gypsum.Unknown(gypsum.ReasonPeerFailed, 0, 0, errEntryDied.Error())
+	result.Took = time.Since(result.At)
+	switch {
+	case err != nil:
+		result.Refusal = gypsum.AsRefusal(err)
+	case !ended:
+		c.Record.Breach("%s ended without mark", kind)
+	case call.Generation != nil:
+		result.Answer = joiner.Text()
+		c.checkText(call, joiner)
+	default:
+		result.Answer = answer
 	}
-	return joiner, answer, ended, err
+	c.Record.add(result)
+	return result
 }
 
 // checkText checks that a completion is whole and the call's own. A text whose
@@ -211,14 +113,13 @@
 	}
 	want := fake.Text(call.Generation.Prompt, call.Generation.Seed, joiner.Segments())
 	if !joiner.Whole() || joiner.Text() != want || joiner.Tokens() != fake.Length(call.Generation.Prompt, call.Generation.Seed, call.Generation.MaxTokens) {
-		c.Record.breach("completion for %q is not whole or not its own", call.Generation.Prompt)
+		c.Record.Breach("completion for %q is not whole or not its own", call.Generation.Prompt)
 	}
 }
 
-// Check compares what callers were told with what ran. It returns the broken
-// promises.
-func (c *Caller) Check() []string {
-	runs := c.Fleet.Ledger.Runs()
+// Check compares what callers were told with how often each key ran. It returns
+// the broken promises.
+func (c *Caller) Check(runs map[string]int) []string {
 	type told struct {
 		answers []string
 		unknown int
@@ -226,7 +127,7 @@
 	keys := make(map[gypsum.IdempotencyKey]*told)
 	for _, result := range c.Record.Results() {
 		if result.Took > c.Timeout+lateGrace {
-			c.Record.breach("%s via %s ended %s after its start, the deadline was %s", result.Kind, result.Via, result.Took, c.Timeout)
+			c.Record.Breach("%s via %s ended %s after its start, the deadline was %s", result.Kind, result.Via, result.Took, c.Timeout)
 		}
 		if result.Kind != "order" {
 			continue
@@ -245,19 +146,17 @@
 	for key, known := range keys {
 		switch count := runs[string(key)]; {
 		case count > 1:
-			c.Record.breach("order %s ran %d times", key, count)
+			c.Record.Breach("order %s ran %d times", key, count)
 		case count == 0 && len(known.answers) > 0:
-			c.Record.breach("order %s was answered and never ran", key)
+			c.Record.Breach("order %s was answered and never ran", key)
 		case count > 0 && len(known.answers)+known.unknown == 0:
-			c.Record.breach("order %s ran although callers were told it had not", key)
+			c.Record.Breach("order %s ran although callers were told it had not", key)
 		}
 		for _, answer := range known.answers {
 			if answer != known.answers[0] {
-				c.Record.breach("order %s was answered in two ways", key)
+				c.Record.Breach("order %s was answered in two ways", key)
 			}
 		}
 	}
-	c.Record.mu.Lock()
-	defer c.Record.mu.Unlock()
-	return append([]string{}, c.Record.broken...)
+	return c.Record.Broken()
 }
--- a/fleet/trainer.go
+++ b/check/trainer.go
@@ -1,4 +1,4 @@
-package fleet
+package check
 
 import (
 	"context"
@@ -14,42 +14,54 @@
 	pullAgain = 200 * time.Millisecond
 )
 
-// Trainer runs the steps of the plan and checks each sample.
+// Trainer runs the steps of a plan and checks each sample. Set the exported
+// fields before Run.
 type Trainer struct {
-	Fleet  *Fleet
-	Record *Record
-	Plan   gypsum.PlanName
+	// Pull sends a pull through some entry host.
+	Pull func(ctx context.Context, pull *gypsum.Pull) (*gypsum.PullAnswer, error)
+	// Publish adds a version to the weight store.
+	Publish func(ctx context.Context, version gypsum.WeightVersion)
+	Record  *Record
+	Plan    gypsum.PlanName
 	// TrainTime is the time of training between two steps.
 	TrainTime time.Duration
 	// MaxStaleness is the bound to check against.
 	MaxStaleness int
+	// Steps is the number of steps to run, 0 for no end.
+	Steps int
+	// OnStep, if set, is called with each whole step.
+	OnStep func(step int, version gypsum.WeightVersion, samples []*gypsum.Sample, wait time.Duration)
 
 	session gypsum.Incarnation
 	number  int64
 	version gypsum.WeightVersion
-	next    int
 }
 
 // Run runs steps until ctx ends.
 func (t *Trainer) Run(ctx context.Context) {
 	t.session, t.version = gypsum.Incarnation(time.Now().UnixMilli()), 1
-	for step := 0; ctx.Err() == nil; step++ {
+	for step := 0; ctx.Err() == nil && (t.Steps == 0 || step < t.Steps); step++ {
 		begin := time.Now()
-		if !t.step(ctx, step) {
+		samples, whole := t.step(ctx, step)
+		if !whole {
 			return
 		}
+		wait := time.Since(begin)
 		t.Record.mu.Lock()
-		t.Record.idle += time.Since(begin)
+		t.Record.idle += wait
 		t.Record.steps++
 		t.Record.mu.Unlock()
+		if t.OnStep != nil {
+			t.OnStep(step, t.version, samples, wait)
+		}
 		pause(ctx, t.TrainTime)
 		t.version++
-		t.Fleet.Store.Publish(Model, t.version)
+		t.Publish(ctx, t.version)
 	}
 }
 
 // step pulls until the trainer holds each slot of a step.
-func (t *Trainer) step(ctx context.Context, step int) bool {
+func (t *Trainer) step(ctx context.Context, step int) (samples []*gypsum.Sample, whole bool) {
 	held := make(map[gypsum.Slot]bool)
 	for ctx.Err() == nil {
 		t.number++
@@ -59,63 +71,47 @@
 		for slot := range held {
 			pull.Holds = append(pull.Holds, slot)
 		}
-		answer, err := t.pull(ctx, pull)
+		answer, err := t.pullOnce(ctx, pull)
 		if err != nil {
 			pause(ctx, pullAgain)
 			continue
 		}
 		if answer.Session != t.session || answer.Number != t.number {
-			t.Record.breach("pull %d got the answer of pull %d", t.number, answer.Number)
+			t.Record.Breach("pull %d got the answer of pull %d", t.number, answer.Number)
 		}
 		for _, sample := range answer.Samples {
 			t.take(sample, step, held)
+			samples = append(samples, sample)
 		}
 		if answer.Missing == 0 {
-			return true
+			return samples, true
 		}
 	}
-	return false
+	return samples, false
 }
 
-// pull sends one pull through the next daemon.
-func (t *Trainer) pull(ctx context.Context, pull *gypsum.Pull) (*gypsum.PullAnswer, error) {
-	ready := t.Fleet.Ready()
-	if len(ready) == 0 {
-		return nil, gypsum.ErrNotHanded
-	}
-	t.next++
-	via := ready[t.next%len(ready)]
-	timeout, cancel := context.WithTimeout(ctx, pullWait+2*time.Second)
+// pullOnce sends one pull.
+func (t *Trainer) pullOnce(ctx context.Context, pull *gypsum.Pull) (*gypsum.PullAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullWait+2*time.Second)
 	defer cancel()
-	running := t.Fleet.Node(via)
-	if running == nil {
-		return nil, gypsum.ErrNotHanded
-	}
-	if err := t.Fleet.Network.Gate(timeout, via); err != nil {
-		return nil, err
-	}
-	answer, err := running.Pull(timeout, pull)
-	if gateErr := t.Fleet.Network.Gate(timeout, via); gateErr != nil {
-		return nil, gateErr
-	}
-	return answer, err
+	return t.Pull(ctx, pull)
 }
 
 // take checks a sample and keeps it.
 func (t *Trainer) take(sample *gypsum.Sample, step int, held map[gypsum.Slot]bool) {
 	if held[sample.Slot] {
-		t.Record.breach("sample %s was delivered twice", sample.Slot)
+		t.Record.Breach("sample %s was delivered twice", sample.Slot)
 	}
 	if sample.Slot.Step != step {
-		t.Record.breach("sample %s was delivered in step %d", sample.Slot, step)
+		t.Record.Breach("sample %s was delivered in step %d", sample.Slot, step)
 	}
 	held[sample.Slot] = true
 	if sample.Text != fake.Text(sample.Prompt, sample.Seed, sample.Segments) {
-		t.Record.breach("sample %s does not name the weights that made it", sample.Slot)
+		t.Record.Breach("sample %s does not name the weights that made it", sample.Slot)
 	}
 	behind := int(t.version - sample.Oldest())
 	if behind > t.MaxStaleness {
-		t.Record.breach("sample %s is %d versions old", sample.Slot, behind)
+		t.Record.Breach("sample %s is %d versions old", sample.Slot, behind)
 	}
 	t.Record.mu.Lock()
 	defer t.Record.mu.Unlock()
--- a/cmd/standin/trainer.go
+++ b/cmd/standin/trainer.go
@@ -7,15 +7,14 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/adapt"
+	"github.com/gypsumhook/gypsum/check"
 	"github.com/gypsumhook/gypsum/client"
-	"github.com/gypsumhook/gypsum/fake"
 )
 
 // trainerReport is what a trainer has seen.
@@ -47,8 +46,6 @@
 		Name: "trainer", Usage: "trainer that runs the steps of a plan", Action: runTrainer, Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "callers' `URL` of an entry host", Required: true},
 			&cli.StringFlag{Name: "store", Usage: "`URL` of the weight store", Required: true},
-			&cli.StringFlag{Name: "model", Usage: "model whose weights are trained", Required: true},
-			&cli.StringFlag{Name: "plan", Required: true, Usage: "rollout plan"},
 			&cli.IntFlag{Name: "steps", Value: 2, Usage: "steps to run"},
 			&cli.IntFlag{Name: "slots", Value: 32, Usage: "samples expected in a step"},
 			&cli.IntFlag{Name: "max-staleness", Value: 1, Usage: "staleness bound to check against"},
@@ -58,32 +55,35 @@
 	}
 }
 
-// trainer runs the steps of a plan.
-type trainer struct {
-	command *cli.Command
-	pulls   *client.Trainer
-	report  trainerReport
-	version gypsum.WeightVersion
-}
-
 // runTrainer runs the steps and writes the report.
 func runTrainer(ctx context.Context, command *cli.Command) error {
-	t := &trainer{
-		command: command, version: 1,
-		pulls: &client.Trainer{
-			Addresses: command.StringSlice("entry"), Plan: gypsum.PlanName(command.String("plan")),
-			HTTP: &http.Client{}, Session: gypsum.Incarnation(time.Now().UnixMilli()),
+	report := &trainerReport{Plan: string(check.PlanName)}
+	record := &check.Record{}
+	entries := entriesOf(command)
+	turn := 0
+	trainer := &check.Trainer{
+		Record: record, Plan: check.PlanName, TrainTime: command.Duration("train-time"),
+		MaxStaleness: command.Int("max-staleness"), Steps: command.Int("steps"),
+		Pull: func(ctx context.Context, pull *gypsum.Pull) (*gypsum.PullAnswer, error) {
+			turn++
+			return entries[turn%len(entries)].Pull(ctx, pull)
+		},
+		Publish: func(ctx context.Context, version gypsum.WeightVersion) {
+			if err := publish(ctx, command.String("store"), check.Model, version); err != nil {
+				record.Breach("weights not published: %v", err)
+			}
+		},
+		OnStep: func(step int, version gypsum.WeightVersion, samples []*gypsum.Sample, wait time.Duration) {
+			if len(samples) != command.Int("slots") {
+				record.Breach("step %d has %d samples", step, len(samples))
+			}
+			report.Steps = append(report.Steps, reportOf(step, version, samples, wait))
 		},
-		report: trainerReport{Plan: command.String("plan")},
 	}
 	begin := time.Now()
-	for step := range command.Int("steps") {
-		if err := t.step(ctx, step); err != nil {
-			return fmt.Errorf("step %d: %w", step, err)
-		}
-	}
-	t.report.Total = time.Since(begin)
-	body, err := json.MarshalIndent(&t.report, "", "  ")
+	trainer.Run(ctx)
+	report.Total, report.Idle, report.Broken = time.Since(begin), record.Idle(), record.Broken()
+	body, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode report: %w", err)
 	}
@@ -93,38 +93,22 @@
 	return nil
 }
 
-// step pulls a step's samples, trains and publishes the new weights.
-func (t *trainer) step(ctx context.Context, step int) error {
-	begin := time.Now()
-	samples, err := t.pulls.Step(ctx, step, t.version, nil, nil)
-	if err != nil {
-		return fmt.Errorf("pull: %w", err)
-	}
-	wait := time.Since(begin)
-	t.report.Idle += wait
-	t.check(step, samples, wait)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(t.command.Duration("train-time")):
+// entriesOf returns the entry hosts that the flags name.
+func entriesOf(command *cli.Command) []*client.Entry {
+	var entries []*client.Entry
+	http, _ := adapt.NewClient()
+	for _, address := range command.StringSlice("entry") {
+		entries = append(entries, &client.Entry{Address: address, HTTP: http})
 	}
-	t.version++
-	return publish(ctx, t.command.String("store"), t.command.String("model"), t.version)
+	return entries
 }
 
-// check looks at each sample of a step.
-func (t *trainer) check(step int, samples map[gypsum.Slot]*gypsum.Sample, wait time.Duration) {
-	report := stepReport{Step: step, Trainer: t.version, Samples: len(samples), Wait: wait, Versions: map[gypsum.WeightVersion]int{}}
-	stale := 0.0
+// reportOf returns the report of a step.
+func reportOf(step int, version gypsum.WeightVersion, samples []*gypsum.Sample, wait time.Duration) stepReport {
+	report := stepReport{Step: step, Trainer: version, Samples: len(samples), Wait: wait, Versions: map[gypsum.WeightVersion]int{}}
+	stale := 0
 	for _, sample := range samples {
-		behind := t.version - sample.Oldest()
-		stale += float64(max(0, behind))
-		if int(behind) > t.command.Int("max-staleness") {
-			t.broken("sample %s is %d versions old", sample.Slot, behind)
-		}
-		if sample.Text != fake.Text(sample.Prompt, sample.Seed, sample.Segments) {
-			t.broken("sample %s does not name the weights that made it", sample.Slot)
-		}
+		stale += int(max(0, version-sample.Oldest()))
 		if len(sample.Segments) > 1 {
 			report.Mixed++
 		}
@@ -133,17 +117,8 @@
 		}
 		report.Versions[sample.Oldest()]++
 	}
-	if len(samples) != t.command.Int("slots") {
-		t.broken("step %d has %d samples", step, len(samples))
-	}
-	report.Staleness = stale / float64(max(1, len(samples)))
-	t.report.Steps = append(t.report.Steps, report)
-}
-
-// broken notes a broken promise.
-func (t *trainer) broken(format string, values ...any) {
-	t.report.Broken = append(t.report.Broken, fmt.Sprintf(format, values...))
-	slices.Sort(t.report.Broken)
+	report.Staleness = float64(stale) / float64(max(1, len(samples)))
+	return report
 }
 
 // publish adds a version of a model's weights to the store.
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/adapt"
+	"github.com/gypsumhook/gypsum/client"
 )
 
 // standardMaxTokens is the max_tokens of completions that state none.
@@ -93,7 +94,7 @@
 // recoveryOf returns what may be done when an answer breaks off. A stream that
 // has begun can only go on where the caller allows other weights in its rest.
 func recoveryOf(r *http.Request, streaming bool) (gypsum.Recovery, *gypsum.Refusal) {
-	switch value := r.Header.Get(RecoveryHeader); value {
+	switch value := r.Header.Get(client.RecoveryHeader); value {
 	case string(gypsum.RecoveryResume):
 		return gypsum.RecoveryResume, nil
 	case "":
@@ -104,7 +105,7 @@
 	case "none":
 		return gypsum.RecoveryNone, nil
 	default:
-		return "", badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, allowed is resume or none", RecoveryHeader, value))
+		return "", badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, allowed is resume or none", client.RecoveryHeader, value))
 	}
 }
 
@@ -126,7 +127,7 @@
 	case event.Restart:
 		c.joiner = gypsum.Joiner{}
 	case event.End != nil && !c.begun:
-		c.w.Header().Set(BackendHeader, string(event.End.Backend))
+		c.w.Header().Set(client.BackendHeader, string(event.End.Backend))
 	case event.Chunk != nil:
 		if _, err := c.joiner.Add(event.Chunk); err != nil {
 			return fmt.Errorf("join completion: %w", err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,16 +22,6 @@
 	"github.com/gypsumhook/gypsum/node"
 )
 
-// Headers of requests and answers.
-const (
-	TimeoutHeader  = "Gypsum-Timeout-Ms"
-	DeadlineHeader = "Gypsum-Deadline"
-	CallerHeader   = "Gypsum-Caller"
-	RecoveryHeader = "Gypsum-Recovery"
-	KeyHeader      = "Idempotency-Key"
-	BackendHeader  = "Gypsum-Backend"
-)
-
 // Limits of requests.
 const (
 	maxKeyLength = 256
@@ -87,21 +77,9 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
-// Problem is an RFC 9457 problem document.
-type Problem struct {
-	Type    string         `json:"type"`
-	Title   string         `json:"title"`
-	Status  int            `json:"status"`
-	Detail  string         `json:"detail,omitempty"`
-	Outcome gypsum.Outcome `json:"outcome"`
-	Reason  gypsum.Reason  `json:"reason"`
-	// RetryAfter is the time to come back, in milliseconds.
-	RetryAfter int64 `json:"retry_after_ms,omitempty"`
-}
-
 // problemOf returns the problem document of a refusal.
-func problemOf(refusal *gypsum.Refusal) *Problem {
-	return &Problem{
+func problemOf(refusal *gypsum.Refusal) *client.Problem {
+	return &client.Problem{
 		Type: problemType + string(refusal.Reason), Title: strings.ReplaceAll(string(refusal.Reason), "_", " "),
 		Status: refusal.Status, Detail: refusal.Detail, Outcome: refusal.Outcome, Reason: refusal.Reason,
 		RetryAfter: refusal.RetryAfter.Milliseconds(),
@@ -168,7 +146,7 @@
 
 // callerOf returns the name under which a caller's share is counted.
 func callerOf(r *http.Request) string {
-	if caller := r.Header.Get(CallerHeader); caller != "" {
+	if caller := r.Header.Get(client.CallerHeader); caller != "" {
 		return caller
 	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -181,17 +159,17 @@
 // budgetOf returns the time that a request allows.
 func budgetOf(r *http.Request, standard time.Duration) (time.Duration, *gypsum.Refusal) {
 	budget := standard
-	if value := r.Header.Get(TimeoutHeader); value != "" {
+	if value := r.Header.Get(client.TimeoutHeader); value != "" {
 		milliseconds, err := strconv.ParseInt(value, 10, 64)
 		if err != nil {
-			return 0, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, expected milliseconds", TimeoutHeader, value))
+			return 0, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, expected milliseconds", client.TimeoutHeader, value))
 		}
 		budget = time.Duration(min(milliseconds, maxTimeout.Milliseconds())) * time.Millisecond
 	}
-	if value := r.Header.Get(DeadlineHeader); value != "" {
+	if value := r.Header.Get(client.DeadlineHeader); value != "" {
 		deadline, err := time.Parse(time.RFC3339Nano, value)
 		if err != nil {
-			return 0, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, expected a time as in RFC 3339", DeadlineHeader, value))
+			return 0, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is %q, expected a time as in RFC 3339", client.DeadlineHeader, value))
 		}
 		budget = min(time.Until(deadline), maxTimeout)
 	}
@@ -229,7 +207,7 @@
 	for name, values := range answer.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(BackendHeader, string(backend))
+	w.Header().Set(client.BackendHeader, string(backend))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
@@ -245,13 +223,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	key := gypsum.IdempotencyKey(r.Header.Get(KeyHeader))
+	key := gypsum.IdempotencyKey(r.Header.Get(client.KeyHeader))
 	repeatable := idempotentMethods[r.Method]
 	switch {
 	case !repeatable && key == "":
-		return nil, badRequest(http.StatusBadRequest, "a "+r.Method+" request needs the header "+KeyHeader)
+		return nil, badRequest(http.StatusBadRequest, "a "+r.Method+" request needs the header "+client.KeyHeader)
 	case len(key) > maxKeyLength:
-		return nil, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d characters", KeyHeader, maxKeyLength))
+		return nil, badRequest(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d characters", client.KeyHeader, maxKeyLength))
 	}
 	body, refusal := e.readBody(w, r)
 	if refusal != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/check"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/node"
 	"github.com/gypsumhook/gypsum/plan"
@@ -20,14 +21,6 @@
 	"github.com/gypsumhook/gypsum/route"
 )
 
-// The services and the plan of a fleet.
-const (
-	ModelService gypsum.ServiceName = "crew-match"
-	PlainService gypsum.ServiceName = "roster"
-	PlanName     gypsum.PlanName    = "season"
-	Model                           = "crew"
-)
-
 // Centre is a data centre of a layout.
 type Centre struct {
 	Location gypsum.Location
@@ -135,7 +128,7 @@
 		f.addCentre(&centre)
 	}
 	f.Hosts.Show(f.listed)
-	f.Store.Publish(Model, 1)
+	f.Store.Publish(check.Model, 1)
 	return f
 }
 
@@ -148,8 +141,8 @@
 		}
 	}
 	add(gypsum.KindDaemon, "", centre.Daemons, "entry")
-	add(gypsum.KindModel, ModelService, centre.Engines, "engine")
-	add(gypsum.KindPlain, PlainService, centre.Plains, "plain")
+	add(gypsum.KindModel, check.ModelService, centre.Engines, "engine")
+	add(gypsum.KindPlain, check.PlainService, centre.Plains, "plain")
 	for _, host := range f.listed {
 		switch host.Kind {
 		case gypsum.KindModel:
@@ -195,10 +188,10 @@
 func (f *Fleet) open() bool {
 	for _, id := range f.Live() {
 		view := f.Node(id).View()
-		if view.Config == nil || int(view.Config.Revision) < len(baseChanges()) || len(view.Centres[ModelService]) < len(f.Layout.Centres) {
+		if view.Config == nil || int(view.Config.Revision) < len(baseChanges()) || len(view.Centres[check.ModelService]) < len(f.Layout.Centres) {
 			return false
 		}
-		for _, centre := range view.Centres[ModelService] {
+		for _, centre := range view.Centres[check.ModelService] {
 			if centre.Slots < f.Layout.Slots {
 				return false
 			}
@@ -210,15 +203,15 @@
 // baseChanges returns the changes that make the services and the plan.
 func baseChanges() []*gypsum.Change {
 	return []*gypsum.Change{
-		{Kind: gypsum.ChangePutService, Name: string(ModelService), Service: &gypsum.ServiceSpec{
-			Name: ModelService, Kind: gypsum.KindModel, Model: Model, DefaultTimeout: 10 * time.Second,
+		{Kind: gypsum.ChangePutService, Name: string(check.ModelService), Service: &gypsum.ServiceSpec{
+			Name: check.ModelService, Kind: gypsum.KindModel, Model: check.Model, DefaultTimeout: 10 * time.Second,
 			MaxQueue: 256, CrashLimit: 3, FollowWeights: true, Fenced: true,
 		}},
-		{Kind: gypsum.ChangePutService, Name: string(PlainService), Service: &gypsum.ServiceSpec{
-			Name: PlainService, Kind: gypsum.KindPlain, DefaultTimeout: 10 * time.Second, MaxQueue: 256, CrashLimit: 3,
+		{Kind: gypsum.ChangePutService, Name: string(check.PlainService), Service: &gypsum.ServiceSpec{
+			Name: check.PlainService, Kind: gypsum.KindPlain, DefaultTimeout: 10 * time.Second, MaxQueue: 256, CrashLimit: 3,
 		}},
-		{Kind: gypsum.ChangePutPlan, Name: string(PlanName), Plan: &gypsum.PlanSpec{
-			Name: PlanName, Service: ModelService, Groups: 8, GroupSize: 4, MaxTokens: 64, MaxStaleness: 1, Ahead: 1,
+		{Kind: gypsum.ChangePutPlan, Name: string(check.PlanName), Plan: &gypsum.PlanSpec{
+			Name: check.PlanName, Service: check.ModelService, Groups: 8, GroupSize: 4, MaxTokens: 64, MaxStaleness: 1, Ahead: 1,
 			SampleTimeout: 20 * time.Second, Share: 1, IdleWeight: 1, StalenessWeight: 1,
 		}},
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/check"
 	"github.com/gypsumhook/gypsum/fleet"
 )
 
@@ -33,15 +34,14 @@
 				is := is.New(t)
 				f := start(t, layout)
 				defer f.Close()
-				record := &fleet.Record{}
-				caller := &fleet.Caller{Fleet: f, Record: record, Timeout: 5 * time.Second}
+				record := &check.Record{}
+				caller := f.NewCaller(record, 5*time.Second)
 				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 				defer cancel()
 				trained := make(chan struct{})
 				go func() {
 					defer close(trained)
-					trainer := &fleet.Trainer{Fleet: f, Record: record, Plan: fleet.PlanName, TrainTime: time.Second, MaxStaleness: 1}
-					trainer.Run(ctx)
+					f.NewTrainer(record, time.Second).Run(ctx)
 				}()
 				for call := 0; ctx.Err() == nil; call++ {
 					via := f.Live()[call%len(f.Live())]
@@ -54,7 +54,7 @@
 					is.True(completion.Refusal == nil) // completion answered
 				}
 				<-trained
-				is.Equal(caller.Check(), []string{})
+				is.Equal(caller.Check(f.Ledger.Runs()), []string{})
 				samples, steps := record.Samples()
 				t.Logf("steps %d samples %d idle %s calls %d appends %d", steps, samples, record.Idle(), len(record.Results()), f.Log.Appends())
 				is.True(steps >= 10)
--- a/fleet/scene.go
+++ b/fleet/scene.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/check"
 	"github.com/gypsumhook/gypsum/config"
 )
 
@@ -32,8 +33,8 @@
 // while faults strike. It keeps what was seen and checks the promises.
 type Scene struct {
 	Fleet  *Fleet
-	Record *Record
-	Caller *Caller
+	Record *check.Record
+	Caller *check.Caller
 	Rand   *rand.Rand
 	// Callers is the number of callers of each kind.
 	Callers int
@@ -55,9 +56,9 @@
 
 // NewScene returns a scene over a started fleet.
 func NewScene(f *Fleet, seed uint64) *Scene {
-	record := &Record{}
+	record := &check.Record{}
 	return &Scene{
-		Fleet: f, Record: record, Caller: &Caller{Fleet: f, Record: record, Timeout: callTimeout},
+		Fleet: f, Record: record, Caller: f.NewCaller(record, callTimeout),
 		Rand: rand.New(rand.NewPCG(seed, seed)), Callers: 2,
 		isolated: make(map[gypsum.HostID]bool), leaving: make(map[string]time.Time),
 	}
@@ -71,8 +72,7 @@
 		s.work.Go(func() { s.complete(ctx, number) })
 	}
 	s.work.Go(func() {
-		trainer := &Trainer{Fleet: s.Fleet, Record: s.Record, Plan: PlanName, TrainTime: 2 * time.Second, MaxStaleness: 1}
-		trainer.Run(ctx)
+		s.Fleet.NewTrainer(s.Record, 2*time.Second).Run(ctx)
 	})
 	s.work.Go(func() { s.operate(ctx) })
 	s.work.Go(func() { s.watch(ctx) })
@@ -83,7 +83,7 @@
 	s.stop()
 	s.work.Wait()
 	s.checkLeaving()
-	return s.Caller.Check()
+	return s.Caller.Check(s.Fleet.Ledger.Runs())
 }
 
 // via returns the daemon that the balancer sends a call to. The balancer
@@ -145,9 +145,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := s.Fleet.Change(ctx, via, &gypsum.Change{
-		ID: fmt.Sprintf("%s-%d", operator, turn), Operator: operator, Kind: gypsum.ChangePutService, Name: string(PlainService),
+		ID: fmt.Sprintf("%s-%d", operator, turn), Operator: operator, Kind: gypsum.ChangePutService, Name: string(check.PlainService),
 		Service: &gypsum.ServiceSpec{
-			Name: PlainService, Kind: gypsum.KindPlain, DefaultTimeout: 10 * time.Second, MaxQueue: 200 + turn, CrashLimit: 3,
+			Name: check.PlainService, Kind: gypsum.KindPlain, DefaultTimeout: 10 * time.Second, MaxQueue: 200 + turn, CrashLimit: 3,
 		},
 	})
 	var conflict *config.ConflictError
@@ -157,7 +157,7 @@
 		defer s.mu.Unlock()
 		s.accepted = append(s.accepted, acceptedChange{revision: revision, at: time.Now()})
 	case errors.As(err, &conflict) && conflict.Winner == "":
-		s.Record.breach("operator %s lost a race and was not told to whom", operator)
+		s.Record.Breach("operator %s lost a race and was not told to whom", operator)
 	}
 }
 
@@ -217,7 +217,7 @@
 		}
 		late := slices.DeleteFunc(work, func(began time.Time) bool { return began.Before(at.Add(leavingBound)) })
 		if len(late) > 0 {
-			s.Record.breach("%s got %d calls more than %s after it began to leave", backend, len(late), leavingBound)
+			s.Record.Breach("%s got %d calls more than %s after it began to leave", backend, len(late), leavingBound)
 		}
 	}
 }
@@ -239,7 +239,7 @@
 			}
 			revision := running.View().Config.Revision
 			if revision < seen[id] {
-				s.Record.breach("revision of %s went down from %d to %d", id, seen[id], revision)
+				s.Record.Breach("revision of %s went down from %d to %d", id, seen[id], revision)
 			}
 			seen[id] = revision
 			s.checkInForce(id, revision, known[id])
@@ -256,7 +256,7 @@
 	}
 	for _, change := range s.accepted {
 		if change.revision > revision && time.Since(latest(change.at, since)) > inForceBound {
-			s.Record.breach("revision %d is not in force on %s after %s", change.revision, id, inForceBound)
+			s.Record.Breach("revision %d is not in force on %s after %s", change.revision, id, inForceBound)
 		}
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -118,10 +118,10 @@
 await "revision 4 is in force on all hosts" in_force 4
 
 echo "== calls through all hosts, two steps of the plan with new weights between them"
-start trainer bin/standin trainer "${entries[@]}" --store "http://$(at 102)" --model crew --plan season \
+start trainer bin/standin trainer "${entries[@]}" --store "http://$(at 102)" \
   --steps 2 --slots 32 --train-time 1500ms --report "$run/trainer.json"
 bin/standin demo "${entries[@]}" "${operators[@]}" --ledger "http://$(at 120)" --ledger "http://$(at 121)" --ledger "http://$(at 122)" \
-  --model-service crew-match --plain-service roster --for 10s --trainer-report "$run/trainer.json" &
+  --for 10s --trainer-report "$run/trainer.json" &
 driver=$!
 
 sleep 2
