--- a/client/entry.go
+++ b/client/entry.go
@@ -27,6 +27,10 @@
 	BackendHeader  = "Gypsum-Backend"
 )
 
+// answerSlack is how long after its deadline a call waits for a final answer
+// that is on its way.
+const answerSlack = 50 * time.Millisecond
+
 // doneMark is the data of the event behind a completion's last chunk.
 const doneMark = "[DONE]"
 
@@ -60,6 +64,8 @@
 // Run sends a call. A lost connection is a failure with an unknown outcome,
 // unless it was never made.
 func (e *Entry) Run(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, call.Budget+answerSlack)
+	defer cancel()
 	request, err := e.request(ctx, call)
 	if err != nil {
 		return err
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,7 +205,7 @@
 	return []*gypsum.Change{
 		{Kind: gypsum.ChangePutService, Name: string(check.ModelService), Service: &gypsum.ServiceSpec{
 			Name: check.ModelService, Kind: gypsum.KindModel, Model: check.Model, DefaultTimeout: 10 * time.Second,
-			MaxQueue: 256, CrashLimit: 3, FollowWeights: true, Fenced: true,
+			MaxQueue: 256, CrashLimit: 3, FollowWeights: true, Fenced: true, MaxAway: 3,
 		}},
 		{Kind: gypsum.ChangePutService, Name: string(check.PlainService), Service: &gypsum.ServiceSpec{
 			Name: check.PlainService, Kind: gypsum.KindPlain, DefaultTimeout: 10 * time.Second, MaxQueue: 256, CrashLimit: 3,
--- a/node/control.go
+++ b/node/control.go
@@ -90,7 +90,7 @@
 	c.summaries.Expire(now)
 	if now.Sub(c.lastList) >= c.node.Tuning.ListInterval && !c.listing {
 		c.lastList, c.listing = now, true
-		c.node.goTask(func() { c.node.fetchList(ctx) })
+		c.node.tasks.start(func() { c.node.fetchList(ctx) })
 	}
 	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval {
 		c.lastGossip = now
@@ -227,15 +227,16 @@
 		pool := route.NewPool(backends, previous, now)
 		view.Pools[service] = pool
 		slots, busy := pool.Load()
+		newest, oldest := pool.Versions()
 		view.Centres[service] = append(view.Centres[service], route.Centre{
-			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy, Newest: pool.Newest(),
+			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy, Newest: newest, Oldest: oldest,
 		})
 	}
 	for i := range view.Others {
 		other := &view.Others[i]
 		for _, load := range other.Loads {
 			view.Centres[load.Service] = append(view.Centres[load.Service], route.Centre{
-				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Newest: load.Newest, Members: other.Members,
+				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Newest: load.Newest, Oldest: load.Oldest, Members: other.Members,
 			})
 		}
 	}
@@ -289,8 +290,9 @@
 	summary.Roster = member.RosterOf(summary.Members)
 	for service, pool := range view.Pools {
 		slots, busy := pool.Load()
+		newest, oldest := pool.Versions()
 		summary.Loads = append(summary.Loads, gypsum.ServiceLoad{
-			Service: service, Replicas: pool.Open(), Slots: slots, Busy: busy, Newest: pool.Newest(),
+			Service: service, Replicas: pool.Open(), Slots: slots, Busy: busy, Newest: newest, Oldest: oldest,
 		})
 	}
 	c.summaries.Merge([]gypsum.Summary{summary}, time.Now())
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -49,7 +49,7 @@
 	}
 	for _, target := range targets {
 		gossip := c.gossipFor(&target)
-		c.node.goTask(func() { c.node.ask(ctx, target, gossip) })
+		c.node.tasks.start(func() { c.node.ask(ctx, target, gossip) })
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,7 @@
 	tracked trackers
 	gossip  gossipCounts
 	Stats   Stats
-	tasks   sync.WaitGroup
+	tasks   taskGroup
 }
 
 // Tuning holds the times and limits of a daemon.
@@ -172,7 +172,7 @@
 		<-control
 		close(n.stopped)
 		<-n.editor.Stream.Done()
-		n.tasks.Wait()
+		n.tasks.end()
 	}
 }
 
@@ -217,15 +217,35 @@
 	}
 }
 
-// goTask runs a task in the background until the daemon ends.
-func (n *Node) goTask(task func()) {
-	n.tasks.Add(1)
+// taskGroup is the background tasks of a daemon.
+type taskGroup struct {
+	mu      sync.Mutex
+	ended   bool
+	running sync.WaitGroup
+}
+
+// start runs a task; it is dropped once the group has ended.
+func (g *taskGroup) start(task func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.running.Add(1)
 	go func() {
-		defer n.tasks.Done()
+		defer g.running.Done()
 		task()
 	}()
 }
 
+// end waits for the running tasks and takes no more.
+func (g *taskGroup) end() {
+	g.mu.Lock()
+	g.ended = true
+	g.mu.Unlock()
+	g.running.Wait()
+}
+
 // Ready returns nil if the daemon can serve calls.
 func (n *Node) Ready() error {
 	view := n.View()
--- a/node/owned.go
+++ b/node/owned.go
@@ -91,9 +91,10 @@
 	running.queue = &queue.Queue{
 		Backend: id, Owner: o.node.Self.ID, Line: o.node.NewLine(), Admission: o.node.Admission,
 		Executor: running, MaxQueue: o.maxQueue(host.Service), Logger: o.node.Logger, OnCrash: o.node.crashes.add,
+		Background: o.node.tasks.start,
 	}
 	o.workers[id] = running
-	o.node.goTask(func() { running.watch(ctx) })
+	o.node.tasks.start(func() { running.watch(ctx) })
 	return running
 }
 
@@ -245,15 +246,32 @@
 	return sink(&gypsum.Event{Response: response})
 }
 
-// Crashed tells whether the backend server has died since the time. It is part
-// of queue.Executor.
+// probeAgain is the wait before a backend server that broke off an answer is
+// asked again whether it lives.
+const probeAgain = 100 * time.Millisecond
+
+// Crashed tells whether the backend server has died since the time: nothing
+// listens at its address, or it reports a new incarnation. One that does not
+// answer before ctx ends may be frozen, which is no crash. It is part of
+// queue.Executor.
 func (w *worker) Crashed(ctx context.Context, since time.Time) bool {
 	w.mu.Lock()
 	before := w.report.Incarnation
 	w.mu.Unlock()
-	report, err := w.load(ctx)
-	if err != nil {
-		return errors.Is(err, gypsum.ErrNotHanded)
+	for {
+		report, err := w.load(ctx)
+		if err == nil {
+			return report.Incarnation != before || int64(report.Incarnation) > since.UnixMilli()
+		}
+		if errors.Is(err, gypsum.ErrNotHanded) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-w.node.stopped:
+			return false
+		case <-time.After(probeAgain):
+		}
 	}
-	return report.Incarnation != before || int64(report.Incarnation) > since.UnixMilli()
 }
--- a/node/plans.go
+++ b/node/plans.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumhook/gypsum/epoch"
 	"github.com/gypsumhook/gypsum/order"
 	"github.com/gypsumhook/gypsum/plan"
+	"github.com/gypsumhook/gypsum/route"
 )
 
 // plans are the books of the rollout plans that this daemon owns.
@@ -63,7 +64,7 @@
 	}
 	ctx, stop := context.WithCancel(p.ctx)
 	book.Start(ctx, name)
-	n.goTask(func() { <-book.Done() })
+	n.tasks.start(func() { <-book.Done() })
 	p.books[name] = &openBook{book: book, stop: stop}
 	n.Logger.Info("plan taken over", "plan", name)
 	return book
@@ -128,12 +129,27 @@
 		Spec:    func() (gypsum.ServiceSpec, bool) { return n.View().Service(name) },
 		Owner:   func() bool { return n.View().ownsInCentre(item) },
 		Engines: func() []gypsum.Host { return n.View().engines(name) },
+		Share: func(limit int, target gypsum.WeightVersion) int {
+			return route.AwayShare(n.View().Centres[name], limit, target)
+		},
+		Replicas: func() int { return n.View().replicas(name) },
 	}
 	keeper.Start(k.ctx)
-	n.goTask(keeper.Wait)
+	n.tasks.start(keeper.Wait)
 	return keeper
 }
 
+// replicas returns the number of a service's backend servers in the host list.
+func (v *View) replicas(name gypsum.ServiceName) int {
+	count := 0
+	for _, host := range v.Backends {
+		if host.Service == name {
+			count++
+		}
+	}
+	return count
+}
+
 // engines returns the engines of a service whose orders are given from this
 // data centre.
 func (v *View) engines(name gypsum.ServiceName) []gypsum.Host {
--- a/node/shards.go
+++ b/node/shards.go
@@ -66,7 +66,7 @@
 		Dispatch: gypsum.RunnerFunc(n.place),
 	}
 	wait := guard.Start(s.ctx)
-	n.goTask(wait)
+	n.tasks.start(wait)
 	s.guards[shard] = guard
 	return guard
 }
--- a/order/keeper.go
+++ b/order/keeper.go
@@ -48,6 +48,11 @@
 	Spec func() (gypsum.ServiceSpec, bool)
 	// Engines returns the engines of the service in the data centre.
 	Engines func() []gypsum.Host
+	// Share returns how many engines may be away here, if limit may in all data
+	// centres while they go to the target.
+	Share func(limit int, target gypsum.WeightVersion) int
+	// Replicas returns the number of engines in all data centres.
+	Replicas func() int
 	// Owner tells whether this daemon is to give the orders.
 	Owner func() bool
 	// LoadsPerSecond is the limit of the weight store, 0 for none.
@@ -205,8 +210,9 @@
 	}
 	limit := spec.MaxAway
 	if limit == 0 {
-		limit = max(1, len(states)/awayParts)
+		limit = max(1, k.Replicas()/awayParts)
 	}
+	limit = k.Share(limit, k.target)
 	slices.SortFunc(behind, func(a, b engineState) int {
 		return cmp.Or(cmp.Compare(a.report.Version, b.report.Version), cmp.Compare(a.host.ID, b.host.ID))
 	})
--- a/peers.go
+++ b/peers.go
@@ -51,8 +51,9 @@
 	Replicas int         `json:"replicas"`
 	Slots    int         `json:"slots"`
 	Busy     int         `json:"busy"`
-	// Newest is the newest version of the weights on a replica.
+	// Newest and Oldest are the versions of the weights on the replicas.
 	Newest WeightVersion `json:"newest,omitempty"`
+	Oldest WeightVersion `json:"oldest,omitempty"`
 }
 
 // Summary is what a data centre tells others of itself. Its delegates make it.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -36,6 +36,8 @@
 	Executor  Executor
 	MaxQueue  int
 	Logger    *slog.Logger
+	// Background runs a task that outlives its call.
+	Background func(task func())
 	// OnCrash counts a crash and returns the count to spread.
 	OnCrash func(fingerprint gypsum.Fingerprint) gypsum.Crash
 
@@ -333,7 +335,7 @@
 // The refusal does not wait for it beyond the call's deadline.
 func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
 	blamed := make(chan *gypsum.Crash, 1)
-	go func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) }()
+	q.Background(func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) })
 	select {
 	case refusal.Crash = <-blamed:
 	case <-ctx.Done():
--- a/route/centre.go
+++ b/route/centre.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +18,10 @@
 	Own      bool
 	Slots    int
 	Busy     int
-	Newest   gypsum.WeightVersion
-	Members  []gypsum.MemberBrief
+	// Newest and Oldest are the versions of the weights on the replicas.
+	Newest  gypsum.WeightVersion
+	Oldest  gypsum.WeightVersion
+	Members []gypsum.MemberBrief
 }
 
 // Load returns the centre's work in parts of its slots.
@@ -46,6 +50,31 @@
 	return best, why
 }
 
+// AwayShare returns how many replicas may change their weights now in the own
+// data centre, if limit may in all. With fewer than one for each data centre,
+// they take turns by name; those that have reached the target are past theirs.
+func AwayShare(centres []Centre, limit int, target gypsum.WeightVersion) int {
+	if limit >= len(centres) {
+		return limit / max(1, len(centres))
+	}
+	sorted := slices.SortedFunc(slices.Values(centres), func(a, b Centre) int {
+		return cmp.Compare(a.Location.DataCentre, b.Location.DataCentre)
+	})
+	turns := 0
+	for i := range sorted {
+		switch {
+		case sorted[i].Own:
+			return 1
+		case sorted[i].Oldest < target:
+			turns++
+		}
+		if turns >= limit {
+			return 0
+		}
+	}
+	return 0
+}
+
 // Ranks of centres, the best first.
 const (
 	rankOwn = iota
--- a/route/pool.go
+++ b/route/pool.go
@@ -83,6 +83,7 @@
 	busy     int
 	open     int
 	newest   gypsum.WeightVersion
+	oldest   gypsum.WeightVersion
 	ejected  int
 	made     time.Time
 }
@@ -101,7 +102,7 @@
 	for i := range backends {
 		backend := &backends[i]
 		pool.index[gypsum.BackendID(backend.Host.ID)] = i
-		pool.newest = max(pool.newest, backend.News.Version)
+		pool.addVersion(backend)
 		if backend.Closed {
 			continue
 		}
@@ -143,8 +144,21 @@
 // Open returns the number of backend servers that may get calls.
 func (p *Pool) Open() int { return p.open }
 
-// Newest returns the newest version of the weights on a backend server.
-func (p *Pool) Newest() gypsum.WeightVersion { return p.newest }
+// addVersion takes a backend server's version into account, unless it is down.
+func (p *Pool) addVersion(backend *Backend) {
+	version := backend.News.Version
+	if backend.News.Down || version == 0 {
+		return
+	}
+	p.newest = max(p.newest, version)
+	if p.oldest == 0 || version < p.oldest {
+		p.oldest = version
+	}
+}
+
+// Versions returns the newest and the oldest version of the weights on the
+// backend servers, 0 if none is known.
+func (p *Pool) Versions() (newest, oldest gypsum.WeightVersion) { return p.newest, p.oldest }
 
 // Load returns the slots of the open backend servers and the calls there.
 func (p *Pool) Load() (slots, busy int) { return p.slots, p.busy }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-go test -count=1 -timeout 20m ./... 2>&1 | tee "$out"
+go test -count=1 -p 1 -timeout 20m ./... 2>&1 | tee "$out"
 status=${PIPESTATUS[0]}
 [ "$status" -eq 0 ] && exit 0
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
