Targeted proofs of the promises; crash counts travel with calls and refusals

Cause: the fault table strikes at few moments and with few keys. Ruled out: gossip faster than 300 ms (a crash loop is faster still).

--- /dev/null
+++ b/adapt/contract_test.go
@@ -0,0 +1,404 @@
+package adapt_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/adapt"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/stand"
+)
+
+// adapter is a way to reach the stand-ins: directly, or over HTTP. A new
+// adapter is put through all contracts by a further row in adapters.
+type adapter struct {
+	name   string
+	log    func(t *testing.T, log *fake.Log) gypsum.Log
+	hosts  func(t *testing.T, hosts *fake.Hosts) gypsum.HostList
+	store  func(t *testing.T, store *fake.Store) gypsum.WeightStore
+	engine func(t *testing.T, engine *fake.Engine) gypsum.Engine
+	plain  func(t *testing.T, plain *fake.Plain) gypsum.Plain
+}
+
+// serve serves a handler for a test and returns its URL.
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// adapters are all adapters.
+func adapters() []adapter {
+	client, _ := adapt.NewClient()
+	dialer, _ := adapt.NewDialer()
+	host := func(url string) gypsum.Host { return gypsum.Host{ID: "backend", Address: url[len("http://"):]} }
+	return []adapter{
+		{
+			name:   "memory",
+			log:    func(_ *testing.T, log *fake.Log) gypsum.Log { return log },
+			hosts:  func(_ *testing.T, hosts *fake.Hosts) gypsum.HostList { return hosts },
+			store:  func(_ *testing.T, store *fake.Store) gypsum.WeightStore { return store },
+			engine: func(_ *testing.T, engine *fake.Engine) gypsum.Engine { return engine },
+			plain:  func(_ *testing.T, plain *fake.Plain) gypsum.Plain { return plain },
+		},
+		{
+			name: "http",
+			log:  func(t *testing.T, log *fake.Log) gypsum.Log { return adapt.NewLog(client, serve(t, stand.Log(log))) },
+			hosts: func(t *testing.T, hosts *fake.Hosts) gypsum.HostList {
+				return adapt.NewHostList(client, serve(t, stand.Hosts(hosts)))
+			},
+			store: func(t *testing.T, store *fake.Store) gypsum.WeightStore {
+				return adapt.NewWeightStore(client, serve(t, stand.Store(store)))
+			},
+			engine: func(t *testing.T, engine *fake.Engine) gypsum.Engine {
+				return dialer.Engine(host(serve(t, stand.Engine(engine))))
+			},
+			plain: func(t *testing.T, plain *fake.Plain) gypsum.Plain {
+				return dialer.Plain(host(serve(t, stand.Plain(plain))))
+			},
+		},
+	}
+}
+
+// forEach runs a contract against each adapter.
+func forEach(t *testing.T, contract func(t *testing.T, a *adapter)) {
+	for _, row := range adapters() {
+		t.Run(row.name, func(t *testing.T) { contract(t, &row) })
+	}
+}
+
+// TestLogContract checks what the service relies on in the log.
+func TestLogContract(t *testing.T) {
+	type step struct {
+		name string
+		run  func(is *is.I, ctx context.Context, f *fake.Log, log gypsum.Log)
+	}
+	records := func(texts ...string) [][]byte {
+		var list [][]byte
+		for _, text := range texts {
+			list = append(list, []byte(text))
+		}
+		return list
+	}
+	steps := []step{
+		{"appends in order", func(is *is.I, ctx context.Context, _ *fake.Log, log gypsum.Log) {
+			first, err := log.Append(ctx, "a/b", records("x", "y"))
+			is.NoErr(err)
+			is.Equal(first, gypsum.Offset(0))
+			second, err := log.Append(ctx, "a/b", records("z"))
+			is.NoErr(err)
+			is.Equal(second, gypsum.Offset(2))
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "a/b", From: 1, Max: 10})
+			is.NoErr(err)
+			is.Equal(len(page.Records), 2)
+			is.Equal(string(page.Records[1].Data), "z")
+			is.Equal(page.Next, gypsum.Offset(3))
+		}},
+		{"streams are separate", func(is *is.I, ctx context.Context, _ *fake.Log, log gypsum.Log) {
+			_, err := log.Append(ctx, "one", records("x"))
+			is.NoErr(err)
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "two", Max: 10})
+			is.NoErr(err)
+			is.Equal(page.Next, gypsum.Offset(0))
+		}},
+		{"read is bounded", func(is *is.I, ctx context.Context, _ *fake.Log, log gypsum.Log) {
+			_, err := log.Append(ctx, "s", records("x", "y", "z"))
+			is.NoErr(err)
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "s", Max: 2})
+			is.NoErr(err)
+			is.Equal(len(page.Records), 2)
+			is.Equal(page.Next, gypsum.Offset(3))
+		}},
+		{"lost answer after effect", func(is *is.I, ctx context.Context, f *fake.Log, log gypsum.Log) {
+			f.SetFault(fake.LogLost)
+			_, err := log.Append(ctx, "s", records("x"))
+			is.True(errors.Is(err, gypsum.ErrLogUnavailable))
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "s", Max: 10})
+			is.NoErr(err)
+			is.Equal(len(page.Records), 1) // the append has taken effect
+		}},
+		{"outage before effect", func(is *is.I, ctx context.Context, f *fake.Log, log gypsum.Log) {
+			f.SetFault(fake.LogOut)
+			_, err := log.Append(ctx, "s", records("x"))
+			is.True(errors.Is(err, gypsum.ErrLogUnavailable))
+			_, err = log.Read(ctx, gypsum.LogRead{Stream: "s", Max: 10})
+			is.True(errors.Is(err, gypsum.ErrLogUnavailable))
+			f.SetFault(0)
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "s", Max: 10})
+			is.NoErr(err)
+			is.Equal(len(page.Records), 0)
+		}},
+		{"hanging call ends with its context", func(is *is.I, ctx context.Context, f *fake.Log, log gypsum.Log) {
+			f.SetFault(fake.LogHang)
+			ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := log.Append(ctx, "s", records("x"))
+			is.True(errors.Is(err, gypsum.ErrLogUnavailable))
+		}},
+		{"retention", func(is *is.I, ctx context.Context, f *fake.Log, log gypsum.Log) {
+			_, err := log.Append(ctx, "s", records("x", "y", "z"))
+			is.NoErr(err)
+			f.Truncate(1)
+			page, err := log.Read(ctx, gypsum.LogRead{Stream: "s", From: 0, Max: 10})
+			is.True(errors.Is(err, gypsum.ErrTruncated))
+			is.Equal(page.First, gypsum.Offset(2))
+			page, err = log.Read(ctx, gypsum.LogRead{Stream: "s", From: 2, Max: 10})
+			is.NoErr(err)
+			is.Equal(string(page.Records[0].Data), "z")
+		}},
+	}
+	forEach(t, func(t *testing.T, a *adapter) {
+		for _, step := range steps {
+			t.Run(step.name, func(t *testing.T) {
+				log := fake.NewLog()
+				step.run(is.New(t), t.Context(), log, a.log(t, log))
+			})
+		}
+	})
+}
+
+// TestHostListContract checks that changes show after the lag and an outage is an error.
+func TestHostListContract(t *testing.T) {
+	forEach(t, func(t *testing.T, a *adapter) {
+		is := is.New(t)
+		list := &fake.Hosts{Lag: 100 * time.Millisecond}
+		first := gypsum.Host{ID: "a", Kind: gypsum.KindModel, Service: "s", Location: gypsum.Location{DataCentre: "d", Region: "r"}, Address: "1.2.3.4:5"}
+		list.Show([]gypsum.Host{first})
+		hosts := a.hosts(t, list)
+		shown, err := hosts.Hosts(t.Context())
+		is.NoErr(err)
+		is.Equal(shown, []gypsum.Host{first})
+		leaving := first
+		leaving.Leaving = true
+		list.Set([]gypsum.Host{leaving})
+		shown, err = hosts.Hosts(t.Context())
+		is.NoErr(err)
+		is.Equal(shown[0].Leaving, false) // lags
+		time.Sleep(150 * time.Millisecond)
+		shown, err = hosts.Hosts(t.Context())
+		is.NoErr(err)
+		is.Equal(shown[0].Leaving, true)
+		list.SetOut(true)
+		_, err = hosts.Hosts(t.Context())
+		is.True(err != nil)
+	})
+}
+
+// TestWeightStoreContract checks that versions never go down and an outage is an error.
+func TestWeightStoreContract(t *testing.T) {
+	forEach(t, func(t *testing.T, a *adapter) {
+		is := is.New(t)
+		store := fake.NewStore()
+		weights := a.store(t, store)
+		store.Publish("crew", 3)
+		store.Publish("crew", 2)
+		version, err := weights.Latest(t.Context(), "crew")
+		is.NoErr(err)
+		is.Equal(version, gypsum.WeightVersion(3))
+		store.SetOut(true)
+		_, err = weights.Latest(t.Context(), "crew")
+		is.True(err != nil)
+	})
+}
+
+// generate collects an engine's answer.
+func generate(ctx context.Context, engine gypsum.Engine, generation *gypsum.Generation) (*gypsum.Joiner, error) {
+	joiner := &gypsum.Joiner{}
+	err := engine.Generate(ctx, generation, func(chunk *gypsum.Chunk) error {
+		_, err := joiner.Add(chunk)
+		return err
+	})
+	return joiner, err
+}
+
+// TestEngineContract checks what the service relies on in engines.
+func TestEngineContract(t *testing.T) {
+	prompt := &gypsum.Generation{ID: "r1", Model: "crew", Prompt: "a prompt", MaxTokens: 32, Seed: 7}
+	want := fake.Text(prompt.Prompt, prompt.Seed, []gypsum.Segment{{Version: 1, Tokens: fake.Length(prompt.Prompt, prompt.Seed, 32)}})
+	steps := []struct {
+		name string
+		run  func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine)
+	}{
+		{"whole answer", func(is *is.I, ctx context.Context, _ *fake.Engine, engine gypsum.Engine) {
+			joiner, err := generate(ctx, engine, prompt)
+			is.NoErr(err)
+			is.True(joiner.Whole())
+			is.Equal(joiner.Text(), want)
+		}},
+		{"resume joins exactly", func(is *is.I, ctx context.Context, _ *fake.Engine, engine gypsum.Engine) {
+			rest := *prompt
+			rest.ResumeTokens, rest.ResumeText = 8, fake.Text(prompt.Prompt, prompt.Seed, []gypsum.Segment{{Version: 1, Tokens: 8}})
+			text := rest.ResumeText
+			err := engine.Generate(ctx, &rest, func(chunk *gypsum.Chunk) error {
+				text += chunk.Text
+				return nil
+			})
+			is.NoErr(err)
+			is.Equal(text, want)
+		}},
+		{"cancel frees the slot", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			ctx, cancel := context.WithCancel(ctx)
+			err := engine.Generate(ctx, prompt, func(*gypsum.Chunk) error {
+				cancel()
+				return ctx.Err()
+			})
+			is.True(err != nil)
+			for range 50 {
+				report, err := f.Load(context.Background())
+				is.NoErr(err)
+				if report.Running == 0 {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Fail() // the engine still runs the request
+		}},
+		{"weights change in midstream", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			joiner := &gypsum.Joiner{}
+			err := engine.Generate(ctx, prompt, func(chunk *gypsum.Chunk) error {
+				f.SetVersion(2)
+				_, err := joiner.Add(chunk)
+				return err
+			})
+			is.NoErr(err)
+			is.Equal(len(joiner.Segments()), 2)
+			is.Equal(joiner.Text(), fake.Text(prompt.Prompt, prompt.Seed, joiner.Segments()))
+		}},
+		{"cut answer", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SetAnswer(fake.AnswerCut)
+			_, err := generate(ctx, engine, prompt)
+			is.True(errors.Is(err, gypsum.ErrBroken))
+		}},
+		{"answer with a gap", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SetAnswer(fake.AnswerGap)
+			_, err := generate(ctx, engine, prompt)
+			is.True(errors.Is(err, gypsum.ErrBroken))
+		}},
+		{"doubled chunks", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SetAnswer(fake.AnswerTwice)
+			joiner, err := generate(ctx, engine, prompt)
+			is.NoErr(err)
+			is.Equal(joiner.Text(), want)
+		}},
+		{"crossed answer", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SetAnswer(fake.AnswerCrossed)
+			_, err := generate(ctx, engine, prompt)
+			is.True(errors.Is(err, gypsum.ErrCrossed))
+		}},
+		{"order and report", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SwapTime = 20 * time.Millisecond
+			is.NoErr(engine.Order(ctx, gypsum.Order{Fence: 5, Model: "crew", Version: 2}))
+			report, err := engine.Load(ctx)
+			is.NoErr(err)
+			is.True(report.Swapping)
+			time.Sleep(60 * time.Millisecond)
+			report, err = engine.Load(ctx)
+			is.NoErr(err)
+			is.Equal(report.Version, gypsum.WeightVersion(2))
+			is.Equal(report.Fence, gypsum.Offset(5))
+		}},
+		{"old fencing number is refused", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			is.NoErr(engine.Order(ctx, gypsum.Order{Fence: 5, Model: "crew", Version: 1}))
+			err := engine.Order(ctx, gypsum.Order{Fence: 4, Model: "crew", Version: 9})
+			is.True(errors.Is(err, gypsum.ErrStaleFence))
+			is.Equal(f.Version(), gypsum.WeightVersion(1))
+		}},
+		{"engine that ignores fencing numbers", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.IgnoreFence = true
+			is.NoErr(engine.Order(ctx, gypsum.Order{Fence: 5, Model: "crew", Version: 1}))
+			is.NoErr(engine.Order(ctx, gypsum.Order{Fence: 4, Model: "crew", Version: 9}))
+		}},
+		{"late report", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.Lag = time.Second
+			_, err := engine.Load(ctx)
+			is.NoErr(err)
+			f.SetVersion(4)
+			report, err := engine.Load(ctx)
+			is.NoErr(err)
+			is.Equal(report.Version, gypsum.WeightVersion(1)) // as old as the lag
+		}},
+		{"leaving shows at once", func(is *is.I, ctx context.Context, f *fake.Engine, engine gypsum.Engine) {
+			f.SetLeaving(true)
+			report, err := engine.Load(ctx)
+			is.NoErr(err)
+			is.True(report.Leaving)
+		}},
+	}
+	forEach(t, func(t *testing.T, a *adapter) {
+		for _, step := range steps {
+			t.Run(step.name, func(t *testing.T) {
+				engine := fake.NewEngine(4, time.Millisecond)
+				step.run(is.New(t), t.Context(), engine, a.engine(t, engine))
+			})
+		}
+	})
+}
+
+// TestPlainContract checks that requests and answers pass whole.
+func TestPlainContract(t *testing.T) {
+	forEach(t, func(t *testing.T, a *adapter) {
+		is := is.New(t)
+		plain := fake.NewPlain(fake.NewLedger(), time.Millisecond)
+		client := a.plain(t, plain)
+		response, err := client.Do(t.Context(), &gypsum.PlainRequest{
+			ID: "r1", Method: http.MethodPost, Path: "/orders", Body: []byte("crew"), Once: true,
+			Header: http.Header{"Idempotency-Key": {"k1"}},
+		})
+		is.NoErr(err)
+		is.Equal(response.Status, http.StatusOK)
+		is.Equal(string(response.Body), `{"slip":1,"key":"k1","request":"crew","score":1}`)
+		is.Equal(plain.Ledger.Runs(), map[string]int{"k1": 1})
+		plain.LoseAnswers(true)
+		_, err = client.Do(t.Context(), &gypsum.PlainRequest{ID: "r2", Method: http.MethodPost, Path: "/orders", Once: true})
+		is.True(err != nil)
+		is.True(!errors.Is(err, gypsum.ErrNotHanded)) // it may have run
+		is.Equal(plain.Ledger.Runs()["r2"], 1)
+	})
+}
+
+// TestNotHanded checks that a connection that was never made is told from one
+// that broke.
+func TestNotHanded(t *testing.T) {
+	is := is.New(t)
+	dialer, cleanup := adapt.NewDialer()
+	defer cleanup()
+	nobody := gypsum.Host{Address: "127.0.0.1:1"}
+	_, err := dialer.Plain(nobody).Do(t.Context(), &gypsum.PlainRequest{Method: http.MethodGet, Path: "/"})
+	is.True(errors.Is(err, gypsum.ErrNotHanded))
+	_, err = dialer.Engine(nobody).Load(t.Context())
+	is.True(errors.Is(err, gypsum.ErrNotHanded))
+}
+
+// TestOnceIsNotRepeated checks that the HTTP client does not repeat a
+// non-idempotent request on its own when a reused connection breaks, as the
+// standard transport does for requests with an Idempotency-Key.
+func TestOnceIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			runs++
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "{}")
+	}))
+	dialer, cleanup := adapt.NewDialer()
+	defer cleanup()
+	client := dialer.Plain(gypsum.Host{Address: url[len("http://"):]})
+	_, err := client.Load(t.Context()) // leaves a connection for reuse
+	is.NoErr(err)
+	_, err = client.Do(t.Context(), &gypsum.PlainRequest{
+		ID: "r", Method: http.MethodPost, Path: "/orders", Once: true, Header: http.Header{"Idempotency-Key": {"k"}},
+	})
+	is.True(err != nil)
+	is.Equal(runs, 1)
+}
--- a/call.go
+++ b/call.go
@@ -57,8 +57,9 @@
 	Tenant string `json:"tenant,omitempty"`
 	// Weight is the tenant's share relative to others, 0 meaning 1.
 	Weight int `json:"weight,omitempty"`
-	// Suspicion is how many backend servers have died running the call's body.
-	Suspicion   int         `json:"suspicion,omitempty"`
+	// Crashes are the sender's counts of backend servers that died while they
+	// ran the call's body. A call with any is suspect.
+	Crashes     []Crash     `json:"crashes,omitempty"`
 	Fingerprint Fingerprint `json:"fingerprint,omitempty"`
 	// Affinity is a hash of the prompt's prefix.
 	Affinity   uint64         `json:"affinity,omitempty"`
@@ -99,6 +100,12 @@
 // Once tells whether the call must not run twice.
 func (c *Call) Once() bool { return c.Plain != nil && c.Plain.Once }
 
+// ScopedKey returns the idempotency key together with its service, since
+// callers of different services may choose the same key.
+func (c *Call) ScopedKey() IdempotencyKey {
+	return IdempotencyKey(string(c.Service) + "/" + string(c.Key))
+}
+
 // Runner takes a call to its answer. A returned error is a *Refusal or means
 // that the outcome is unknown.
 type Runner interface {
--- a/check/caller.go
+++ b/check/caller.go
@@ -160,3 +160,15 @@
 	}
 	return c.Record.Broken()
 }
+
+// NewKey returns a fresh idempotency key: a UUIDv7 of the present time. The
+// library's own generator never goes back in time, as tests in virtual time do.
+func NewKey() gypsum.IdempotencyKey {
+	id := uuid.New()
+	milliseconds := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(milliseconds >> (8 * (5 - i)))
+	}
+	id[6] = 0x70 | id[6]&0x0f
+	return gypsum.IdempotencyKey(id.String())
+}
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
@@ -107,7 +106,7 @@
 // another entry host.
 func (d *demo) orders(ctx context.Context, number int) {
 	for call := 0; ctx.Err() == nil; call++ {
-		key := gypsum.IdempotencyKey(uuid.Must(uuid.NewV7()).String())
+		key := check.NewKey()
 		for repeat := range orderRepeats {
 			d.caller.Order(context.WithoutCancel(ctx), d.hosts[(number+call+repeat)%len(d.hosts)], key, `{"crew":3}`)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,8 +242,7 @@
 		Header: adapt.WithoutHopHeaders(r.Header), Body: body, Once: !repeatable,
 	}
 	if !repeatable {
-		// A key belongs to the service it is used with.
-		call.Key = gypsum.IdempotencyKey(string(call.Service) + "/" + string(key))
+		call.Key = key
 	}
 	return call, nil
 }
--- a/epoch/health.go
+++ b/epoch/health.go
@@ -11,7 +11,8 @@
 
 // Health is a log that refuses appends at once while the log behind it is
 // known to be out, so that callers need not wait for a timeout each. Reads
-// pass through; the first that succeeds ends the refusals.
+// pass through and tell whether it is out: the answer to an append may be lost
+// by a log that works.
 type Health struct {
 	Log gypsum.Log
 	// Refusals is the time after a failure in which appends are refused.
@@ -35,9 +36,7 @@
 		return 0, fmt.Errorf("append not tried: %w", gypsum.ErrLogUnavailable)
 	}
 	h.appends.Add(1)
-	offset, err := h.Log.Append(ctx, stream, records)
-	h.note(err)
-	return offset, err
+	return h.Log.Append(ctx, stream, records)
 }
 
 // Read passes the read on and learns from its result.
--- /dev/null
+++ b/epoch/stream_test.go
@@ -0,0 +1,227 @@
+package epoch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/epoch"
+	"github.com/gypsumhook/gypsum/fake"
+)
+
+// list is a machine that keeps the bodies of all records.
+type list struct {
+	mu    sync.Mutex
+	items []string
+}
+
+// Apply is part of epoch.Machine.
+func (l *list) Apply(entry epoch.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = append(l.items, string(entry.Body))
+}
+
+// Snapshot is part of epoch.Machine.
+func (l *list) Snapshot() ([]byte, error) { return []byte(strings.Join(l.all(), ",")), nil }
+
+// Restore is part of epoch.Machine.
+func (l *list) Restore(body []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = strings.Split(string(body), ",")
+	return nil
+}
+
+// all returns the bodies.
+func (l *list) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.items)
+}
+
+// open starts a stream on a log.
+func open(ctx context.Context, log gypsum.Log, machine epoch.Machine, change func(*epoch.Stream)) *epoch.Stream {
+	stream := &epoch.Stream{
+		Log: log, Name: "s", Machine: machine, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Timeout: time.Second,
+	}
+	if change != nil {
+		change(stream)
+	}
+	stream.Start(ctx)
+	return stream
+}
+
+// inBubble runs a test in virtual time with a context that ends with it.
+func inBubble(t *testing.T, run func(is *is.I, ctx context.Context, log *fake.Log)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		run(is.New(t), ctx, fake.NewLog())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestReadersAgree checks that all readers apply the same records in the same order.
+func TestReadersAgree(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		a, b := &list{}, &list{}
+		first, second := open(ctx, log, a, nil), open(ctx, log, b, nil)
+		var writers sync.WaitGroup
+		for number := range 20 {
+			writers.Go(func() { is.NoErr(first.Append(ctx, "", fmt.Appendf(nil, "a%d", number))) })
+			writers.Go(func() { is.NoErr(second.Append(ctx, "", fmt.Appendf(nil, "b%d", number))) })
+		}
+		writers.Wait()
+		is.NoErr(first.Refresh(ctx))
+		is.NoErr(second.Refresh(ctx))
+		is.Equal(len(a.all()), 40)
+		is.Equal(a.all(), b.all())
+	})
+}
+
+// TestGroupCommit checks that records that come together take few appends.
+func TestGroupCommit(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		log.Delay = 10 * time.Millisecond
+		stream := open(ctx, log, &list{}, func(s *epoch.Stream) { s.MinInterval = 50 * time.Millisecond })
+		begin := time.Now()
+		var writers sync.WaitGroup
+		for range 1000 {
+			writers.Go(func() { is.NoErr(stream.Append(ctx, "", []byte("x"))) })
+		}
+		writers.Wait()
+		is.True(time.Since(begin) < 500*time.Millisecond)
+		is.True(log.Appends() <= 5)
+	})
+}
+
+// TestLostAnswer checks that an append whose answer was lost is found by reading.
+func TestLostAnswer(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		machine := &list{}
+		stream := open(ctx, log, machine, nil)
+		log.SetFault(fake.LogLost)
+		is.NoErr(stream.Append(ctx, "", []byte("x")))
+		is.Equal(machine.all(), []string{"x"})
+	})
+}
+
+// TestOutage checks that an append during an outage fails and is not applied.
+func TestOutage(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		machine := &list{}
+		stream := open(ctx, log, machine, nil)
+		log.SetFault(fake.LogOut)
+		is.True(errors.Is(stream.Append(ctx, "", []byte("x")), gypsum.ErrLogUnavailable))
+		is.Equal(len(machine.all()), 0)
+	})
+}
+
+// TestEpochs checks that the newest epoch record makes its writer the holder,
+// with a higher number, and that the earlier holder learns so by reading.
+func TestEpochs(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		first, second := open(ctx, log, &list{}, nil), open(ctx, log, &list{}, nil)
+		is.NoErr(first.Acquire(ctx))
+		older, mine := first.Epoch()
+		is.True(mine)
+		is.NoErr(second.Acquire(ctx))
+		newer, mine := second.Epoch()
+		is.True(mine)
+		is.True(newer > older)
+		is.NoErr(first.Refresh(ctx))
+		is.True(!first.Holds())
+	})
+}
+
+// TestRetention checks that a new reader builds the state from a snapshot when
+// the records before it are gone.
+func TestRetention(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		machine := &list{}
+		stream := open(ctx, log, machine, func(s *epoch.Stream) {
+			s.SnapshotInterval, s.SnapshotEvery = time.Minute, 5
+			s.Responsible = func() bool { return true }
+		})
+		for number := range 12 {
+			is.NoErr(stream.Append(ctx, "", fmt.Appendf(nil, "%d", number)))
+			time.Sleep(200 * time.Millisecond)
+		}
+		log.Truncate(4)
+		late := &list{}
+		reader := open(ctx, log, late, nil)
+		is.NoErr(reader.Refresh(ctx))
+		is.Equal(late.all(), machine.all())
+	})
+}
+
+// TestIncompleteSnapshot checks that a snapshot is void if a record came
+// between what it covers and itself.
+func TestIncompleteSnapshot(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		machine := &list{}
+		racing := &racingLog{Log: log}
+		stream := open(ctx, racing, machine, func(s *epoch.Stream) {
+			s.SnapshotInterval, s.SnapshotEvery = time.Hour, 1
+			s.Responsible = func() bool { return true }
+		})
+		other := open(ctx, log, &list{}, nil)
+		is.NoErr(stream.Append(ctx, "", []byte("a")))
+		// The next append of the stream is its snapshot; a record slips in before it.
+		racing.before = func() { is.NoErr(other.Append(ctx, "", []byte("b"))) }
+		time.Sleep(200 * time.Millisecond)
+		racing.before = nil
+		is.NoErr(stream.Append(ctx, "", []byte("c")))
+		log.Truncate(3) // drops a; b is next
+		records := log.Records("s")
+		is.True(len(records) == 3)
+		late := &list{}
+		reader := open(ctx, log, late, nil)
+		err := reader.Refresh(ctx)
+		// Either a later whole snapshot was found, or the loss is said.
+		is.True(errors.Is(err, gypsum.ErrHistoryLost) || slices.Equal(late.all(), machine.all()))
+	})
+}
+
+// racingLog lets something happen right before an append.
+type racingLog struct {
+	gypsum.Log
+	before func()
+}
+
+// Append is part of gypsum.Log.
+func (r *racingLog) Append(ctx context.Context, stream gypsum.StreamName, records [][]byte) (gypsum.Offset, error) {
+	if before := r.before; before != nil {
+		r.before = nil
+		before()
+	}
+	return r.Log.Append(ctx, stream, records)
+}
+
+// TestHistoryLost checks that a reader does not take a part of the records for
+// the whole.
+func TestHistoryLost(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context, log *fake.Log) {
+		stream := open(ctx, log, &list{}, nil)
+		for range 5 {
+			is.NoErr(stream.Append(ctx, "", []byte("x")))
+		}
+		log.Truncate(2)
+		reader := open(ctx, log, &list{}, nil)
+		is.True(errors.Is(reader.Refresh(ctx), gypsum.ErrHistoryLost))
+		is.True(errors.Is(reader.Append(ctx, "", []byte("y")), gypsum.ErrHistoryLost))
+		is.True(reader.Lost())
+	})
+}
--- a/errors.go
+++ b/errors.go
@@ -54,8 +54,9 @@
 	Backend BackendID `json:"backend,omitempty"`
 	// Centre names the data centre that has no backend server for the request.
 	Centre DataCentre `json:"centre,omitempty"`
-	// Crash is set if the backend server died while it ran the request.
-	Crash *Crash `json:"crash,omitempty"`
+	// Crashes are the newest counts of backend servers that died while they ran
+	// the request.
+	Crashes []Crash `json:"crashes,omitempty"`
 	// Misrouted means that the receiving daemon cannot serve the call, and that
 	// another one may.
 	Misrouted bool `json:"misrouted,omitempty"`
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
@@ -45,7 +44,7 @@
 				}()
 				for call := 0; ctx.Err() == nil; call++ {
 					via := f.Live()[call%len(f.Live())]
-					key := gypsum.IdempotencyKey(uuid.Must(uuid.NewV7()).String())
+					key := check.NewKey()
 					order := caller.Order(t.Context(), via, key, "crew")
 					is.True(order.Refusal == nil) // order answered
 					again := caller.Order(t.Context(), f.Live()[0], key, "crew")
--- a/fleet/scene.go
+++ b/fleet/scene.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
@@ -102,7 +101,7 @@
 // order sends orders one after another, each again until its outcome is known.
 func (s *Scene) order(ctx context.Context, number int) {
 	for call := number; ctx.Err() == nil; call++ {
-		key := gypsum.IdempotencyKey(uuid.Must(uuid.NewV7()).String())
+		key := check.NewKey()
 		for repeat := range orderRepeats {
 			via, ok := s.via(call + repeat)
 			if !ok {
--- a/node/crash.go
+++ b/node/crash.go
@@ -59,14 +59,34 @@
 	delete(b.counts, oldest)
 }
 
-// add counts a crash seen by this daemon and returns its count.
-func (b *crashBook) add(fingerprint gypsum.Fingerprint) gypsum.Crash {
+// add counts a crash seen by this daemon and returns all counts of the request.
+func (b *crashBook) add(fingerprint gypsum.Fingerprint) []gypsum.Crash {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := b.entry(fingerprint)
 	counts.byHost[b.self]++
 	counts.last = time.Now()
-	return gypsum.Crash{Fingerprint: fingerprint, Host: b.self, Count: counts.byHost[b.self]}
+	return counts.crashes(fingerprint, counts.last)
+}
+
+// crashes returns the counts of all daemons.
+func (c *crashCounts) crashes(fingerprint gypsum.Fingerprint, now time.Time) []gypsum.Crash {
+	crashes := make([]gypsum.Crash, 0, len(c.byHost))
+	for host, count := range c.byHost {
+		crashes = append(crashes, gypsum.Crash{Fingerprint: fingerprint, Host: host, Count: count, Age: now.Sub(c.last)})
+	}
+	return crashes
+}
+
+// of returns the counts of a request's fingerprint.
+func (b *crashBook) of(fingerprint gypsum.Fingerprint) []gypsum.Crash {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts, ok := b.counts[fingerprint]
+	if !ok {
+		return nil
+	}
+	return counts.crashes(fingerprint, time.Now())
 }
 
 // merge takes over counts of other daemons.
@@ -85,17 +105,11 @@
 	}
 }
 
-// count returns how many backend servers died running a request.
-func (b *crashBook) count(fingerprint gypsum.Fingerprint) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	counts, ok := b.counts[fingerprint]
-	if !ok {
-		return 0
-	}
+// total returns how many backend servers died, over the counts of all daemons.
+func total(crashes []gypsum.Crash) int {
 	sum := 0
-	for _, count := range counts.byHost {
-		sum += count
+	for _, crash := range crashes {
+		sum += crash.Count
 	}
 	return sum
 }
@@ -110,11 +124,7 @@
 			delete(b.counts, fingerprint)
 			continue
 		}
-		for host, count := range counts.byHost {
-			crashes = append(crashes, gypsum.Crash{
-				Fingerprint: fingerprint, Host: host, Count: count, Age: now.Sub(counts.last),
-			})
-		}
+		crashes = append(crashes, counts.crashes(fingerprint, now)...)
 	}
 	return crashes
 }
--- a/node/router.go
+++ b/node/router.go
@@ -48,7 +48,7 @@
 // runOnce hands a non-idempotent call to the daemon that holds its key's shard.
 func (n *Node) runOnce(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
 	deadline := time.Now().Add(call.Budget)
-	shard := n.shardOf(call.Key)
+	shard := n.shardOf(call)
 	handed := false
 	for attempt := 1; ; attempt++ {
 		view := n.View()
@@ -130,6 +130,7 @@
 	if !ok {
 		return gypsum.NotRun(gypsum.ReasonUnknownService, http.StatusNotFound, 0, fmt.Sprintf("there is no service %q", call.Service))
 	}
+	n.crashes.merge(call.Crashes, time.Now())
 	trip := &journey{node: n, call: *call, deadline: time.Now().Add(call.Budget), sink: sink, spec: spec}
 	n.retries.Earn()
 	for {
@@ -140,7 +141,9 @@
 		trip.handed = trip.handed || refusal.Outcome != gypsum.OutcomeNotRun
 		wait, again := trip.again(ctx, refusal)
 		if !again || !n.pause(ctx, trip.deadline, wait) {
-			return finalRefusal(refusal, trip.handed)
+			final := finalRefusal(refusal, trip.handed)
+			final.Crashes = n.crashes.of(call.Fingerprint)
+			return final
 		}
 	}
 }
@@ -149,10 +152,9 @@
 func (t *journey) attempt(ctx context.Context) *gypsum.Refusal {
 	t.attempts++
 	view := t.node.View()
-	if count := t.node.crashes.count(t.call.Fingerprint); count >= t.spec.CrashLimit {
+	t.call.Crashes = t.node.crashes.of(t.call.Fingerprint)
+	if count := total(t.call.Crashes); count >= t.spec.CrashLimit {
 		return t.poison(count)
-	} else if count > 0 {
-		t.call.Suspicion = count
 	}
 	t.call.Budget = gypsum.Remaining(t.deadline)
 	if t.call.Budget == 0 {
@@ -205,9 +207,7 @@
 		return nil
 	}
 	refusal := gypsum.AsRefusal(err)
-	if refusal.Crash != nil {
-		t.node.crashes.merge([]gypsum.Crash{*refusal.Crash}, time.Now())
-	}
+	t.node.crashes.merge(refusal.Crashes, time.Now())
 	if refusal.Reason == gypsum.ReasonBackendFailed && refusal.Backend != "" {
 		t.node.tracked.get(refusal.Backend).Failed(time.Now())
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -82,7 +82,7 @@
 
 // serveOnce runs a non-idempotent call if this daemon holds its key's shard.
 func (n *Node) serveOnce(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
-	shard := n.shardOf(call.Key)
+	shard := n.shardOf(call)
 	if !n.View().holds(shard, n.Home) {
 		return misrouted("the key's shard is guarded elsewhere")
 	}
--- a/node/shards.go
+++ b/node/shards.go
@@ -24,9 +24,9 @@
 	return &shards{node: n, ctx: ctx, guards: make(map[int]*once.Guard)}
 }
 
-// shardOf returns the shard of a key.
-func (n *Node) shardOf(key gypsum.IdempotencyKey) int {
-	return int(gypsum.Hash64("once", string(key)) % uint64(n.Tuning.Shards))
+// shardOf returns the shard of a call's key.
+func (n *Node) shardOf(call *gypsum.Call) int {
+	return int(gypsum.Hash64("once", string(call.ScopedKey())) % uint64(n.Tuning.Shards))
 }
 
 // shardItem is the name under which a shard is given to an owner.
--- a/once/guard.go
+++ b/once/guard.go
@@ -30,6 +30,12 @@
 // outcomeRetryInterval is the time between two attempts to record an outcome.
 const outcomeRetryInterval = time.Second
 
+// Times of the wait for the outcome of another daemon's intent.
+const (
+	outcomeWait         = time.Second
+	outcomeReadInterval = 100 * time.Millisecond
+)
+
 // answerLimit is the largest body of an answer that is kept for repeats.
 const answerLimit = 16 << 10
 
@@ -129,11 +135,11 @@
 func (g *Guard) join(call *gypsum.Call) (current *attempt, first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if current, ok := g.active[call.Key]; ok {
+	if current, ok := g.active[call.ScopedKey()]; ok {
 		return current, false
 	}
 	current = &attempt{digest: call.Fingerprint, done: make(chan struct{})}
-	g.active[call.Key] = current
+	g.active[call.ScopedKey()] = current
 	return current, true
 }
 
@@ -144,7 +150,7 @@
 	answer, err := g.reserve(ctx, call, nonce, deadline)
 	if answer != nil || err != nil {
 		current.publish(answer, &gypsum.End{}, err)
-		g.forget(call.Key)
+		g.forget(call.ScopedKey())
 		return
 	}
 	g.started.Add(1)
@@ -152,8 +158,8 @@
 	defer cancel()
 	answer, end, err := g.dispatch(runCtx, call, deadline)
 	current.publish(answer, end, err)
-	g.recordOutcome(ctx, outcomeOf(call.Key, nonce, answer, err))
-	g.forget(call.Key)
+	g.recordOutcome(ctx, outcomeOf(call.ScopedKey(), nonce, answer, err))
+	g.forget(call.ScopedKey())
 }
 
 // publish ends an attempt for all who wait for it.
@@ -174,40 +180,52 @@
 func (g *Guard) reserve(ctx context.Context, call *gypsum.Call, nonce string, deadline time.Time) (*gypsum.PlainResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(call.Budget, g.AppendTimeout))
 	defer cancel()
-	if state, ok := g.known(ctx, call.Key); ok && state.Kind != kindNotRun {
+	if state, ok := g.known(ctx, call.ScopedKey()); ok && state.Kind != kindNotRun {
 		return settled(state, call)
 	}
 	if g.Machine.mayBeMissing(call.Key, time.Now()) {
 		return nil, gypsum.Unknown(gypsum.ReasonKeyExpired, http.StatusUnprocessableEntity, 0,
 			"the record of earlier requests was lost; whether one ran under this key is not known")
 	}
-	intent := &record{Kind: kindIntent, Key: call.Key, Attempt: nonce, Digest: call.Fingerprint, At: time.Now().UnixMilli()}
+	intent := &record{Kind: kindIntent, Key: call.ScopedKey(), Attempt: nonce, Digest: call.Fingerprint, At: time.Now().UnixMilli()}
 	if err := g.Stream.Append(ctx, nonce, encode(intent)); err != nil {
-		g.release(call.Key, nonce)
+		g.release(call.ScopedKey(), nonce)
 		return nil, refusalOf(err)
 	}
-	state, ok := g.Machine.lookup(call.Key)
+	state, ok := g.Machine.lookup(call.ScopedKey())
 	if !ok || state.Attempt != nonce {
+		// Another daemon's intent came first.
+		state, _ = g.known(ctx, call.ScopedKey())
 		return settled(state, call)
 	}
 	if time.Now().After(deadline) {
-		g.release(call.Key, nonce)
+		g.release(call.ScopedKey(), nonce)
 		return nil, gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, retryOwner, "the deadline passed before the request could start")
 	}
 	return nil, nil
 }
 
-// known returns what the stream says of a key. An open intent may have got its
-// outcome since the last read.
+// known returns what the stream says of a key. An open intent of another daemon
+// may get its outcome soon, so that it is read again for a while.
 func (g *Guard) known(ctx context.Context, key gypsum.IdempotencyKey) (keyState, bool) {
 	state, ok := g.Machine.lookup(key)
-	if !ok || state.Kind != kindIntent {
-		return state, ok
+	for until := time.Now().Add(outcomeWait); ok && state.Kind == kindIntent && time.Now().Before(until); {
+		if err := g.Stream.Refresh(ctx); err != nil {
+			return state, ok
+		}
+		if state, ok = g.Machine.lookup(key); ok && state.Kind == kindIntent {
+			pause(ctx, outcomeReadInterval)
+		}
 	}
-	if err := g.Stream.Refresh(ctx); err != nil {
-		return state, ok
+	return state, ok
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
 	}
-	return g.Machine.lookup(key)
 }
 
 // release records that an intent which may stand in the stream is not used.
@@ -283,8 +301,11 @@
 	if state.Digest != call.Fingerprint {
 		return nil, keyReused()
 	}
-	if state.Kind == kindDone && state.Answer != nil {
+	switch {
+	case state.Kind == kindDone && state.Answer != nil:
 		return state.Answer, nil
+	case state.Kind == kindNotRun:
+		return nil, gypsum.NotRun(gypsum.ReasonPeerFailed, http.StatusServiceUnavailable, retryOwner, "an attempt at the same time was given up before it started")
 	}
 	detail := "an earlier request with this key was started and its answer is not known"
 	if state.Kind == kindDone {
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -137,7 +137,7 @@
 	for number := range 2 {
 		l.work.Go(func() {
 			for call := number; ctx.Err() == nil; call++ {
-				key := gypsum.IdempotencyKey(uuid.Must(uuid.NewV7()).String())
+				key := check.NewKey()
 				for repeat := range 2 {
 					l.caller.Order(context.WithoutCancel(ctx), l.via(call+repeat), key, "crew of three")
 				}
@@ -291,7 +291,7 @@
 	t.Logf("ready after %s", time.Since(begin))
 	caller := &check.Caller{Dial: w.dial, Record: &check.Record{}, Timeout: callTimeout}
 	is.True(caller.Complete(t.Context(), "genova-3", "a prompt", gypsum.RecoveryNone).Refusal == nil) // idempotent calls go on
-	order := caller.Order(t.Context(), "genova-3", gypsum.IdempotencyKey(uuid.Must(uuid.NewV7()).String()), "crew")
+	order := caller.Order(t.Context(), "genova-3", check.NewKey(), "crew")
 	is.Equal(order.Refusal.Outcome, gypsum.OutcomeNotRun)
 	is.True(order.Refusal.RetryAfter > 0)
 	is.Equal(len(w.ledger.Runs()), 0)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -38,8 +38,8 @@
 	Logger    *slog.Logger
 	// Background runs a task that outlives its call.
 	Background func(task func())
-	// OnCrash counts a crash and returns the count to spread.
-	OnCrash func(fingerprint gypsum.Fingerprint) gypsum.Crash
+	// OnCrash counts a crash and returns all counts of the request.
+	OnCrash func(fingerprint gypsum.Fingerprint) []gypsum.Crash
 
 	mu          sync.Mutex
 	slots       int
@@ -127,7 +127,7 @@
 // Run waits for the call's turn and runs it on the backend server.
 func (q *Queue) Run(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
 	q.init()
-	if call.Suspicion > 0 {
+	if len(call.Crashes) > 0 {
 		release, err := q.enterSuspect(ctx)
 		if err != nil {
 			return err
@@ -334,17 +334,17 @@
 // blame counts a crash against a call that ran when its backend server died.
 // The refusal does not wait for it beyond the call's deadline.
 func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
-	blamed := make(chan *gypsum.Crash, 1)
+	blamed := make(chan []gypsum.Crash, 1)
 	q.Background(func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) })
 	select {
-	case refusal.Crash = <-blamed:
+	case refusal.Crashes = <-blamed:
 	case <-ctx.Done():
 	}
 }
 
-// countCrash returns the count of a call's crashes if its backend server died.
+// countCrash returns the counts of a call's crashes if its backend server died.
 // Calls that were never near a crash go free if a suspect ran beside them.
-func (q *Queue) countCrash(ctx context.Context, call *gypsum.Call, begin time.Time) *gypsum.Crash {
+func (q *Queue) countCrash(ctx context.Context, call *gypsum.Call, begin time.Time) []gypsum.Crash {
 	ctx, cancel := context.WithTimeout(ctx, gypsum.LoadTimeout)
 	defer cancel()
 	if !q.Executor.Crashed(ctx, begin) {
@@ -353,9 +353,8 @@
 	q.mu.Lock()
 	shadowed := len(q.suspect) > 0 || time.Since(q.suspectEnd) < crashShadow
 	q.mu.Unlock()
-	if call.Suspicion == 0 && shadowed {
+	if len(call.Crashes) == 0 && shadowed {
 		return nil
 	}
-	crash := q.OnCrash(call.Fingerprint)
-	return &crash
+	return q.OnCrash(call.Fingerprint)
 }
