Policies measured in scenarios; loads by class, bounces, round trips counted in deadlines (partial)

Cause: nothing measured the decisions under load. Change: package bench drives the real daemons through scenarios in INI files; live calls see live load only; a queue owner sends a live call back up to twice when it would have to wait; a call's budget counts the round trip to another host; sent calls are forgotten when news of their backend server comes (they were never).

--- /dev/null
+++ b/bench/scenario.go
@@ -0,0 +1,144 @@
+// Package bench measures the policies under load: it drives the real daemons
+// of package fleet through scenarios kept in INI files, in virtual time.
+package bench
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/gypsumhook/gypsum/fleet"
+)
+
+// Scenario is a load on a deployment, and what happens to it.
+type Scenario struct {
+	Name   string
+	Layout fleet.Layout
+	Time   time.Duration
+	// LiveRate is the rate of live calls in parts of the engines' capacity.
+	LiveRate float64
+	Deadline time.Duration
+	// Return makes refused callers come back once, after the time they are told.
+	Return bool
+	// Storm makes failed callers come back at once, up to three times.
+	Storm bool
+
+	Groups    int
+	GroupSize int
+	TrainTime time.Duration
+	// Greedy adds a trainer with so many times the samples and the same share.
+	Greedy int
+	// Straggle makes one answer in so many ten times slower.
+	Straggle int
+	// Fault is "replica_lost" or "region_cut", from a third to two thirds of the time.
+	Fault string
+	Seed  uint64
+}
+
+// layouts are the deployments that scenarios name.
+var layouts = map[string]func() fleet.Layout{"approdo": fleet.Approdo, "authority": fleet.Authority}
+
+// file is the form of a scenario's INI file.
+type file struct {
+	Deployment struct {
+		Layout string `ini:"layout"`
+		Scale  int    `ini:"scale"`
+	} `ini:"deployment"`
+	Load struct {
+		Time     time.Duration `ini:"time"`
+		LiveRate float64       `ini:"live_rate"`
+		Deadline time.Duration `ini:"deadline"`
+		Return   bool          `ini:"return"`
+		Storm    bool          `ini:"storm"`
+	} `ini:"load"`
+	Plan struct {
+		Groups    int           `ini:"groups"`
+		GroupSize int           `ini:"group_size"`
+		TrainTime time.Duration `ini:"train_time"`
+		Greedy    int           `ini:"greedy"`
+		Straggle  int           `ini:"straggle"`
+	} `ini:"plan"`
+	Fault struct {
+		Kind string `ini:"kind"`
+		Seed uint64 `ini:"seed"`
+	} `ini:"fault"`
+}
+
+// Read returns the scenario of an INI file.
+func Read(path string) (*Scenario, error) {
+	loaded, err := ini.Load(path)
+	if err != nil {
+		return nil, fmt.Errorf("read scenario: %w", err)
+	}
+	var f file
+	if err := loaded.StrictMapTo(&f); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", path, err)
+	}
+	layout, ok := layouts[f.Deployment.Layout]
+	if !ok {
+		return nil, fmt.Errorf("scenario %s: unknown layout %q", path, f.Deployment.Layout)
+	}
+	scenario := &Scenario{
+		Name: strings.TrimSuffix(filepath.Base(path), ".ini"), Layout: layout(), Time: f.Load.Time, LiveRate: f.Load.LiveRate,
+		Deadline: f.Load.Deadline, Return: f.Load.Return, Storm: f.Load.Storm, Groups: f.Plan.Groups, GroupSize: f.Plan.GroupSize,
+		TrainTime: f.Plan.TrainTime, Greedy: f.Plan.Greedy, Straggle: f.Plan.Straggle, Fault: f.Fault.Kind, Seed: f.Fault.Seed,
+	}
+	for i := range scenario.Layout.Centres {
+		scenario.Layout.Centres[i].Engines *= max(1, f.Deployment.Scale)
+	}
+	return scenario, nil
+}
+
+// ReadAll returns the scenarios of a directory, by name.
+func ReadAll(dir string) ([]*Scenario, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.ini"))
+	if err != nil {
+		return nil, fmt.Errorf("list scenarios: %w", err)
+	}
+	var scenarios []*Scenario
+	for _, path := range paths {
+		scenario, err := Read(path)
+		if err != nil {
+			return nil, err
+		}
+		scenarios = append(scenarios, scenario)
+	}
+	return scenarios, nil
+}
+
+// engines returns the number of engines.
+func (s *Scenario) engines() int {
+	count := 0
+	for _, centre := range s.Layout.Centres {
+		count += centre.Engines
+	}
+	return count
+}
+
+// meanTokens is the mean length of answers of maxTokens.
+const (
+	maxTokens  = 64
+	meanTokens = 48
+)
+
+// capacity returns the live calls a second that the engines can serve.
+func (s *Scenario) capacity() float64 {
+	return float64(s.engines()*s.Layout.Slots) / (meanTokens * s.Layout.TokenTime).Seconds()
+}
+
+// idleBound returns the least idle share that the engines left over by live
+// calls allow a lone trainer: a step's samples take their time, less what can
+// be made ahead while the trainer trains.
+func (s *Scenario) idleBound() float64 {
+	left := 1 - min(1, s.LiveRate)
+	if left == 0 {
+		return 1
+	}
+	samples := float64(s.Groups * s.GroupSize)
+	step := samples / (s.capacity() * left)
+	idle := max(0, step-s.TrainTime.Seconds())
+	return idle / (idle + s.TrainTime.Seconds())
+}
--- a/call.go
+++ b/call.go
@@ -38,6 +38,9 @@
 	RecoveryResume  Recovery = "resume"
 )
 
+// MaxBounces is how often a call may be sent back because of a wait.
+const MaxBounces = 2
+
 // Call is one request on its way to a backend server.
 type Call struct {
 	ID      RequestID   `json:"id"`
@@ -57,6 +60,9 @@
 	Tenant string `json:"tenant,omitempty"`
 	// Weight is the tenant's share relative to others, 0 meaning 1.
 	Weight int `json:"weight,omitempty"`
+	// Waited is how long the plan's trainer has waited for the step, weighted by
+	// the plan's weight of idle time.
+	Waited time.Duration `json:"waited,omitempty"`
 	// Crashes are the sender's counts of backend servers that died while they
 	// ran the call's body. A call with any is suspect.
 	Crashes     []Crash     `json:"crashes,omitempty"`
@@ -66,6 +72,9 @@
 	Key        IdempotencyKey `json:"key,omitempty"`
 	Generation *Generation    `json:"generation,omitempty"`
 	Plain      *PlainRequest  `json:"plain,omitempty"`
+	// Bounces is how often a queue owner has sent the call back to try another
+	// backend server, since it would have had to wait.
+	Bounces int `json:"bounces,omitempty"`
 	// Recovery applies to generations, which are idempotent.
 	Recovery Recovery `json:"recovery,omitempty"`
 	// MinVersion is the oldest version of the weights that is of use.
--- a/check/caller.go
+++ b/check/caller.go
@@ -95,6 +95,7 @@
 		c.Record.Breach("%s ended without mark", kind)
 	case call.Generation != nil:
 		result.Answer = joiner.Text()
+		c.Record.addTokens(joiner.Tokens())
 		c.checkText(call, joiner)
 	default:
 		result.Answer = answer
--- a/check/record.go
+++ b/check/record.go
@@ -32,6 +32,8 @@
 	steps   int
 	idle    time.Duration
 	stale   int
+	ages    []int
+	tokens  int64
 }
 
 // add keeps a result.
@@ -80,6 +82,27 @@
 	return float64(r.stale) / float64(max(1, r.samples))
 }
 
+// Ages returns by how many versions each sample was behind its trainer.
+func (r *Record) Ages() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]int{}, r.ages...)
+}
+
+// Tokens returns the tokens of all whole answers and samples.
+func (r *Record) Tokens() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tokens
+}
+
+// addTokens counts the tokens of a whole answer.
+func (r *Record) addTokens(count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens += int64(count)
+}
+
 // Broken returns the broken promises so far.
 func (r *Record) Broken() []string {
 	r.mu.Lock()
--- a/check/trainer.go
+++ b/check/trainer.go
@@ -115,6 +115,10 @@
 	}
 	t.Record.mu.Lock()
 	defer t.Record.mu.Unlock()
+	for _, segment := range sample.Segments {
+		t.Record.tokens += int64(segment.Tokens)
+	}
+	t.Record.ages = append(t.Record.ages, max(0, behind))
 	t.Record.samples++
 	t.Record.stale += max(0, behind)
 }
--- a/errors.go
+++ b/errors.go
@@ -27,6 +27,7 @@
 	ReasonUnknownService  Reason = "unknown_service"
 	ReasonDeadlinePast    Reason = "deadline_past"
 	ReasonOverloaded      Reason = "overloaded"
+	ReasonBusy            Reason = "busy"
 	ReasonNoBackend       Reason = "no_backend_server"
 	ReasonNoConfiguration Reason = "no_configuration"
 	ReasonLogUnavailable  Reason = "log_unavailable"
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -97,6 +97,14 @@
 	reportAt    time.Time
 	cacheEvent  int64
 	newWork     []time.Time
+	tokens      int64
+}
+
+// Tokens returns the number of tokens generated.
+func (e *Engine) Tokens() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokens
 }
 
 // NewEngine returns an engine with version 1 of its weights.
@@ -406,6 +414,7 @@
 func (e *Engine) chunk(generation *gypsum.Generation, index, count, length int) *gypsum.Chunk {
 	e.mu.Lock()
 	version := e.version
+	e.tokens += int64(count)
 	e.mu.Unlock()
 	chunk := &gypsum.Chunk{Index: index, Tokens: count, Version: version}
 	for i := range count {
--- a/fake/network.go
+++ b/fake/network.go
@@ -129,16 +129,27 @@
 	}
 }
 
-// pass takes a message from one daemon to another.
-func (w *Network) pass(ctx context.Context, from, to gypsum.HostID) error {
+// latency returns the one-way latency between two daemons.
+func (w *Network) latency(from, to gypsum.HostID) time.Duration {
 	w.mu.Lock()
-	wait := w.Near
+	defer w.mu.Unlock()
 	if w.places[from].Region != w.places[to].Region {
-		wait = w.Far
+		return w.Far
 	}
-	broken := w.cut[[2]gypsum.HostID{from, to}]
-	w.mu.Unlock()
-	if broken {
+	return w.Near
+}
+
+// broken tells whether the way between two daemons is cut.
+func (w *Network) broken(from, to gypsum.HostID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[[2]gypsum.HostID{from, to}]
+}
+
+// pass takes a message from one daemon to another.
+func (w *Network) pass(ctx context.Context, from, to gypsum.HostID) error {
+	wait := w.latency(from, to)
+	if w.broken(from, to) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -200,26 +211,75 @@
 	return err
 }
 
-// Submit hands a call to another daemon.
+// inFlight is an event on its way back, and when it arrives.
+type inFlight struct {
+	event *gypsum.Event
+	due   time.Time
+}
+
+// eventsInFlight bounds the events of one call that are on their way.
+const eventsInFlight = 256
+
+// Submit hands a call to another daemon. Events travel one behind the other,
+// so that the latency does not slow their sender.
 func (p *peers) Submit(ctx context.Context, to gypsum.Member, call *gypsum.Call, sink gypsum.Sink) error {
 	copied := *call
-	// Taken by each event, and by the end of the exchange for good.
-	open := make(chan struct{}, 1)
-	defer func() { open <- struct{}{} }()
-	return p.call(ctx, to.ID, func(ctx context.Context, server gypsum.Server) error {
-		return server.HandleSubmit(ctx, &copied, func(event *gypsum.Event) error {
-			if err := p.network.pass(ctx, to.ID, p.self); err != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events := make(chan inFlight, eventsInFlight)
+	ended := make(chan error, 1)
+	go func() {
+		defer close(events)
+		ended <- p.call(ctx, to.ID, func(ctx context.Context, server gypsum.Server) error {
+			return server.HandleSubmit(ctx, &copied, func(event *gypsum.Event) error {
+				if err := p.network.Gate(ctx, to.ID); err != nil {
+					return err
+				}
+				select {
+				case events <- inFlight{event, time.Now().Add(p.network.latency(to.ID, p.self))}:
+					return nil
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			})
+		})
+	}()
+	err := p.deliver(ctx, to.ID, events, sink)
+	cancel()
+	for range events {
+		continue // The sender is told by ctx.
+	}
+	if callErr := <-ended; err == nil {
+		return callErr
+	}
+	return err
+}
+
+// deliver hands events to the sink when they arrive.
+func (p *peers) deliver(ctx context.Context, from gypsum.HostID, events <-chan inFlight, sink gypsum.Sink) error {
+	for {
+		select {
+		case next, ok := <-events:
+			if !ok {
+				return nil
+			}
+			if err := sleep(ctx, time.Until(next.due)); err != nil {
 				return err
 			}
-			select {
-			case open <- struct{}{}:
-			case <-ctx.Done():
+			if p.network.broken(from, p.self) {
+				<-ctx.Done()
 				return ctx.Err()
 			}
-			defer func() { <-open }()
-			return sink(event)
-		})
-	})
+			if err := p.network.Gate(ctx, p.self); err != nil {
+				return err
+			}
+			if err := sink(next.event); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // Gossip asks another daemon for news.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,7 +95,9 @@
 	Engines map[string]*fake.Engine
 	Plains  map[string]*fake.Plain
 	// Tune changes the times and limits of each daemon before it starts.
-	Tune   func(*node.Tuning)
+	Tune func(*node.Tuning)
+	// Policy changes the policies of each daemon before it starts.
+	Policy func(*node.Node)
 	Logger *slog.Logger
 
 	mu      sync.Mutex
@@ -275,6 +277,9 @@
 		Placer: route.NewAffinity(), NewLine: queue.NewPriority, Admission: queue.NewDeadline(),
 		Scheduler: plan.NewSteady(), Tuning: tuning, Logger: f.Logger.With("host", id),
 	}
+	if f.Policy != nil {
+		f.Policy(started)
+	}
 	started.Peers = f.Network.Join(id, host.Location, started)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	wait := started.Start(runCtx)
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -361,3 +361,71 @@
 		is.Equal(gypsum.AsRefusal(err).Reason, gypsum.ReasonStepPast)
 	})
 }
+
+// TestRefusedAtOnce checks that orders are refused at once, as not run and with
+// a time to come back, while the log hangs, once the hosts have noticed.
+func TestRefusedAtOnce(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, caller *check.Caller) {
+		f.Log.SetFault(fake.LogHang)
+		time.Sleep(3 * time.Second)
+		for turn := range 40 {
+			result := caller.Order(t.Context(), f.Live()[turn%len(f.Live())], check.NewKey(), "crew")
+			is.Equal(result.Refusal.Outcome, gypsum.OutcomeNotRun)
+			is.True(result.Refusal.RetryAfter > 0)
+			is.True(result.Took < 150*time.Millisecond) // two crossings of 50 ms
+			time.Sleep(90 * time.Millisecond)
+		}
+	})
+}
+
+// TestStale checks that samples made ahead are not delivered once the trainer
+// has moved on by more than the bound.
+func TestStale(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+		pull := func(number int64, step int, version gypsum.WeightVersion) *gypsum.PullAnswer {
+			answer, err := f.Pull(t.Context(), first, &gypsum.Pull{
+				Plan: check.PlanName, Session: 1, Number: number, Step: step, Version: version, Wait: 2 * time.Second,
+			})
+			is.NoErr(err)
+			return answer
+		}
+		is.True(len(pull(1, 0, 1).Samples) > 0)
+		time.Sleep(2 * time.Second) // step 1 is made ahead, at version 1
+		f.Store.Publish(check.Model, 3)
+		// The trainer has jumped by two versions: what was made at 1 is too old.
+		for number := int64(2); number < 8; number++ {
+			for _, sample := range pull(number, 1, 3).Samples {
+				is.True(sample.Oldest() >= 2)
+			}
+		}
+	})
+}
+
+// TestMixedVersions changes weights in the midst of samples and checks that
+// each segment names the version that made it.
+func TestMixedVersions(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+		mixed := 0
+		for step := range 4 {
+			changes := time.AfterFunc(100*time.Millisecond, func() {
+				for _, engine := range f.Engines {
+					engine.SetVersion(engine.Version() + 1)
+				}
+			})
+			for number := int64(1); number <= 3; number++ {
+				answer, err := f.Pull(t.Context(), first, &gypsum.Pull{
+					Plan: check.PlanName, Session: 1, Number: int64(step)*10 + number, Step: step, Version: 1, Wait: 2 * time.Second,
+				})
+				is.NoErr(err)
+				for _, sample := range answer.Samples {
+					is.Equal(sample.Text, fake.Text(sample.Prompt, sample.Seed, sample.Segments))
+					if len(sample.Segments) > 1 {
+						mixed++
+					}
+				}
+			}
+			changes.Stop()
+		}
+		is.True(mixed > 0)
+	})
+}
--- a/member/table.go
+++ b/member/table.go
@@ -75,8 +75,8 @@
 	return beat > known.Beat
 }
 
-// Merge takes over news that is newer than what is known.
-func (t *Table) Merge(members []gypsum.Member, now time.Time) {
+// Merge takes over news that is newer than what is known, and returns it.
+func (t *Table) Merge(members []gypsum.Member, now time.Time) (taken []gypsum.Member) {
 	for _, member := range members {
 		if member.ID == t.Self.ID || member.Location.DataCentre != t.Self.Location.DataCentre {
 			continue
@@ -93,7 +93,9 @@
 		if known.failed && member.Beat > known.failedBeat+1 {
 			known.failed = false
 		}
+		taken = append(taken, member)
 	}
+	return taken
 }
 
 // Failed notes that a call to a member failed. It gets no new work until news
--- a/node/control.go
+++ b/node/control.go
@@ -48,6 +48,16 @@
 	c.summaries.Failed(id, time.Now())
 }
 
+// merge takes over news of members. What was sent to a backend server before its
+// news is a part of it.
+func (c *control) merge(members []gypsum.Member, now time.Time) {
+	for _, member := range c.table.Merge(members, now) {
+		for i := range member.Backends {
+			c.node.tracked.get(member.Backends[i].ID).Reported()
+		}
+	}
+}
+
 // newControl returns the state of a daemon that knows only itself.
 func newControl(n *Node) *control {
 	summaries := member.NewSummaries(n.Self.Location.DataCentre)
@@ -226,17 +236,17 @@
 		}
 		pool := route.NewPool(backends, previous, now)
 		view.Pools[service] = pool
-		slots, busy := pool.Load()
+		slots, busy, live := pool.Load()
 		newest, oldest := pool.Versions()
 		view.Centres[service] = append(view.Centres[service], route.Centre{
-			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy, Newest: newest, Oldest: oldest,
+			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy, Live: live, Newest: newest, Oldest: oldest,
 		})
 	}
 	for i := range view.Others {
 		other := &view.Others[i]
 		for _, load := range other.Loads {
 			view.Centres[load.Service] = append(view.Centres[load.Service], route.Centre{
-				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Newest: load.Newest, Oldest: load.Oldest, Members: other.Members,
+				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Live: load.Live, Newest: load.Newest, Oldest: load.Oldest, Members: other.Members,
 			})
 		}
 	}
@@ -289,10 +299,10 @@
 	}
 	summary.Roster = member.RosterOf(summary.Members)
 	for service, pool := range view.Pools {
-		slots, busy := pool.Load()
+		slots, busy, live := pool.Load()
 		newest, oldest := pool.Versions()
 		summary.Loads = append(summary.Loads, gypsum.ServiceLoad{
-			Service: service, Replicas: pool.Open(), Slots: slots, Busy: busy, Newest: newest, Oldest: oldest,
+			Service: service, Replicas: pool.Open(), Slots: slots, Busy: busy, Live: live, Newest: newest, Oldest: oldest,
 		})
 	}
 	c.summaries.Merge([]gypsum.Summary{summary}, time.Now())
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,36 @@
 // messageOverhead is about what a control message takes beside its body.
 const messageOverhead = 100
 
+// tripGain is the weight of a new measurement in the mean of round trips.
+const tripGain = 0.25
+
+// roundTrips are the mean round trips to the data centres.
+type roundTrips struct {
+	mu   sync.Mutex
+	mean map[gypsum.DataCentre]time.Duration
+}
+
+// learn takes in a measured round trip.
+func (r *roundTrips) learn(centre gypsum.DataCentre, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mean == nil {
+		r.mean = make(map[gypsum.DataCentre]time.Duration)
+	}
+	mean, ok := r.mean[centre]
+	if !ok {
+		mean = took
+	}
+	r.mean[centre] = mean + time.Duration(tripGain*float64(took-mean))
+}
+
+// to returns the mean round trip to a data centre, 0 if it is not known.
+func (r *roundTrips) to(centre gypsum.DataCentre) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mean[centre]
+}
+
 // spread asks some members for news, and other data centres if this daemon is
 // a delegate.
 func (c *control) spread(ctx context.Context) {
@@ -117,8 +148,10 @@
 	defer cancel()
 	n.gossip.rounds.Add(1)
 	count(&n.gossip.out, gossip)
+	begin := time.Now()
 	answer, err := n.Peers.Gossip(ctx, target, gossip)
 	if err == nil {
+		n.trips.learn(target.Location.DataCentre, time.Since(begin))
 		count(&n.gossip.in, answer)
 	}
 	if err != nil {
@@ -128,7 +161,7 @@
 	n.takeConfig(answer.Config)
 	n.crashes.merge(answer.Crashes, time.Now())
 	n.post(func(c *control) {
-		c.table.Merge(answer.Members, time.Now())
+		c.merge(answer.Members, time.Now())
 		c.summaries.Merge(answer.Summaries, time.Now())
 	})
 }
@@ -156,7 +189,7 @@
 	n.post(func(c *control) {
 		near := gossip.From.Location.DataCentre == c.table.Self.Location.DataCentre
 		if near {
-			c.table.Merge([]gypsum.Member{gossip.From}, time.Now())
+			c.merge([]gypsum.Member{gossip.From}, time.Now())
 		}
 		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries)}
 		if near || gossip.All {
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	budgets map[gypsum.Class]*route.Budget
 	tracked trackers
 	gossip  gossipCounts
+	trips   roundTrips
 	Stats   Stats
 	tasks   taskGroup
 }
--- a/node/owned.go
+++ b/node/owned.go
@@ -130,6 +130,7 @@
 	for _, running := range o.workers {
 		if item, ok := running.news(); ok {
 			news = append(news, item)
+			o.node.tracked.get(item.ID).Reported()
 		}
 	}
 	return news
@@ -156,7 +157,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return gypsum.BackendNews{
-		ID: gypsum.BackendID(w.host.ID), Running: max(state.Running, w.report.Running), Queued: state.Queued,
+		ID: gypsum.BackendID(w.host.ID), Running: max(state.Running, w.report.Running), Queued: state.Queued, Live: state.Live,
 		Slots: state.Slots, Version: w.report.Version, Leaving: w.report.Leaving, Down: w.down,
 		Swapping: w.report.Swapping, LatencyMS: state.Latency.Milliseconds(),
 	}, w.reported || w.down
@@ -189,7 +190,6 @@
 	w.mu.Lock()
 	w.report, w.reported, w.failures, w.down = *report, true, 0, false
 	w.mu.Unlock()
-	w.node.tracked.get(gypsum.BackendID(w.host.ID)).Reported()
 	slots := report.Slots
 	if slots == 0 {
 		slots = plainSlots
--- a/node/router.go
+++ b/node/router.go
@@ -117,6 +117,8 @@
 	handed    bool
 	attempts  int
 	overloads int
+	// Busy are the backend servers that sent the call back.
+	busy []gypsum.BackendID
 	spec      gypsum.ServiceSpec
 }
 
@@ -219,13 +221,23 @@
 
 // again decides whether a further attempt is safe and of use, and after which wait.
 func (t *journey) again(ctx context.Context, refusal *gypsum.Refusal) (time.Duration, bool) {
-	if ctx.Err() != nil || refusal.Final || t.attempts >= t.node.Tuning.MaxAttempts {
+	if ctx.Err() != nil || refusal.Final || t.attempts-t.call.Bounces >= t.node.Tuning.MaxAttempts {
 		return 0, false
 	}
 	if t.call.Once() && t.handed {
 		return 0, false
 	}
 	switch {
+	case refusal.Reason == gypsum.ReasonBusy:
+		t.busy = append(t.busy, refusal.Backend)
+		t.call.Bounces++
+		return 0, true
+	case refusal.Reason == gypsum.ReasonNoBackend && len(t.busy) > 0:
+		// All candidates are busy: the call waits at one of them.
+		t.call.Bounces = gypsum.MaxBounces
+		t.call.Excluded = slices.DeleteFunc(t.call.Excluded, func(id gypsum.BackendID) bool { return slices.Contains(t.busy, id) })
+		t.busy = nil
+		return 0, true
 	case refusal.Reason == gypsum.ReasonNoBackend:
 		return 0, t.avoid(refusal)
 	case refusal.Misrouted:
@@ -234,7 +246,7 @@
 	switch refusal.Reason {
 	case gypsum.ReasonOverloaded:
 		t.overloads++
-		return 0, t.overloads < maxOverloads
+		return 0, t.overloads < maxOverloads && !t.node.View().saturated(&t.call)
 	case gypsum.ReasonBackendFailed, gypsum.ReasonPeerFailed:
 		return 0, t.node.retries.Take() && t.recover()
 	}
@@ -308,7 +320,7 @@
 			return slices.Contains(call.Avoided, centre.Location.DataCentre)
 		})
 	}
-	return route.ChooseCentre(centres, view.Self.Location.Region, mayCross)
+	return route.ChooseCentre(centres, call.Class, view.Self.Location.Region, mayCross)
 }
 
 // chooseFar hands the call to a member of another data centre for placement there.
@@ -317,7 +329,7 @@
 	onward.Stage, onward.Centre = gypsum.StagePlace, centre.Location.DataCentre
 	target := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: centre.Location}
 	n.Logger.Info("call sent to data centre", "request", onward.ID, "service", onward.Service, "data_centre", centre.Location.DataCentre,
-		"to_host", brief.ID, "why", rule, "load", centre.Load(), "weighed", len(view.Centres[onward.Service]))
+		"to_host", brief.ID, "why", rule, "load", centre.Load(onward.Class), "weighed", len(view.Centres[onward.Service]))
 	return target, onward, nil
 }
 
@@ -334,8 +346,11 @@
 		refusal.Centre = view.Self.Location.DataCentre
 		return gypsum.Member{}, nil, refusal
 	}
+	if view.saturated(onward) {
+		onward.Bounces = gypsum.MaxBounces
+	}
 	backend, _ := pool.Find(placement.Backend)
-	backend.Tracker.Sent()
+	backend.Tracker.Sent(onward.Class)
 	onward.Stage, onward.Target = gypsum.StageQueue, placement.Backend
 	n.Logger.Info("call placed", "request", onward.ID, "service", onward.Service, "backend", placement.Backend, "to_host", backend.Owner.ID,
 		"why", placement.Why, "centre_why", rule, "weighed", placement.Weighed, "load", placement.Load, "excluded", len(onward.Excluded))
@@ -350,12 +365,19 @@
 	if target.Location.Region != view.Self.Location.Region {
 		n.countCrossing(call)
 	}
+	onward := *call
+	// The receiver counts the budget from the arrival, and its answer has to
+	// come back.
+	onward.Budget -= n.trips.to(target.Location.DataCentre)
+	if onward.Budget <= 0 {
+		return gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "too little time is left to go to another host")
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatchdog(n.Tuning.AcceptTimeout, n.Tuning.HeartbeatTimeout, func() { cancel(errSilent) })
 	defer watch.stop()
 	ended := false
-	err := n.Peers.Submit(ctx, target, call, func(event *gypsum.Event) error {
+	err := n.Peers.Submit(ctx, target, &onward, func(event *gypsum.Event) error {
 		watch.heard()
 		switch {
 		case event.Alive:
--- a/node/view.go
+++ b/node/view.go
@@ -135,6 +135,17 @@
 	return plan.Spec, ok
 }
 
+// saturatedLoad is the mean load from which another backend server of the data
+// centre is unlikely to be better.
+const saturatedLoad = 0.9
+
+// saturated tells whether the own data centre's backend servers are all in use
+// by calls of the same class.
+func (v *View) saturated(call *gypsum.Call) bool {
+	pool := v.Pools[call.Service]
+	return pool != nil && pool.Mean(call.Class) >= saturatedLoad
+}
+
 // slots returns the slots of a service over all data centres.
 func (v *View) slots(name gypsum.ServiceName) int {
 	slots := 0
--- a/peers.go
+++ b/peers.go
@@ -34,9 +34,11 @@
 
 // BackendNews is a queue owner's word on a backend server.
 type BackendNews struct {
-	ID        BackendID     `json:"id"`
-	Running   int           `json:"running"`
-	Queued    int           `json:"queued"`
+	ID      BackendID `json:"id"`
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+	// Live is the number of live calls among both.
+	Live      int           `json:"live"`
 	Slots     int           `json:"slots"`
 	Version   WeightVersion `json:"version,omitempty"`
 	Leaving   bool          `json:"leaving,omitempty"`
@@ -51,6 +53,7 @@
 	Replicas int         `json:"replicas"`
 	Slots    int         `json:"slots"`
 	Busy     int         `json:"busy"`
+	Live     int         `json:"live"`
 	// Newest and Oldest are the versions of the weights on the replicas.
 	Newest WeightVersion `json:"newest,omitempty"`
 	Oldest WeightVersion `json:"oldest,omitempty"`
--- a/plan/book.go
+++ b/plan/book.go
@@ -54,6 +54,8 @@
 	slots    map[gypsum.Slot]*slot
 	running  int
 	lastPull time.Time
+	// StepBegin is when the trainer first asked for the step.
+	stepBegin time.Time
 	durations
 
 	changed chan struct{}
@@ -173,8 +175,8 @@
 
 // advance moves to a step and drops what belongs to earlier ones.
 func (b *Book) advance(step int) {
-	if step != b.step {
-		b.finished = nil
+	if step != b.step || b.stepBegin.IsZero() {
+		b.finished, b.stepBegin = nil, time.Now()
 	}
 	b.step = step
 	for place := range b.slots {
--- a/plan/fill.go
+++ b/plan/fill.go
@@ -116,6 +116,9 @@
 			Seed: int64(gypsum.Hash64(string(b.name), place.String()) >> 1),
 		},
 	}
+	if place.Step == b.step {
+		call.Waited = time.Duration(float64(time.Since(b.stepBegin)) * spec.IdleWeight)
+	}
 	for _, running := range state.attempts {
 		if running.backend != "" {
 			call.Excluded = append(call.Excluded, running.backend)
--- a/policy.go
+++ b/policy.go
@@ -27,6 +27,8 @@
 	AheadWork    time.Duration
 	RunningWork  time.Duration
 	ExpectedWait time.Duration
+	// Cold means that no call's time has been measured yet.
+	Cold bool
 	// Margin is the uncertainty of the expected times.
 	Margin time.Duration
 }
@@ -56,15 +58,24 @@
 	ID BackendID
 	// Slots is how many calls the backend server runs at once.
 	Slots int
-	// Busy is the number of calls running and waiting there, as last reported.
+	// Busy and Live are the numbers of all calls and of live calls running and
+	// waiting there: as last reported, and sent there since.
 	Busy int
-	// Sent is the number of calls sent there since the report.
-	Sent int
+	Live int
 }
 
-// Load returns the candidate's work in parts of its slots.
-func (c *Candidate) Load() float64 {
-	return float64(c.Busy+c.Sent) / float64(max(1, c.Slots))
+// Load returns the work before a call of a class, in parts of the slots. Live
+// calls go before trainers', so that only live ones are in their way.
+func (c *Candidate) Load(class Class) float64 {
+	return LoadOf(class, c.Live, c.Busy, c.Slots)
+}
+
+// LoadOf returns the work before a call of a class, in parts of the slots.
+func LoadOf(class Class, live, busy, slots int) float64 {
+	if class == ClassLive {
+		busy = live
+	}
+	return float64(busy) / float64(max(1, slots))
 }
 
 // Pool is the set of backend servers that a placer chooses from.
--- a/queue/admit.go
+++ b/queue/admit.go
@@ -31,6 +31,9 @@
 	if limit > 0 && state.Waiting >= limit/tenantParts && state.TenantWaits >= limit/tenantParts {
 		return overloaded(state, "the caller's part of the line is full")
 	}
+	if state.Cold && state.Waiting >= state.Slots {
+		return overloaded(state, "the backend server's speed is not known yet")
+	}
 	if state.ExpectedWait == 0 {
 		return nil
 	}
--- a/queue/line.go
+++ b/queue/line.go
@@ -9,8 +9,20 @@
 
 // NewPriority returns a line that serves live calls before trainers' calls:
 // live calls by nearest deadline, trainers' by weighted fair shares.
-func NewPriority() gypsum.Line {
-	return &priorityLine{trainers: make(map[string]*share), tenants: make(map[tenantKey]int)}
+func NewPriority() gypsum.Line { return newPriorityLine(byShare) }
+
+// NewNearest returns a line like NewPriority's that serves trainers' calls by
+// nearest deadline.
+func NewNearest() gypsum.Line { return newPriorityLine(byDeadline) }
+
+// NewMaxMin returns a line like NewPriority's that serves the trainer with the
+// least utility first, which falls with the time it has waited for its step
+// (after CORA's lexicographic max-min over utilities of completion time).
+func NewMaxMin() gypsum.Line { return newPriorityLine(byUtility) }
+
+// newPriorityLine returns a line that chooses among trainers by a rule.
+func newPriorityLine(first func(a, b *share) bool) gypsum.Line {
+	return &priorityLine{trainers: make(map[string]*share), tenants: make(map[tenantKey]int), first: first}
 }
 
 // tenantKey is a tenant within its class.
@@ -19,8 +31,10 @@
 	tenant string
 }
 
-// priorityLine is the line made by NewPriority.
+// priorityLine is the line made by NewPriority and its kin.
 type priorityLine struct {
+	// First tells whether plan a is served before plan b.
+	first    func(a, b *share) bool
 	live     deadlineHeap
 	liveWork time.Duration
 	trainers map[string]*share
@@ -76,7 +90,7 @@
 func (l *priorityLine) popTrainer() *gypsum.Waiting {
 	var next *share
 	for _, plan := range l.trainers {
-		if len(plan.calls) > 0 && (next == nil || before(plan, next)) {
+		if len(plan.calls) > 0 && (next == nil || l.first(plan, next)) {
 			next = plan
 		}
 	}
@@ -91,14 +105,28 @@
 	return waiting
 }
 
-// before tells whether plan a is served before plan b.
-func before(a, b *share) bool {
+// byShare serves the plan that is furthest behind its share.
+func byShare(a, b *share) bool {
 	if a.finish != b.finish {
 		return a.finish < b.finish
 	}
 	return a.calls[0].Arrived.Before(b.calls[0].Arrived)
 }
 
+// byDeadline serves the plan whose oldest call has the nearest deadline.
+func byDeadline(a, b *share) bool {
+	return a.calls[0].Deadline.Before(b.calls[0].Deadline)
+}
+
+// byUtility serves the plan whose trainer has waited longest, by its weight.
+func byUtility(a, b *share) bool {
+	first, second := a.calls[0].Call.Waited, b.calls[0].Call.Waited
+	if first != second {
+		return first > second
+	}
+	return byShare(a, b)
+}
+
 // left updates the counts for a call that leaves the line.
 func (l *priorityLine) left(waiting *gypsum.Waiting) {
 	l.waiting--
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -45,6 +45,7 @@
 	slots       int
 	running     int
 	liveRunning int
+	liveWaiting int
 	runningWork time.Duration
 	closed      gypsum.Reason
 	meter       meter
@@ -60,6 +61,8 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Live is the number of live calls running and waiting.
+	Live int
 	// Latency is the expected time of a call.
 	Latency time.Duration
 }
@@ -121,7 +124,10 @@
 func (q *Queue) State() State {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return State{Running: q.running, Queued: q.Line.Len(), Slots: max(1, q.slots), Latency: q.meter.typical()}
+	return State{
+		Running: q.running, Queued: q.Line.Len(), Slots: max(1, q.slots), Latency: q.meter.typical(),
+		Live: q.liveRunning + q.liveWaiting,
+	}
 }
 
 // Run waits for the call's turn and runs it on the backend server.
@@ -173,21 +179,39 @@
 		Work: q.meter.expect(call), Turn: make(chan struct{}),
 	}
 	q.reserve.arrived(call.Class, now)
-	if refusal := q.Admission.Admit(q.state(waiting), waiting, now); refusal != nil {
+	state := q.state(waiting)
+	if call.Class == gypsum.ClassLive && call.Bounces < gypsum.MaxBounces && state.ExpectedWait > bounceWait {
+		return nil, q.busy()
+	}
+	if refusal := q.Admission.Admit(state, waiting, now); refusal != nil {
 		refusal.Backend = q.Backend
 		return nil, refusal
 	}
 	q.Line.Push(waiting)
+	if call.Class == gypsum.ClassLive {
+		q.liveWaiting++
+	}
 	q.startNext()
 	return waiting, nil
 }
 
+// bounceWait is the expected wait from which a live call is sent back to try
+// another backend server. News of loads is old; the owner's own count is exact.
+const bounceWait = 30 * time.Millisecond
+
+// busy sends a call back.
+func (q *Queue) busy() *gypsum.Refusal {
+	refusal := gypsum.NotRun(gypsum.ReasonBusy, http.StatusServiceUnavailable, time.Second, "the call would have to wait here")
+	refusal.Backend = q.Backend
+	return refusal
+}
+
 // state returns what the policies need to decide on a call. The caller holds mu.
 func (q *Queue) state(waiting *gypsum.Waiting) gypsum.QueueState {
 	state := gypsum.QueueState{
 		Slots: max(1, q.slots), Running: q.running, LiveRunning: q.liveRunning,
 		Waiting: q.Line.Len(), MaxQueue: q.MaxQueue, RunningWork: q.runningWork,
-		Reserve: q.reserve.slots(time.Now(), max(1, q.slots)), Margin: q.meter.margin(),
+		Reserve: q.reserve.slots(time.Now(), max(1, q.slots)), Margin: q.meter.margin(), Cold: q.meter.samples == 0,
 	}
 	if waiting == nil {
 		return state
@@ -211,6 +235,7 @@
 		q.running++
 		q.runningWork += waiting.Work
 		if waiting.Call.Class == gypsum.ClassLive {
+			q.liveWaiting--
 			q.liveRunning++
 			q.reserve.running(q.liveRunning, time.Now())
 		}
@@ -225,6 +250,7 @@
 // await waits for a call's turn. It gives up when the call could no longer end
 // in time.
 func (q *Queue) await(ctx context.Context, waiting *gypsum.Waiting) error {
+	// A call that waits is only started while it can still end in time.
 	timer := time.NewTimer(time.Until(waiting.Deadline.Add(-waiting.Work)))
 	defer timer.Stop()
 	select {
@@ -237,6 +263,9 @@
 	if waiting.Position == started {
 		return nil
 	}
+	if waiting.Call.Class == gypsum.ClassLive {
+		q.liveWaiting--
+	}
 	if !q.Line.Remove(waiting) {
 		return q.moved()
 	}
@@ -268,6 +297,7 @@
 func (q *Queue) execute(ctx context.Context, waiting *gypsum.Waiting, sink gypsum.Sink) error {
 	call := waiting.Call
 	begin := time.Now()
+	q.Logger.Debug("call started", "request", call.ID, "backend", q.Backend, "class", call.Class, "waited", begin.Sub(waiting.Arrived))
 	tokens := 0
 	var err error
 	defer func() { q.finish(waiting, time.Since(begin), tokens, err == nil) }()
--- a/route/centre.go
+++ b/route/centre.go
@@ -9,8 +9,12 @@
 	"github.com/gypsumhook/gypsum"
 )
 
-// fullLoad is the load from which calls are better placed elsewhere.
-const fullLoad = 1.0
+// Loads from which calls are better placed elsewhere. Another region's news is
+// older, and a call refused there has lost a round trip.
+const (
+	fullLoad      = 1.0
+	crossFullLoad = 0.7
+)
 
 // Centre is a data centre that serves a service.
 type Centre struct {
@@ -18,19 +22,22 @@
 	Own      bool
 	Slots    int
 	Busy     int
+	Live     int
 	// Newest and Oldest are the versions of the weights on the replicas.
 	Newest  gypsum.WeightVersion
 	Oldest  gypsum.WeightVersion
 	Members []gypsum.MemberBrief
 }
 
-// Load returns the centre's work in parts of its slots.
-func (c *Centre) Load() float64 { return float64(c.Busy) / float64(max(1, c.Slots)) }
+// Load returns the work before a call of a class, in parts of the slots.
+func (c *Centre) Load(class gypsum.Class) float64 {
+	return gypsum.LoadOf(class, c.Live, c.Busy, c.Slots)
+}
 
 // ChooseCentre returns the centre for a call from a region: the own one while
 // it has room, then one of the region, then one of another region if the
 // budget allows; if none has room, the least loaded near one.
-func ChooseCentre(centres []Centre, region gypsum.Region, mayCross bool) (*Centre, string) {
+func ChooseCentre(centres []Centre, class gypsum.Class, region gypsum.Region, mayCross bool) (*Centre, string) {
 	var best *Centre
 	why := ""
 	bestRank := 0
@@ -39,11 +46,11 @@
 		if centre.Slots == 0 {
 			continue
 		}
-		rank, rule := centreRank(centre, region)
-		if rank >= rankCross && !mayCross {
+		rank, rule := centreRank(centre, class, region)
+		if !mayCross && (rank == rankCross || rank == rankCrossFull) {
 			continue
 		}
-		if best == nil || rank < bestRank || (rank == bestRank && centre.Load() < best.Load()) {
+		if best == nil || rank < bestRank || (rank == bestRank && centre.Load(class) < best.Load(class)) {
 			best, bestRank, why = centre, rank, rule
 		}
 	}
@@ -80,14 +87,15 @@
 	rankOwn = iota
 	rankRegion
 	rankCross
+	rankOwnFull
 	rankRegionFull
 	rankCrossFull
 )
 
 // centreRank returns the rank of a centre and the rule that gives it.
-func centreRank(centre *Centre, region gypsum.Region) (int, string) {
-	full := centre.Load() >= fullLoad
+func centreRank(centre *Centre, class gypsum.Class, region gypsum.Region) (int, string) {
 	near := centre.Location.Region == region
+	full := centre.Load(class) >= fullLoad || (!near && centre.Load(class) >= crossFullLoad)
 	switch {
 	case centre.Own && !full:
 		return rankOwn, "own_data_centre"
@@ -95,6 +103,8 @@
 		return rankRegion, "own_region"
 	case !full:
 		return rankCross, "other_region"
+	case centre.Own:
+		return rankOwnFull, "own_data_centre_full"
 	case near:
 		return rankRegionFull, "own_region_full"
 	}
--- a/route/placer.go
+++ b/route/placer.go
@@ -30,7 +30,9 @@
 type affinityPlacer struct{}
 
 // meanLoader is a pool that knows its mean load.
-type meanLoader interface{ Mean() float64 }
+type meanLoader interface {
+	Mean(class gypsum.Class) float64
+}
 
 // Place chooses a backend server.
 func (affinityPlacer) Place(call *gypsum.Call, pool gypsum.Pool) (gypsum.Placement, bool) {
@@ -50,13 +52,13 @@
 func placeNear(call *gypsum.Call, pool gypsum.Pool) (gypsum.Placement, bool) {
 	bound := affinityLoad
 	if meaned, ok := pool.(meanLoader); ok {
-		bound = max(bound, affinityBound*meaned.Mean())
+		bound = max(bound, affinityBound*meaned.Mean(call.Class))
 	}
 	for n := range affinityTries {
 		index := pool.Near(call.Affinity, n)
 		candidate := pool.At(index)
-		if pool.Usable(index, call) && candidate.Load() < bound {
-			return gypsum.Placement{Backend: candidate.ID, Why: "prefix_affinity", Weighed: n + 1, Load: candidate.Load()}, true
+		if pool.Usable(index, call) && candidate.Load(call.Class) < bound {
+			return gypsum.Placement{Backend: candidate.ID, Why: "prefix_affinity", Weighed: n + 1, Load: candidate.Load(call.Class)}, true
 		}
 	}
 	return gypsum.Placement{}, false
@@ -70,7 +72,7 @@
 		index := rand.IntN(pool.Len())
 		if pool.Usable(index, call) {
 			found++
-			take(&best, pool.At(index))
+			take(&best, call, pool.At(index))
 		}
 	}
 	if found > 0 {
@@ -98,7 +100,7 @@
 	for index := range pool.Len() {
 		if pool.Usable(index, call) {
 			found++
-			take(&best, pool.At(index))
+			take(&best, call, pool.At(index))
 		}
 	}
 	best.Weighed = found
@@ -106,8 +108,8 @@
 }
 
 // take keeps the candidate if it is less loaded than the best so far.
-func take(best *gypsum.Placement, candidate gypsum.Candidate) {
-	if load := candidate.Load(); best.Backend == "" || load < best.Load {
+func take(best *gypsum.Placement, call *gypsum.Call, candidate gypsum.Candidate) {
+	if load := candidate.Load(call.Class); best.Backend == "" || load < best.Load {
 		best.Backend, best.Load = candidate.ID, load
 	}
 }
@@ -126,7 +128,7 @@
 		index := int(r.next.Add(1) % uint64(pool.Len()))
 		if pool.Usable(index, call) {
 			candidate := pool.At(index)
-			return gypsum.Placement{Backend: candidate.ID, Why: "round_robin", Weighed: 1, Load: candidate.Load()}, true
+			return gypsum.Placement{Backend: candidate.ID, Why: "round_robin", Weighed: 1, Load: candidate.Load(call.Class)}, true
 		}
 	}
 	return gypsum.Placement{}, false
--- a/route/pool.go
+++ b/route/pool.go
@@ -28,15 +28,24 @@
 // pools it is in.
 type Tracker struct {
 	sent     atomic.Int64
+	live     atomic.Int64
 	failures atomic.Int64
 	until    atomic.Int64
 }
 
 // Reported notes that a load report arrived, which includes what was sent before.
-func (t *Tracker) Reported() { t.sent.Store(0) }
+func (t *Tracker) Reported() {
+	t.sent.Store(0)
+	t.live.Store(0)
+}
 
 // Sent notes that a call was sent.
-func (t *Tracker) Sent() { t.sent.Add(1) }
+func (t *Tracker) Sent(class gypsum.Class) {
+	t.sent.Add(1)
+	if class == gypsum.ClassLive {
+		t.live.Add(1)
+	}
+}
 
 // Succeeded notes a whole answer.
 func (t *Tracker) Succeeded() {
@@ -81,6 +90,7 @@
 	ring     []point
 	slots    int
 	busy     int
+	live     int
 	open     int
 	newest   gypsum.WeightVersion
 	oldest   gypsum.WeightVersion
@@ -109,6 +119,7 @@
 		pool.open++
 		pool.slots += max(1, backend.News.Slots)
 		pool.busy += backend.News.Running + backend.News.Queued
+		pool.live += backend.News.Live
 		if backend.Tracker.Ejected(now) {
 			pool.ejected++
 		}
@@ -160,11 +171,12 @@
 // backend servers, 0 if none is known.
 func (p *Pool) Versions() (newest, oldest gypsum.WeightVersion) { return p.newest, p.oldest }
 
-// Load returns the slots of the open backend servers and the calls there.
-func (p *Pool) Load() (slots, busy int) { return p.slots, p.busy }
+// Load returns the slots of the open backend servers, the calls there, and the
+// live calls among them.
+func (p *Pool) Load() (slots, busy, live int) { return p.slots, p.busy, p.live }
 
-// Mean returns the mean load of the open backend servers in parts of their slots.
-func (p *Pool) Mean() float64 { return float64(p.busy) / float64(max(1, p.slots)) }
+// Mean returns the mean load of the open backend servers for a class.
+func (p *Pool) Mean(class gypsum.Class) float64 { return gypsum.LoadOf(class, p.live, p.busy, p.slots) }
 
 // At returns a candidate by its index.
 func (p *Pool) At(index int) gypsum.Candidate {
@@ -172,8 +184,8 @@
 	return gypsum.Candidate{
 		ID:    gypsum.BackendID(backend.Host.ID),
 		Slots: max(1, backend.News.Slots),
-		Busy:  backend.News.Running + backend.News.Queued,
-		Sent:  int(backend.Tracker.sent.Load()),
+		Busy:  backend.News.Running + backend.News.Queued + int(backend.Tracker.sent.Load()),
+		Live:  backend.News.Live + int(backend.Tracker.live.Load()),
 	}
 }
 
