--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,122 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/member"
+)
+
+// Times of the tables under test.
+const (
+	suspectAfter = 1500 * time.Millisecond
+	goneAfter    = 10 * time.Second
+)
+
+var (
+	here  = gypsum.Location{DataCentre: "genova", Region: "liguria"}
+	there = gypsum.Location{DataCentre: "chioggia", Region: "adriatico"}
+	begin = time.Unix(1000, 0)
+)
+
+// newTable returns the table of a daemon.
+func newTable(id gypsum.HostID) *member.Table {
+	table := member.NewTable(gypsum.Member{ID: id, Location: here, Incarnation: 1})
+	table.SuspectAfter, table.GoneAfter = suspectAfter, goneAfter
+	return table
+}
+
+// state returns what a table believes of a member.
+func state(table *member.Table, id gypsum.HostID, now time.Time) gypsum.MemberState {
+	for _, status := range table.List(now) {
+		if status.Member.ID == id {
+			return status.State
+		}
+	}
+	return gypsum.StateGone
+}
+
+// TestStates checks what silence, failures, leaving and a return do.
+func TestStates(t *testing.T) {
+	is := is.New(t)
+	a := newTable("a")
+	b := gypsum.Member{ID: "b", Location: here, Incarnation: 1, Beat: 1}
+	a.Seed([]gypsum.Host{{ID: "b", Kind: gypsum.KindDaemon, Location: here}}, begin)
+	is.Equal(state(a, "b", begin), gypsum.StateSuspect) // the list's word alone brings no work
+	a.Merge([]gypsum.Member{b}, begin)
+	is.Equal(state(a, "b", begin), gypsum.StateAlive)
+	is.Equal(state(a, "b", begin.Add(suspectAfter+1)), gypsum.StateSuspect)
+	a.Merge([]gypsum.Member{b}, begin.Add(2*time.Second)) // the same beat is no news
+	is.Equal(state(a, "b", begin.Add(2*time.Second)), gypsum.StateSuspect)
+	b.Beat = 5
+	a.Merge([]gypsum.Member{b}, begin.Add(2*time.Second))
+	is.Equal(state(a, "b", begin.Add(2*time.Second)), gypsum.StateAlive)
+	a.Failed("b")
+	is.Equal(state(a, "b", begin.Add(2*time.Second)), gypsum.StateSuspect)
+	b.Beat = 7
+	a.Merge([]gypsum.Member{b}, begin.Add(2*time.Second))
+	is.Equal(state(a, "b", begin.Add(2*time.Second)), gypsum.StateAlive)
+	b.Incarnation, b.Beat = 2, 1 // back after a freeze
+	a.Merge([]gypsum.Member{b}, begin.Add(3*time.Second))
+	is.Equal(state(a, "b", begin.Add(3*time.Second)), gypsum.StateAlive)
+	b.Beat, b.Leaving = 2, true
+	a.Merge([]gypsum.Member{b}, begin.Add(3*time.Second))
+	is.Equal(state(a, "b", begin.Add(3*time.Second)), gypsum.StateLeaving)
+}
+
+// TestNoResurrection checks that a member that is gone does not come back to
+// life through a peer that still remembers it.
+func TestNoResurrection(t *testing.T) {
+	is := is.New(t)
+	a, b := newTable("a"), newTable("b")
+	dead := gypsum.Member{ID: "dead", Location: here, Incarnation: 1, Beat: 9}
+	a.Merge([]gypsum.Member{dead}, begin)
+	b.Merge([]gypsum.Member{dead}, begin.Add(200*time.Millisecond))
+	now := begin.Add(goneAfter + 100*time.Millisecond)
+	a.Expire(now)
+	b.Expire(now)
+	a.Merge(b.News(a.Digests(), now), now)
+	is.True(state(a, "dead", now) != gypsum.StateAlive)
+}
+
+// TestNoResurrectionOfSummaries checks the same for data centres.
+func TestNoResurrectionOfSummaries(t *testing.T) {
+	is := is.New(t)
+	a, b := member.NewSummaries("genova"), member.NewSummaries("genova")
+	for _, store := range []*member.Summaries{a, b} {
+		store.SuspectAfter, store.GoneAfter = 2*suspectAfter, goneAfter
+	}
+	old := gypsum.Summary{Location: there, Maker: "c", Incarnation: 1, Beat: 3, Members: []gypsum.MemberBrief{{ID: "c"}}}
+	a.Merge([]gypsum.Summary{old}, begin)
+	b.Merge([]gypsum.Summary{old}, begin.Add(200*time.Millisecond))
+	is.Equal(len(a.Others(begin)), 1)
+	now := begin.Add(goneAfter + 100*time.Millisecond)
+	a.Expire(now)
+	b.Expire(now)
+	a.Merge(b.News(a.Digests(), now), now)
+	is.Equal(len(a.Others(now)), 0)
+}
+
+// TestRosterIsSentOnce checks that a summary's members travel only when they
+// have changed.
+func TestRosterIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	a, b := member.NewSummaries("genova"), member.NewSummaries("genova")
+	for _, store := range []*member.Summaries{a, b} {
+		store.SuspectAfter, store.GoneAfter = 2*suspectAfter, goneAfter
+	}
+	members := []gypsum.MemberBrief{{ID: "c", Address: "c"}}
+	summary := gypsum.Summary{Location: there, Maker: "c", Incarnation: 1, Beat: 1, Members: members, Roster: member.RosterOf(members)}
+	b.Merge([]gypsum.Summary{summary}, begin)
+	a.Merge(b.News(a.Digests(), begin), begin)
+	is.Equal(a.Others(begin)[0].Members, members)
+	summary.Beat = 2
+	b.Merge([]gypsum.Summary{summary}, begin)
+	news := b.News(a.Digests(), begin)
+	is.Equal(len(news[0].Members), 0)
+	a.Merge(news, begin)
+	is.Equal(a.Others(begin)[0].Members, members)
+}
--- a/member/summary.go
+++ b/member/summary.go
@@ -38,6 +38,9 @@
 // Merge takes over newer summaries.
 func (s *Summaries) Merge(summaries []gypsum.Summary, now time.Time) {
 	for _, summary := range summaries {
+		if summary.Age > s.GoneAfter {
+			continue
+		}
 		known, ok := s.entries[summary.Maker]
 		if !ok {
 			known = &summaryEntry{}
@@ -48,7 +51,7 @@
 		if summary.Members == nil && summary.Roster == known.summary.Roster {
 			summary.Members = known.summary.Members
 		}
-		known.summary, known.heard = summary, now
+		known.summary, known.heard = summary, now.Add(-summary.Age)
 	}
 }
 
@@ -91,7 +94,7 @@
 
 // News returns the summaries that are newer than the digests, without the
 // members that the asker has.
-func (s *Summaries) News(digests []gypsum.SummaryDigest) []gypsum.Summary {
+func (s *Summaries) News(digests []gypsum.SummaryDigest, now time.Time) []gypsum.Summary {
 	has := make(map[gypsum.HostID]gypsum.SummaryDigest, len(digests))
 	for _, digest := range digests {
 		has[digest.Maker] = digest
@@ -104,6 +107,7 @@
 			continue
 		}
 		summary := known.summary
+		summary.Age = now.Sub(known.heard)
 		if ok && digest.Roster == summary.Roster {
 			summary.Members = nil
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -85,11 +85,15 @@
 		if ok && !newer(member.Incarnation, member.Beat, &known.member) {
 			continue
 		}
+		if member.Age > t.GoneAfter {
+			// Forgotten here already, or about to be.
+			continue
+		}
 		if !ok {
 			known = &entry{}
 			t.entries[member.ID] = known
 		}
-		known.member, known.heard, known.seen = member, now, true
+		known.member, known.heard, known.seen = member, now.Add(-member.Age), true
 		if known.failed && member.Beat > known.failedBeat+1 {
 			known.failed = false
 		}
@@ -160,8 +164,9 @@
 	return digests
 }
 
-// News returns the members of which the table has newer news than the digests.
-func (t *Table) News(digests []gypsum.MemberDigest) []gypsum.Member {
+// News returns the members of which the table has newer news than the digests,
+// each with the age of its news, so that old news never looks fresh elsewhere.
+func (t *Table) News(digests []gypsum.MemberDigest, now time.Time) []gypsum.Member {
 	has := make(map[gypsum.HostID]gypsum.Member, len(digests))
 	for _, digest := range digests {
 		has[digest.ID] = gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat}
@@ -176,7 +181,9 @@
 	add(t.Self)
 	for _, known := range t.entries {
 		if known.seen {
-			add(known.member)
+			member := known.member
+			member.Age = now.Sub(known.heard)
+			add(member)
 		}
 	}
 	return news
--- a/node/control.go
+++ b/node/control.go
@@ -29,6 +29,7 @@
 	summaries  *member.Summaries
 	listed     []gypsum.Host
 	backends   map[gypsum.BackendID]gypsum.Host
+	sent       map[string]sentCount
 	lastTick   time.Time
 	lastGossip time.Time
 	lastList   time.Time
@@ -64,7 +65,7 @@
 	summaries.GoneAfter, summaries.SuspectAfter = n.Tuning.GoneAfter, centreSilence*n.Tuning.SuspectAfter
 	return &control{
 		node: n, table: n.newTable(), summaries: summaries,
-		backends: make(map[gypsum.BackendID]gypsum.Host),
+		backends: make(map[gypsum.BackendID]gypsum.Host), sent: make(map[string]sentCount),
 	}
 }
 
@@ -240,6 +241,7 @@
 		newest, oldest := pool.Versions()
 		view.Centres[service] = append(view.Centres[service], route.Centre{
 			Location: view.Self.Location, Own: true, Slots: slots, Busy: busy, Live: live, Newest: newest, Oldest: oldest,
+			Sent: pool.Sent(),
 		})
 	}
 	for i := range view.Others {
@@ -247,11 +249,31 @@
 		for _, load := range other.Loads {
 			view.Centres[load.Service] = append(view.Centres[load.Service], route.Centre{
 				Location: other.Location, Slots: load.Slots, Busy: load.Busy, Live: load.Live, Newest: load.Newest, Oldest: load.Oldest, Members: other.Members,
+				Sent: c.sentTo(other, load.Service),
 			})
 		}
 	}
 }
 
+// sentCount counts the calls for a service sent to a data centre since a summary.
+type sentCount struct {
+	maker gypsum.HostID
+	beat  int64
+	count *route.Sent
+}
+
+// sentTo returns the count for a service and a data centre, which starts anew
+// with each summary.
+func (c *control) sentTo(other *gypsum.Summary, service gypsum.ServiceName) *route.Sent {
+	key := string(other.Location.DataCentre) + "/" + string(service)
+	known, ok := c.sent[key]
+	if !ok || known.maker != other.Maker || known.beat != other.Beat {
+		known = sentCount{maker: other.Maker, beat: other.Beat, count: &route.Sent{}}
+		c.sent[key] = known
+	}
+	return known.count
+}
+
 // poolMembers returns the backend servers of the own data centre's pools.
 func (c *control) poolMembers(view *View) map[gypsum.ServiceName][]route.Backend {
 	news := make(map[gypsum.BackendID]gypsum.BackendNews)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -191,9 +191,9 @@
 		if near {
 			c.merge([]gypsum.Member{gossip.From}, time.Now())
 		}
-		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries)}
+		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries, time.Now())}
 		if near || gossip.All {
-			answer.Members = c.table.News(gossip.Digests)
+			answer.Members = c.table.News(gossip.Digests, time.Now())
 		}
 		answers <- answer
 	})
--- a/node/plans.go
+++ b/node/plans.go
@@ -70,15 +70,17 @@
 	return book
 }
 
-// planParallel returns how many attempts of a plan may run or wait at once:
-// enough to fill all engines of its service.
+// planParallel returns how many attempts of a plan may run or wait at once: as many
+// as live calls leave slots, and a few more. An attempt that waits in a queue
+// cannot use a slot that gets free elsewhere.
 func (n *Node) planParallel(name gypsum.PlanName) int {
 	view := n.View()
 	spec, ok := view.Plan(name)
 	if !ok {
 		return 0
 	}
-	return max(1, view.slots(spec.Service))
+	room := view.room(spec.Service)
+	return max(1, room+room/8)
 }
 
 // planNewest returns the newest version that engines of a plan's service report.
--- a/node/router.go
+++ b/node/router.go
@@ -119,7 +119,7 @@
 	overloads int
 	// Busy are the backend servers that sent the call back.
 	busy []gypsum.BackendID
-	spec      gypsum.ServiceSpec
+	spec gypsum.ServiceSpec
 }
 
 // place takes a call to a backend server and tries again where that is safe.
@@ -325,6 +325,9 @@
 
 // chooseFar hands the call to a member of another data centre for placement there.
 func (n *Node) chooseFar(view *View, onward *gypsum.Call, centre *route.Centre, rule string) (gypsum.Member, *gypsum.Call, *gypsum.Refusal) {
+	if centre.Sent != nil {
+		centre.Sent.Add(onward.Class)
+	}
 	brief := centre.Members[rand.IntN(len(centre.Members))]
 	onward.Stage, onward.Centre = gypsum.StagePlace, centre.Location.DataCentre
 	target := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: centre.Location}
@@ -350,7 +353,7 @@
 		onward.Bounces = gypsum.MaxBounces
 	}
 	backend, _ := pool.Find(placement.Backend)
-	backend.Tracker.Sent(onward.Class)
+	pool.Placed(backend, onward.Class)
 	onward.Stage, onward.Target = gypsum.StageQueue, placement.Backend
 	n.Logger.Info("call placed", "request", onward.ID, "service", onward.Service, "backend", placement.Backend, "to_host", backend.Owner.ID,
 		"why", placement.Why, "centre_why", rule, "weighed", placement.Weighed, "load", placement.Load, "excluded", len(onward.Excluded))
--- a/node/view.go
+++ b/node/view.go
@@ -146,13 +146,13 @@
 	return pool != nil && pool.Mean(call.Class) >= saturatedLoad
 }
 
-// slots returns the slots of a service over all data centres.
-func (v *View) slots(name gypsum.ServiceName) int {
-	slots := 0
+// room returns the slots of a service that live calls leave, over all data centres.
+func (v *View) room(name gypsum.ServiceName) int {
+	room := 0
 	for _, centre := range v.Centres[name] {
-		slots += centre.Slots
+		room += max(0, centre.Slots-centre.Live)
 	}
-	return slots
+	return room
 }
 
 // newest returns the newest version that engines of a service report.
--- a/peers.go
+++ b/peers.go
@@ -26,6 +26,8 @@
 	Beat        int64       `json:"beat"`
 	Leaving     bool        `json:"leaving,omitempty"`
 	Revision    Revision    `json:"revision"`
+	// Age is the time since the news last advanced, as the sender saw it.
+	Age time.Duration `json:"age,omitempty"`
 	// LogDown means that the member does not reach the platform's log.
 	LogDown bool `json:"log_down,omitempty"`
 	// Backends are the backend servers the member owns the queue of.
@@ -66,6 +68,8 @@
 	Incarnation Incarnation   `json:"incarnation"`
 	Beat        int64         `json:"beat"`
 	Loads       []ServiceLoad `json:"loads,omitempty"`
+	// Age is the time since the summary last advanced, as the sender saw it.
+	Age time.Duration `json:"age,omitempty"`
 	// Roster is a hash of Members, which are left out if the asker has them.
 	Roster  uint64        `json:"roster"`
 	Members []MemberBrief `json:"members,omitempty"`
--- a/queue/meter.go
+++ b/queue/meter.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -16,7 +17,7 @@
 const firstExpectation = 50 * time.Millisecond
 
 // deviations is how many mean deviations the margin of an expected time holds.
-const deviations = 4
+const deviations = 8
 
 // meter learns how long calls hold a slot.
 type meter struct {
@@ -85,34 +86,58 @@
 	return max(value, -value)
 }
 
-// reserveWindow is how long a peak of live calls keeps slots free for the next.
-const reserveWindow = 10 * time.Second
+// reserveTime is the time constant of the mean number of live calls.
+const reserveTime = 2 * time.Second
+
+// reserveLeast is the mean number of live calls below which no slot is kept free.
+const reserveLeast = 0.01
+
+// reserveParts is the part of a live call's time that it may wait for a slot
+// that trainers' calls hold: 1/reserveParts.
+const reserveParts = 10
 
 // reserve learns how many slots to keep free of trainers' calls.
 type reserve struct {
-	peak   int
-	peakAt time.Time
+	mean   float64
+	now    int
 	lastAt time.Time
+	// Budget is the mean time that live calls allow.
+	budget float64
 }
 
-// arrived notes a call's arrival.
-func (r *reserve) arrived(class gypsum.Class, now time.Time) {
-	if class == gypsum.ClassLive {
-		r.lastAt = now
+// arrived notes the time that a live call allows.
+func (r *reserve) arrived(budget time.Duration) {
+	if r.budget == 0 {
+		r.budget = float64(budget)
 	}
+	r.budget += meterGain * (float64(budget) - r.budget)
 }
 
-// running notes how many live calls run.
+// running notes how many live calls run from now on.
 func (r *reserve) running(live int, now time.Time) {
-	if live >= r.peak || now.Sub(r.peakAt) > reserveWindow {
-		r.peak, r.peakAt = live, now
+	r.advance(now)
+	r.now = live
+}
+
+// advance moves the mean to the present.
+func (r *reserve) advance(now time.Time) {
+	if !r.lastAt.IsZero() {
+		weight := 1 - math.Exp(-now.Sub(r.lastAt).Seconds()/reserveTime.Seconds())
+		r.mean += weight * (float64(r.now) - r.mean)
 	}
+	r.lastAt = now
 }
 
-// slots returns how many of the slots trainers' calls must leave free.
-func (r *reserve) slots(now time.Time, slots int) int {
-	if r.lastAt.IsZero() || now.Sub(r.lastAt) > reserveWindow {
+// slots returns how many of the slots trainers' calls must leave free: those
+// that live calls use on average, and one more if a slot gets free too seldom
+// for them.
+func (r *reserve) slots(now time.Time, slots int, nextFree time.Duration) int {
+	r.advance(now)
+	switch {
+	case r.mean < reserveLeast && r.now == 0:
 		return 0
+	case float64(nextFree)*reserveParts > r.budget:
+		return min(int(math.Ceil(r.mean))+1, slots/2)
 	}
-	return min(r.peak+1, slots/2)
+	return min(int(r.mean), slots/2)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -178,7 +178,9 @@
 		Call: call, Arrived: now, Deadline: now.Add(call.Budget),
 		Work: q.meter.expect(call), Turn: make(chan struct{}),
 	}
-	q.reserve.arrived(call.Class, now)
+	if call.Class == gypsum.ClassLive {
+		q.reserve.arrived(call.Budget)
+	}
 	state := q.state(waiting)
 	if call.Class == gypsum.ClassLive && call.Bounces < gypsum.MaxBounces && state.ExpectedWait > bounceWait {
 		return nil, q.busy()
@@ -197,7 +199,7 @@
 
 // bounceWait is the expected wait from which a live call is sent back to try
 // another backend server. News of loads is old; the owner's own count is exact.
-const bounceWait = 30 * time.Millisecond
+const bounceWait = 50 * time.Millisecond
 
 // busy sends a call back.
 func (q *Queue) busy() *gypsum.Refusal {
@@ -208,10 +210,13 @@
 
 // state returns what the policies need to decide on a call. The caller holds mu.
 func (q *Queue) state(waiting *gypsum.Waiting) gypsum.QueueState {
+	slots := max(1, q.slots)
+	// The slots get free one after another.
+	nextFree := q.runningWork / time.Duration(max(1, q.running)*slots)
 	state := gypsum.QueueState{
-		Slots: max(1, q.slots), Running: q.running, LiveRunning: q.liveRunning,
+		Slots: slots, Running: q.running, LiveRunning: q.liveRunning,
 		Waiting: q.Line.Len(), MaxQueue: q.MaxQueue, RunningWork: q.runningWork,
-		Reserve: q.reserve.slots(time.Now(), max(1, q.slots)), Margin: q.meter.margin(), Cold: q.meter.samples == 0,
+		Reserve: q.reserve.slots(time.Now(), slots, nextFree), Margin: q.meter.margin(), Cold: q.meter.samples == 0,
 	}
 	if waiting == nil {
 		return state
@@ -219,8 +224,7 @@
 	state.TenantWaits = q.Line.Tenant(waiting.Call.Class, waiting.Call.Tenant)
 	state.AheadWork = q.Line.Ahead(waiting)
 	if state.Running >= state.Slots || state.AheadWork > 0 {
-		// On average the running calls are half done.
-		state.ExpectedWait = (state.AheadWork + state.RunningWork/2) / time.Duration(state.Slots)
+		state.ExpectedWait = state.AheadWork/time.Duration(slots) + nextFree
 	}
 	return state
 }
@@ -333,6 +337,7 @@
 	q.runningWork -= waiting.Work
 	if waiting.Call.Class == gypsum.ClassLive {
 		q.liveRunning--
+		q.reserve.running(q.liveRunning, time.Now())
 	}
 	if whole {
 		q.meter.learn(waiting.Call, took, tokens)
--- a/route/centre.go
+++ b/route/centre.go
@@ -27,11 +27,18 @@
 	Newest  gypsum.WeightVersion
 	Oldest  gypsum.WeightVersion
 	Members []gypsum.MemberBrief
+	// Sent counts the calls sent there since its news, if not nil.
+	Sent *Sent
 }
 
 // Load returns the work before a call of a class, in parts of the slots.
 func (c *Centre) Load(class gypsum.Class) float64 {
-	return gypsum.LoadOf(class, c.Live, c.Busy, c.Slots)
+	live, busy := c.Live, c.Busy
+	if c.Sent != nil {
+		live += int(c.Sent.live.Load())
+		busy += int(c.Sent.all.Load())
+	}
+	return gypsum.LoadOf(class, live, busy, c.Slots)
 }
 
 // ChooseCentre returns the centre for a call from a region: the own one while
--- a/route/pool.go
+++ b/route/pool.go
@@ -24,28 +24,36 @@
 // ejectParts bounds the ejected backend servers to 1/ejectParts of a pool.
 const ejectParts = 3
 
+// Sent counts calls that were sent and are not in the news yet.
+type Sent struct {
+	all  atomic.Int64
+	live atomic.Int64
+}
+
+// Add counts a call.
+func (s *Sent) Add(class gypsum.Class) {
+	s.all.Add(1)
+	if class == gypsum.ClassLive {
+		s.live.Add(1)
+	}
+}
+
+// reset starts anew.
+func (s *Sent) reset() {
+	s.all.Store(0)
+	s.live.Store(0)
+}
+
 // Tracker is what this daemon itself knows of a backend server, kept over the
 // pools it is in.
 type Tracker struct {
-	sent     atomic.Int64
-	live     atomic.Int64
+	sent     Sent
 	failures atomic.Int64
 	until    atomic.Int64
 }
 
 // Reported notes that a load report arrived, which includes what was sent before.
-func (t *Tracker) Reported() {
-	t.sent.Store(0)
-	t.live.Store(0)
-}
-
-// Sent notes that a call was sent.
-func (t *Tracker) Sent(class gypsum.Class) {
-	t.sent.Add(1)
-	if class == gypsum.ClassLive {
-		t.live.Add(1)
-	}
-}
+func (t *Tracker) Reported() { t.sent.reset() }
 
 // Succeeded notes a whole answer.
 func (t *Tracker) Succeeded() {
@@ -95,6 +103,8 @@
 	newest   gypsum.WeightVersion
 	oldest   gypsum.WeightVersion
 	ejected  int
+	// Sent are the calls placed since the pool was made.
+	sent Sent
 	made     time.Time
 }
 
@@ -118,8 +128,8 @@
 		}
 		pool.open++
 		pool.slots += max(1, backend.News.Slots)
-		pool.busy += backend.News.Running + backend.News.Queued
-		pool.live += backend.News.Live
+		pool.busy += backend.News.Running + backend.News.Queued + int(backend.Tracker.sent.all.Load())
+		pool.live += backend.News.Live + int(backend.Tracker.sent.live.Load())
 		if backend.Tracker.Ejected(now) {
 			pool.ejected++
 		}
@@ -176,7 +186,18 @@
 func (p *Pool) Load() (slots, busy, live int) { return p.slots, p.busy, p.live }
 
 // Mean returns the mean load of the open backend servers for a class.
-func (p *Pool) Mean(class gypsum.Class) float64 { return gypsum.LoadOf(class, p.live, p.busy, p.slots) }
+func (p *Pool) Mean(class gypsum.Class) float64 {
+	return gypsum.LoadOf(class, p.live+int(p.sent.live.Load()), p.busy+int(p.sent.all.Load()), p.slots)
+}
+
+// Placed counts a call that was sent to a backend server.
+func (p *Pool) Placed(backend *Backend, class gypsum.Class) {
+	backend.Tracker.sent.Add(class)
+	p.sent.Add(class)
+}
+
+// Sent returns the count of the calls placed since the pool was made.
+func (p *Pool) Sent() *Sent { return &p.sent }
 
 // At returns a candidate by its index.
 func (p *Pool) At(index int) gypsum.Candidate {
@@ -184,8 +205,8 @@
 	return gypsum.Candidate{
 		ID:    gypsum.BackendID(backend.Host.ID),
 		Slots: max(1, backend.News.Slots),
-		Busy:  backend.News.Running + backend.News.Queued + int(backend.Tracker.sent.Load()),
-		Live:  backend.News.Live + int(backend.Tracker.live.Load()),
+		Busy:  backend.News.Running + backend.News.Queued + int(backend.Tracker.sent.all.Load()),
+		Live:  backend.News.Live + int(backend.Tracker.sent.live.Load()),
 	}
 }
 
