Live calls take slots from trainers' calls, which go on behind their last token

Cause: slots kept free for live calls cost trainers a third of the engines, and the uncertainty of trainers' long calls made live ones be refused. Change: few slots are kept free; a live call that would wait too long ends the youngest trainer's call, which resumes elsewhere; times are learned for each class.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 REVIVE := github.com/mgechev/revive@v1.17.0
 
-.PHONY: build demo test lint bench soak generate
+.PHONY: build demo test lint bench soak breaks policies generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,6 +21,17 @@
 bench: build
 	go test -run '^$$' -bench . -benchmem ./...
 
+soak:
+	go test ./fleet -run TestSoak -count=1 -v -args -soak 60s
+
+# Breaks each mechanism in a copy of the tree; its test must turn red.
+breaks:
+	go run ./scripts/breaks
+
+# Measures the policies and writes docs/POLICIES.md with its plots.
+policies:
+	go test ./bench -run TestAll -timeout 60m -count=1 -args -write ../docs
+
 # Only whoever changes the schema needs protoc and its two generators.
 generate:
 	protoc -I admin --go_out=. --go_opt=module=github.com/gypsumhook/gypsum \
--- a/errors.go
+++ b/errors.go
@@ -28,6 +28,7 @@
 	ReasonDeadlinePast    Reason = "deadline_past"
 	ReasonOverloaded      Reason = "overloaded"
 	ReasonBusy            Reason = "busy"
+	ReasonPreempted       Reason = "preempted"
 	ReasonNoBackend       Reason = "no_backend_server"
 	ReasonNoConfiguration Reason = "no_configuration"
 	ReasonLogUnavailable  Reason = "log_unavailable"
--- a/node/router.go
+++ b/node/router.go
@@ -213,7 +213,7 @@
 	if refusal.Reason == gypsum.ReasonBackendFailed && refusal.Backend != "" {
 		t.node.tracked.get(refusal.Backend).Failed(time.Now())
 	}
-	if refusal.Backend != "" {
+	if refusal.Backend != "" && refusal.Reason != gypsum.ReasonPreempted {
 		t.call.Excluded = append(t.call.Excluded, refusal.Backend)
 	}
 	return refusal
@@ -247,6 +247,10 @@
 	case gypsum.ReasonOverloaded:
 		t.overloads++
 		return 0, t.overloads < maxOverloads && !t.node.View().saturated(&t.call)
+	case gypsum.ReasonPreempted:
+		// The call goes on behind its last token; nothing has failed.
+		t.attempts--
+		return 0, t.recover()
 	case gypsum.ReasonBackendFailed, gypsum.ReasonPeerFailed:
 		return 0, t.node.retries.Take() && t.recover()
 	}
--- a/policy.go
+++ b/policy.go
@@ -27,6 +27,8 @@
 	AheadWork    time.Duration
 	RunningWork  time.Duration
 	ExpectedWait time.Duration
+	// NextFree is the expected time until the next slot gets free.
+	NextFree time.Duration
 	// Cold means that no call's time has been measured yet.
 	Cold bool
 	// Margin is the uncertainty of the expected times.
--- a/queue/meter.go
+++ b/queue/meter.go
@@ -16,8 +16,12 @@
 // firstExpectation is the expected time of a call before any was measured.
 const firstExpectation = 50 * time.Millisecond
 
+// firstDeviationParts is the part of the first measured time that is taken for
+// the deviation at first: 1/firstDeviationParts.
+const firstDeviationParts = 6
+
 // deviations is how many mean deviations the margin of an expected time holds.
-const deviations = 8
+const deviations = 10
 
 // meter learns how long calls hold a slot.
 type meter struct {
@@ -60,6 +64,7 @@
 	m.samples++
 	if m.samples == 1 {
 		m.mean = float64(took)
+		m.deviation = float64(took) / firstDeviationParts
 	}
 	m.mean += meterGain * (float64(took) - m.mean)
 	if call.Generation != nil && tokens > 0 {
@@ -92,10 +97,6 @@
 // reserveLeast is the mean number of live calls below which no slot is kept free.
 const reserveLeast = 0.01
 
-// reserveParts is the part of a live call's time that it may wait for a slot
-// that trainers' calls hold: 1/reserveParts.
-const reserveParts = 10
-
 // reserve learns how many slots to keep free of trainers' calls.
 type reserve struct {
 	mean   float64
@@ -128,16 +129,12 @@
 	r.lastAt = now
 }
 
-// slots returns how many of the slots trainers' calls must leave free: those
-// that live calls use on average, and one more if a slot gets free too seldom
-// for them.
-func (r *reserve) slots(now time.Time, slots int, nextFree time.Duration) int {
+// slots returns how many of the slots trainers' calls must leave free: those that
+// live calls use on average. Above that, live calls take slots from trainers'.
+func (r *reserve) slots(now time.Time, slots int) int {
 	r.advance(now)
-	switch {
-	case r.mean < reserveLeast && r.now == 0:
+	if r.mean < reserveLeast && r.now == 0 {
 		return 0
-	case float64(nextFree)*reserveParts > r.budget:
-		return min(int(math.Ceil(r.mean))+1, slots/2)
 	}
 	return min(int(r.mean), slots/2)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -48,9 +48,10 @@
 	liveWaiting int
 	runningWork time.Duration
 	closed      gypsum.Reason
-	meter       meter
+	meters      map[gypsum.Class]*meter
 	reserve     reserve
 	aborts      map[*gypsum.Waiting]context.CancelCauseFunc
+	preempted   map[*gypsum.Waiting]bool
 	suspect     chan struct{}
 	suspectEnd  time.Time
 	once        sync.Once
@@ -72,6 +73,8 @@
 	q.once.Do(func() {
 		q.suspect = make(chan struct{}, 1)
 		q.aborts = make(map[*gypsum.Waiting]context.CancelCauseFunc)
+		q.preempted = make(map[*gypsum.Waiting]bool)
+		q.meters = map[gypsum.Class]*meter{gypsum.ClassLive: {}, gypsum.ClassTrainer: {}}
 		if q.slots == 0 {
 			q.slots = 1
 		}
@@ -125,7 +128,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return State{
-		Running: q.running, Queued: q.Line.Len(), Slots: max(1, q.slots), Latency: q.meter.typical(),
+		Running: q.running, Queued: q.Line.Len(), Slots: max(1, q.slots), Latency: q.typical(),
 		Live: q.liveRunning + q.liveWaiting,
 	}
 }
@@ -176,7 +179,7 @@
 	}
 	waiting := &gypsum.Waiting{
 		Call: call, Arrived: now, Deadline: now.Add(call.Budget),
-		Work: q.meter.expect(call), Turn: make(chan struct{}),
+		Work: q.expect(call), Turn: make(chan struct{}),
 	}
 	if call.Class == gypsum.ClassLive {
 		q.reserve.arrived(call.Budget)
@@ -185,6 +188,10 @@
 	if call.Class == gypsum.ClassLive && call.Bounces < gypsum.MaxBounces && state.ExpectedWait > bounceWait {
 		return nil, q.busy()
 	}
+	if call.Class == gypsum.ClassLive && q.running-q.liveRunning > q.liveWaiting {
+		// The call can take a slot from a trainer's.
+		state.ExpectedWait = 0
+	}
 	if refusal := q.Admission.Admit(state, waiting, now); refusal != nil {
 		refusal.Backend = q.Backend
 		return nil, refusal
@@ -194,9 +201,42 @@
 		q.liveWaiting++
 	}
 	q.startNext()
+	if call.Class == gypsum.ClassLive && waiting.Position != started {
+		q.preempt(state)
+	}
 	return waiting, nil
 }
 
+// preemptParts is the part of a live call's time from which its wait for a slot
+// is worth ending a trainer's call for: 1/preemptParts.
+const preemptParts = 20
+
+// preempt ends the trainer's call that began last, which goes on elsewhere behind
+// its last token, if a live call would wait too long for a slot. The caller
+// holds mu.
+func (q *Queue) preempt(state gypsum.QueueState) {
+	if float64(state.NextFree)*preemptParts < q.reserve.budget {
+		return
+	}
+	var last *gypsum.Waiting
+	for waiting := range q.aborts {
+		call := waiting.Call
+		if call.Class == gypsum.ClassLive || call.Recovery != gypsum.RecoveryResume || q.preempted[waiting] {
+			continue
+		}
+		if last == nil || waiting.Arrived.After(last.Arrived) {
+			last = waiting
+		}
+	}
+	if last != nil {
+		q.preempted[last] = true
+		q.aborts[last](errPreempted)
+	}
+}
+
+// errPreempted is the cause of the end of a trainer's call for a live one.
+var errPreempted = errors.New("a live call needs the slot")
+
 // bounceWait is the expected wait from which a live call is sent back to try
 // another backend server. News of loads is old; the owner's own count is exact.
 const bounceWait = 50 * time.Millisecond
@@ -210,13 +250,17 @@
 
 // state returns what the policies need to decide on a call. The caller holds mu.
 func (q *Queue) state(waiting *gypsum.Waiting) gypsum.QueueState {
+	class := gypsum.ClassTrainer
+	if waiting != nil {
+		class = waiting.Call.Class
+	}
 	slots := max(1, q.slots)
 	// The slots get free one after another.
 	nextFree := q.runningWork / time.Duration(max(1, q.running)*slots)
 	state := gypsum.QueueState{
 		Slots: slots, Running: q.running, LiveRunning: q.liveRunning,
 		Waiting: q.Line.Len(), MaxQueue: q.MaxQueue, RunningWork: q.runningWork,
-		Reserve: q.reserve.slots(time.Now(), slots, nextFree), Margin: q.meter.margin(), Cold: q.meter.samples == 0,
+		Reserve: q.reserve.slots(time.Now(), slots), Margin: q.meter(class).margin(), NextFree: nextFree, Cold: q.cold(),
 	}
 	if waiting == nil {
 		return state
@@ -229,6 +273,38 @@
 	return state
 }
 
+// meter returns what was learned of calls of a class.
+func (q *Queue) meter(class gypsum.Class) *meter {
+	q.init()
+	return q.meters[class]
+}
+
+// expect returns the time that a call is expected to hold a slot, by calls of
+// its class or, before there were any, by those of the other.
+func (q *Queue) expect(call *gypsum.Call) time.Duration {
+	own, other := q.meter(gypsum.ClassLive), q.meter(gypsum.ClassTrainer)
+	if call.Class != gypsum.ClassLive {
+		own, other = other, own
+	}
+	if own.samples == 0 {
+		return other.expect(call)
+	}
+	return own.expect(call)
+}
+
+// typical returns the mean time of live calls or, without any, of trainers'.
+func (q *Queue) typical() time.Duration {
+	if live := q.meter(gypsum.ClassLive); live.samples > 0 {
+		return live.typical()
+	}
+	return q.meter(gypsum.ClassTrainer).typical()
+}
+
+// cold tells whether no call's time has been measured yet.
+func (q *Queue) cold() bool {
+	return q.meter(gypsum.ClassLive).samples == 0 && q.meter(gypsum.ClassTrainer).samples == 0
+}
+
 // startNext gives free slots to the next calls. The caller holds mu.
 func (q *Queue) startNext() {
 	for q.closed == "" && q.running < max(1, q.slots) {
@@ -293,7 +369,7 @@
 // drainTime is the time in which the present line will have been served. The
 // caller holds mu.
 func (q *Queue) drainTime() time.Duration {
-	work := q.meter.typical() * time.Duration(q.Line.Len()+q.running)
+	work := q.typical() * time.Duration(q.Line.Len()+q.running)
 	return max(minRetryAfter, work/time.Duration(max(1, q.slots)))
 }
 
@@ -334,13 +410,14 @@
 	defer q.mu.Unlock()
 	q.running--
 	delete(q.aborts, waiting)
+	delete(q.preempted, waiting)
 	q.runningWork -= waiting.Work
 	if waiting.Call.Class == gypsum.ClassLive {
 		q.liveRunning--
 		q.reserve.running(q.liveRunning, time.Now())
 	}
 	if whole {
-		q.meter.learn(waiting.Call, took, tokens)
+		q.meters[waiting.Call.Class].learn(waiting.Call, took, tokens)
 	}
 	q.startNext()
 }
@@ -352,6 +429,8 @@
 	case errors.As(err, &refusal):
 	case errors.Is(err, gypsum.ErrNotHanded):
 		refusal = gypsum.NotRun(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server was not reached: %v", err))
+	case errors.Is(context.Cause(ctx), errPreempted):
+		refusal = gypsum.Unknown(gypsum.ReasonPreempted, http.StatusServiceUnavailable, time.Second, errPreempted.Error())
 	case errors.Is(context.Cause(ctx), errAborted):
 		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, errAborted.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/route/pool.go
+++ b/route/pool.go
@@ -105,7 +105,7 @@
 	ejected  int
 	// Sent are the calls placed since the pool was made.
 	sent Sent
-	made     time.Time
+	made time.Time
 }
 
 // point is a place on the hash ring.
