--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -26,6 +26,8 @@
 	name   string
 	strike func(t *testing.T, s *fleet.Scene)
 	heal   func(t *testing.T, s *fleet.Scene)
+	// Mixes means that the fault can strike beside any other.
+	mixes bool
 	// Tune changes the daemons' times and limits.
 	tune func(*node.Tuning)
 }
@@ -78,7 +80,7 @@
 // logFault returns a fault of the log.
 func logFault(name string, kind fake.LogFault) fault {
 	return fault{
-		name:   name,
+		name: name, mixes: true,
 		strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Log.SetFault(kind) },
 		heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Log.SetFault(0) },
 	}
@@ -87,7 +89,7 @@
 // answerFault returns a fault of all answers of an engine.
 func answerFault(name string, kind fake.Answer) fault {
 	return fault{
-		name:   name,
+		name: name, mixes: true,
 		strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Engines["genova-engine-1"].SetAnswer(kind) },
 		heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Engines["genova-engine-1"].SetAnswer(0) },
 	}
@@ -142,7 +144,7 @@
 		},
 		logOut, logFault("log hangs", fake.LogHang), logFault("log loses answers", fake.LogLost), logFault("log late", fake.LogLate),
 		{
-			name:   "log slow",
+			name: "log slow", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Log.SetDelay(400 * time.Millisecond) },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Log.SetDelay(s.Fleet.Layout.LogDelay) },
 		},
@@ -152,7 +154,7 @@
 			heal:   func(t *testing.T, s *fleet.Scene) { s.Fleet.Kill(first); s.Fleet.Replace(t.Context(), first) },
 			tune:   func(tuning *node.Tuning) { tuning.SnapshotEvery, tuning.SnapshotInterval = 10, 2*time.Second },
 		},
-		{name: "racing operators", strike: func(t *testing.T, s *fleet.Scene) { s.Race(t.Context()) }, heal: nothing},
+		{name: "racing operators", mixes: true, strike: func(t *testing.T, s *fleet.Scene) { s.Race(t.Context()) }, heal: nothing},
 		{
 			name: "leaving backend servers",
 			strike: func(_ *testing.T, s *fleet.Scene) {
@@ -163,22 +165,22 @@
 		},
 		engineCrash,
 		{
-			name:   "engine freezes",
+			name: "engine freezes", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Engines["genova-engine-1"].Freeze() },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Engines["genova-engine-1"].Thaw() },
 		},
 		{
-			name:   "plain services crash",
+			name: "plain services crash", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].Crash() },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].Restart() },
 		},
 		{
-			name:   "plain service freezes",
+			name: "plain service freezes", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].Freeze() },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].Thaw() },
 		},
 		{
-			name:   "plain service loses answers",
+			name: "plain service loses answers", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].LoseAnswers(true) },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Plains["genova-plain-1"].LoseAnswers(false) },
 		},
@@ -195,12 +197,12 @@
 			heal: nothing,
 		},
 		{
-			name:   "weight store out",
+			name: "weight store out", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Store.SetOut(true) },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Store.SetOut(false) },
 		},
 		{
-			name:   "host list out",
+			name: "host list out", mixes: true,
 			strike: func(_ *testing.T, s *fleet.Scene) { s.Fleet.Hosts.SetOut(true) },
 			heal:   func(_ *testing.T, s *fleet.Scene) { s.Fleet.Hosts.SetOut(false) },
 		},
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -307,18 +307,19 @@
 			f.Network.Thaw(frozen)
 			time.Sleep(12 * time.Second)
 		}
-		orders := 0
-		for id, engine := range f.Engines {
+		orders, highest := 0, gypsum.Offset(0)
+		for _, engine := range f.Engines {
 			newest := gypsum.Offset(-1)
 			for _, order := range engine.Orders() {
 				is.True(order.Fence >= newest)
 				newest = order.Fence
 				orders++
 			}
+			highest = max(highest, newest)
 			is.Equal(engine.Version(), gypsum.WeightVersion(7))
-			_ = id
 		}
 		is.True(orders >= 6*6)
+		is.True(highest > 0) // the number has grown with the holder
 	})
 }
 
@@ -429,3 +430,17 @@
 		is.True(mixed > 0)
 	})
 }
+
+// TestUnversioned checks that no sample is delivered whose engine reported no version.
+func TestUnversioned(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+		for _, engine := range f.Engines {
+			engine.SetAnswer(fake.AnswerUnversioned)
+		}
+		answer, err := f.Pull(t.Context(), first, &gypsum.Pull{
+			Plan: check.PlanName, Session: 1, Number: 1, Step: 0, Version: 1, Wait: 3 * time.Second,
+		})
+		is.NoErr(err)
+		is.Equal(len(answer.Samples), 0)
+	})
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,220 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/route"
+)
+
+// newPool returns a pool of backend servers with 8 slots each.
+func newPool(count int, change func(i int, backend *route.Backend)) *route.Pool {
+	backends := make([]route.Backend, count)
+	for i := range backends {
+		id := fmt.Sprintf("engine-%05d", i)
+		backends[i] = route.Backend{
+			Host: gypsum.Host{ID: id}, News: gypsum.BackendNews{ID: gypsum.BackendID(id), Slots: 8, Running: i % 8, Live: i % 4},
+			Tracker: &route.Tracker{},
+		}
+		if change != nil {
+			change(i, &backends[i])
+		}
+	}
+	return route.NewPool(backends, nil, time.Now())
+}
+
+// TestAffinity checks that a prompt's prefix goes to the same backend server
+// while that has room, and elsewhere when it has not.
+func TestAffinity(t *testing.T) {
+	is := is.New(t)
+	pool := newPool(50, func(_ int, b *route.Backend) { b.News.Running, b.News.Live = 0, 0 })
+	placer := route.NewAffinity()
+	call := &gypsum.Call{Class: gypsum.ClassLive, Affinity: 12345}
+	first, ok := placer.Place(call, pool)
+	is.True(ok)
+	for range 20 {
+		again, _ := placer.Place(call, pool)
+		is.Equal(again.Backend, first.Backend)
+	}
+	full := newPool(50, func(_ int, b *route.Backend) {
+		b.News.Running, b.News.Live = 0, 0
+		if gypsum.BackendID(b.Host.ID) == first.Backend {
+			b.News.Running, b.News.Live = 20, 20
+		}
+	})
+	elsewhere, ok := placer.Place(call, full)
+	is.True(ok)
+	is.True(elsewhere.Backend != first.Backend)
+}
+
+// TestClosedAndOld checks that closed backend servers, excluded ones and those
+// with too old weights get no calls, whatever the placer.
+func TestClosedAndOld(t *testing.T) {
+	is := is.New(t)
+	pool := newPool(30, func(i int, b *route.Backend) {
+		b.Closed = i%3 == 0
+		b.News.Version = gypsum.WeightVersion(1 + i%2)
+	})
+	for _, placer := range []gypsum.Placer{route.NewAffinity(), route.NewLeast(), route.NewRoundRobin()} {
+		call := &gypsum.Call{Class: gypsum.ClassTrainer, MinVersion: 2, Excluded: []gypsum.BackendID{"engine-00001"}}
+		for n := range 200 {
+			call.Affinity = uint64(n) * 7919
+			placement, ok := placer.Place(call, pool)
+			is.True(ok)
+			backend, _ := pool.Find(placement.Backend)
+			is.True(!backend.Closed && backend.News.Version >= 2 && placement.Backend != "engine-00001")
+		}
+	}
+}
+
+// TestEjection checks that failures in a row eject a backend server for a time,
+// and that too many ejections are not believed.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	trackers := make([]*route.Tracker, 6)
+	pool := func(now time.Time) *route.Pool {
+		backends := make([]route.Backend, 6)
+		for i := range backends {
+			if trackers[i] == nil {
+				trackers[i] = &route.Tracker{}
+			}
+			backends[i] = route.Backend{Host: gypsum.Host{ID: fmt.Sprint(i)}, Tracker: trackers[i]}
+		}
+		return route.NewPool(backends, nil, now)
+	}
+	now := time.Now()
+	pool(now)
+	for range 3 {
+		trackers[0].Failed(now)
+	}
+	is.True(!pool(now).Usable(0, &gypsum.Call{}))
+	is.True(pool(now.Add(2*time.Second)).Usable(0, &gypsum.Call{})) // tried again
+	for i := range 3 {
+		for range 3 {
+			trackers[i].Failed(now)
+		}
+	}
+	is.True(pool(now).Usable(0, &gypsum.Call{}))
+}
+
+// TestChooseCentre checks the order of data centres by cases.
+func TestChooseCentre(t *testing.T) {
+	place := func(centre, region string) gypsum.Location {
+		return gypsum.Location{DataCentre: gypsum.DataCentre(centre), Region: gypsum.Region(region)}
+	}
+	rows := []struct {
+		name           string
+		own, near, far int // live calls on 10 slots, below 0 for no backend server
+		cross          bool
+		want           string
+	}{
+		{"own has room", 5, 0, 0, true, "own"},
+		{"own is full", 10, 5, 0, true, "near"},
+		{"region is full", 10, 10, 3, true, "far"},
+		{"far is nearly full", 10, 10, 8, true, "own"},
+		{"all full", 12, 10, 10, true, "own"},
+		{"no budget to cross", 10, 10, 0, false, "own"},
+		{"only far has any", -1, -1, 20, true, "far"},
+		{"only far has any, no budget", -1, -1, 0, false, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var centres []route.Centre
+			add := func(name, region string, own bool, live int) {
+				centre := route.Centre{Location: place(name, region), Own: own, Slots: 10, Live: live}
+				if live < 0 {
+					centre.Slots = 0
+				}
+				centres = append(centres, centre)
+			}
+			add("own", "here", true, row.own)
+			add("near", "here", false, row.near)
+			add("far", "there", false, row.far)
+			chosen, _ := route.ChooseCentre(centres, gypsum.ClassLive, "here", row.cross)
+			if row.want == "" {
+				is.True(chosen == nil)
+				return
+			}
+			is.Equal(string(chosen.Location.DataCentre), row.want)
+		})
+	}
+}
+
+// TestBudget checks that bytes beyond the rate close the way until earned back.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	budget := &route.Budget{Rate: 1000}
+	now := time.Unix(1000, 0)
+	is.True(budget.Allows(now))
+	budget.Spend(5000, now)
+	is.True(!budget.Allows(now))
+	is.True(budget.Allows(now.Add(4 * time.Second)))
+	is.Equal(budget.Spent(), gypsum.Bytes(5000))
+}
+
+// TestRetries checks that retries are a part of the calls.
+func TestRetries(t *testing.T) {
+	is := is.New(t)
+	var retries route.Retries
+	taken := 0
+	for range 1000 {
+		retries.Earn()
+		if retries.Take() {
+			taken++
+		}
+	}
+	is.True(taken >= 100 && taken <= 125)
+}
+
+// TestAwayShare checks how many replicas may be away in a data centre.
+func TestAwayShare(t *testing.T) {
+	is := is.New(t)
+	centres := []route.Centre{
+		{Location: gypsum.Location{DataCentre: "a"}, Oldest: 1},
+		{Location: gypsum.Location{DataCentre: "b"}, Oldest: 1, Own: true},
+		{Location: gypsum.Location{DataCentre: "c"}, Oldest: 1},
+	}
+	is.Equal(route.AwayShare(centres, 9, 2), 3)
+	is.Equal(route.AwayShare(centres, 1, 2), 0) // a goes first
+	is.Equal(route.AwayShare(centres, 2, 2), 1)
+	centres[0].Oldest = 2
+	is.Equal(route.AwayShare(centres, 1, 2), 1) // a is done
+}
+
+// BenchmarkPlace measures a routing decision; it must not grow with the pool.
+func BenchmarkPlace(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			pool, placer := newPool(count, nil), route.NewAffinity()
+			call := &gypsum.Call{Class: gypsum.ClassLive}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				call.Affinity = uint64(n) * 0x9e3779b97f4a7c15
+				placer.Place(call, pool)
+			}
+		})
+	}
+}
+
+// BenchmarkPool measures the making of a pool when news has come.
+func BenchmarkPool(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			previous := newPool(count, nil)
+			backends := make([]route.Backend, count)
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range backends {
+					backend, _ := previous.Find(gypsum.BackendID(fmt.Sprintf("engine-%05d", i)))
+					backends[i] = *backend
+				}
+				route.NewPool(backends, previous, time.Now())
+			}
+		})
+	}
+}
