--- a/member/table.go
+++ b/member/table.go
@@ -93,6 +93,9 @@
 			known = &entry{}
 			t.entries[member.ID] = known
 		}
+		if ok && member.LoadBeat == known.member.LoadBeat && member.Incarnation == known.member.Incarnation {
+			member.Backends = known.member.Backends
+		}
 		known.member, known.heard, known.seen = member, now.Add(-member.Age), true
 		if known.failed && member.Beat > known.failedBeat+1 {
 			known.failed = false
@@ -153,12 +156,17 @@
 	return list
 }
 
+// digestOf returns the digest of a member's news.
+func digestOf(member *gypsum.Member) gypsum.MemberDigest {
+	return gypsum.MemberDigest{ID: member.ID, Incarnation: member.Incarnation, Beat: member.Beat, LoadBeat: member.LoadBeat}
+}
+
 // Digests returns what the table has, for a peer to compare with.
 func (t *Table) Digests() []gypsum.MemberDigest {
-	digests := []gypsum.MemberDigest{{ID: t.Self.ID, Incarnation: t.Self.Incarnation, Beat: t.Self.Beat}}
-	for id, known := range t.entries {
+	digests := []gypsum.MemberDigest{digestOf(&t.Self)}
+	for _, known := range t.entries {
 		if known.seen {
-			digests = append(digests, gypsum.MemberDigest{ID: id, Incarnation: known.member.Incarnation, Beat: known.member.Beat})
+			digests = append(digests, digestOf(&known.member))
 		}
 	}
 	return digests
@@ -169,12 +177,15 @@
 func (t *Table) News(digests []gypsum.MemberDigest, now time.Time) []gypsum.Member {
 	has := make(map[gypsum.HostID]gypsum.Member, len(digests))
 	for _, digest := range digests {
-		has[digest.ID] = gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat}
+		has[digest.ID] = gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat, LoadBeat: digest.LoadBeat}
 	}
 	var news []gypsum.Member
 	add := func(member gypsum.Member) {
 		known, ok := has[member.ID]
 		if !ok || newer(member.Incarnation, member.Beat, &known) {
+			if ok && member.LoadBeat == known.LoadBeat && member.Incarnation == known.Incarnation {
+				member.Backends = nil
+			}
 			news = append(news, member)
 		}
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +32,9 @@
 	backends   map[gypsum.BackendID]gypsum.Host
 	sent       map[string]sentCount
 	lastTick   time.Time
+	lastBeat   time.Time
 	lastGossip time.Time
+	lastFar    time.Time
 	lastList   time.Time
 	listing    bool
 	listRead   bool
@@ -39,6 +42,10 @@
 	dirty      bool
 }
 
+// farRounds is how many intervals pass between two exchanges with another data
+// centre: its summary changes less than its members' news.
+const farRounds = 3
+
 // centreSilence is how many times longer than a member a data centre may be
 // silent: its news takes several hops.
 const centreSilence = 2
@@ -103,10 +110,18 @@
 		c.lastList, c.listing = now, true
 		c.node.tasks.start(func() { c.node.fetchList(ctx) })
 	}
-	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval {
-		c.lastGossip = now
+	if now.Sub(c.lastBeat) >= c.node.Tuning.GossipInterval {
+		c.lastBeat = now
 		c.beat(now)
-		c.spread(ctx)
+	}
+	if now.Sub(c.lastFar) >= farRounds*c.node.Tuning.GossipInterval {
+		c.lastFar = now
+		c.spreadFar(ctx)
+	}
+	// Peers are asked one after another, so that none repeats another's news.
+	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval/time.Duration(max(1, c.node.Tuning.GossipFanout)) {
+		c.lastGossip = now
+		c.spreadNear(ctx)
 	}
 	if c.node.editor.Stream.Loaded() {
 		c.node.machine.Loaded()
@@ -126,7 +141,9 @@
 	c.table.Self.Beat++
 	c.table.Self.LogDown = c.node.LogDown()
 	c.table.Self.Revision = c.node.book.Revision()
-	c.table.Self.Backends = c.node.owned.news()
+	if news := c.node.owned.news(); !slices.Equal(news, c.table.Self.Backends) {
+		c.table.Self.Backends, c.table.Self.LoadBeat = news, c.table.Self.Beat
+	}
 	c.makeSummary()
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -70,21 +70,29 @@
 	return r.mean[centre]
 }
 
-// spread asks some members for news, and other data centres if this daemon is
-// a delegate.
-func (c *control) spread(ctx context.Context) {
+// spreadNear asks a member of the own data centre for news.
+func (c *control) spreadNear(ctx context.Context) {
+	c.askAll(ctx, c.near(c.node.View()))
+}
+
+// spreadFar asks other data centres for news if this daemon is a delegate, or
+// has heard of none.
+func (c *control) spreadFar(ctx context.Context) {
 	view := c.node.View()
-	targets := c.near(view)
 	if isDelegate(view) || len(view.Others) == 0 {
-		targets = append(targets, c.far(view)...)
+		c.askAll(ctx, c.far(view))
 	}
+}
+
+// askAll asks members for news.
+func (c *control) askAll(ctx context.Context, targets []gypsum.Member) {
 	for _, target := range targets {
 		gossip := c.gossipFor(&target)
 		c.node.tasks.start(func() { c.node.ask(ctx, target, gossip) })
 	}
 }
 
-// near returns some members of the own data centre.
+// near returns a member of the own data centre, at random.
 func (c *control) near(view *View) []gypsum.Member {
 	var targets []gypsum.Member
 	for i := range view.Members {
@@ -93,7 +101,7 @@
 		}
 	}
 	targets = shuffled(targets)
-	return targets[:min(len(targets), c.node.Tuning.GossipFanout)]
+	return targets[:min(len(targets), 1)]
 }
 
 // far returns one member each of some other data centres.
@@ -136,9 +144,9 @@
 	}
 	if target.Location.DataCentre == c.table.Self.Location.DataCentre {
 		gossip.Digests = c.table.Digests()
-	} else {
-		gossip.From.Backends = nil
 	}
+	// The other side asks for these itself if it lacks them.
+	gossip.From.Backends = nil
 	return gossip
 }
 
@@ -188,9 +196,6 @@
 	answers := make(chan *gypsum.GossipAnswer, 1)
 	n.post(func(c *control) {
 		near := gossip.From.Location.DataCentre == c.table.Self.Location.DataCentre
-		if near {
-			c.merge([]gypsum.Member{gossip.From}, time.Now())
-		}
 		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries, time.Now())}
 		if near || gossip.All {
 			answer.Members = c.table.News(gossip.Digests, time.Now())
--- a/node/node.go
+++ b/node/node.go
@@ -59,7 +59,8 @@
 
 // Tuning holds the times and limits of a daemon.
 type Tuning struct {
-	GossipInterval   time.Duration
+	GossipInterval time.Duration
+	// GossipFanout is how many members of the data centre are asked in an interval.
 	GossipFanout     int
 	SuspectAfter     time.Duration
 	GoneAfter        time.Duration
@@ -86,7 +87,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		GossipInterval:   300 * time.Millisecond,
-		GossipFanout:     3,
+		GossipFanout:     2,
 		SuspectAfter:     1500 * time.Millisecond,
 		GoneAfter:        10 * time.Second,
 		ListInterval:     time.Second,
--- a/node/owned.go
+++ b/node/owned.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +135,7 @@
 			o.node.tracked.get(item.ID).Reported()
 		}
 	}
+	slices.SortFunc(news, func(a, b gypsum.BackendNews) int { return cmp.Compare(a.ID, b.ID) })
 	return news
 }
 
--- a/peers.go
+++ b/peers.go
@@ -18,114 +18,118 @@
 
 // Member is one daemon as known to another.
 type Member struct {
-	ID       HostID   `json:"id"`
-	Address  string   `json:"address"`
-	Location Location `json:"location"`
+	ID       HostID   `json:"id" cbor:"1,keyasint"`
+	Address  string   `json:"address" cbor:"2,keyasint"`
+	Location Location `json:"location" cbor:"3,keyasint"`
 	// Incarnation and Beat order the news of a member: the higher is newer.
-	Incarnation Incarnation `json:"incarnation"`
-	Beat        int64       `json:"beat"`
-	Leaving     bool        `json:"leaving,omitempty"`
-	Revision    Revision    `json:"revision"`
+	Incarnation Incarnation `json:"incarnation" cbor:"4,keyasint"`
+	Beat        int64       `json:"beat" cbor:"5,keyasint"`
+	Leaving     bool        `json:"leaving,omitempty" cbor:"6,keyasint,omitempty"`
+	Revision    Revision    `json:"revision" cbor:"7,keyasint"`
 	// Age is the time since the news last advanced, as the sender saw it.
-	Age time.Duration `json:"age,omitempty"`
+	Age time.Duration `json:"age,omitempty" cbor:"8,keyasint,omitempty"`
 	// LogDown means that the member does not reach the platform's log.
-	LogDown bool `json:"log_down,omitempty"`
+	LogDown bool `json:"log_down,omitempty" cbor:"9,keyasint,omitempty"`
+	// LoadBeat is the beat at which Backends last changed. News leaves them out if
+	// the asker has them.
+	LoadBeat int64 `json:"load_beat" cbor:"10,keyasint"`
 	// Backends are the backend servers the member owns the queue of.
-	Backends []BackendNews `json:"backends,omitempty"`
+	Backends []BackendNews `json:"backends,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // BackendNews is a queue owner's word on a backend server.
 type BackendNews struct {
-	ID      BackendID `json:"id"`
-	Running int       `json:"running"`
-	Queued  int       `json:"queued"`
+	ID      BackendID `json:"id" cbor:"1,keyasint"`
+	Running int       `json:"running" cbor:"2,keyasint"`
+	Queued  int       `json:"queued" cbor:"3,keyasint"`
 	// Live is the number of live calls among both.
-	Live      int           `json:"live"`
-	Slots     int           `json:"slots"`
-	Version   WeightVersion `json:"version,omitempty"`
-	Leaving   bool          `json:"leaving,omitempty"`
-	Down      bool          `json:"down,omitempty"`
-	Swapping  bool          `json:"swapping,omitempty"`
-	LatencyMS int64         `json:"latency_ms,omitempty"`
+	Live      int           `json:"live" cbor:"4,keyasint"`
+	Slots     int           `json:"slots" cbor:"5,keyasint"`
+	Version   WeightVersion `json:"version,omitempty" cbor:"6,keyasint,omitempty"`
+	Leaving   bool          `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
+	Down      bool          `json:"down,omitempty" cbor:"8,keyasint,omitempty"`
+	Swapping  bool          `json:"swapping,omitempty" cbor:"9,keyasint,omitempty"`
+	LatencyMS int64         `json:"latency_ms,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // ServiceLoad is the sum of a service's load in a data centre.
 type ServiceLoad struct {
-	Service  ServiceName `json:"service"`
-	Replicas int         `json:"replicas"`
-	Slots    int         `json:"slots"`
-	Busy     int         `json:"busy"`
-	Live     int         `json:"live"`
+	Service  ServiceName `json:"service" cbor:"1,keyasint"`
+	Replicas int         `json:"replicas" cbor:"2,keyasint"`
+	Slots    int         `json:"slots" cbor:"3,keyasint"`
+	Busy     int         `json:"busy" cbor:"4,keyasint"`
+	Live     int         `json:"live" cbor:"5,keyasint"`
 	// Newest and Oldest are the versions of the weights on the replicas.
-	Newest WeightVersion `json:"newest,omitempty"`
-	Oldest WeightVersion `json:"oldest,omitempty"`
+	Newest WeightVersion `json:"newest,omitempty" cbor:"6,keyasint,omitempty"`
+	Oldest WeightVersion `json:"oldest,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Summary is what a data centre tells others of itself. Its delegates make it.
 type Summary struct {
-	Location    Location      `json:"location"`
-	Maker       HostID        `json:"maker"`
-	Incarnation Incarnation   `json:"incarnation"`
-	Beat        int64         `json:"beat"`
-	Loads       []ServiceLoad `json:"loads,omitempty"`
+	Location    Location      `json:"location" cbor:"1,keyasint"`
+	Maker       HostID        `json:"maker" cbor:"2,keyasint"`
+	Incarnation Incarnation   `json:"incarnation" cbor:"3,keyasint"`
+	Beat        int64         `json:"beat" cbor:"4,keyasint"`
+	Loads       []ServiceLoad `json:"loads,omitempty" cbor:"5,keyasint,omitempty"`
 	// Age is the time since the summary last advanced, as the sender saw it.
-	Age time.Duration `json:"age,omitempty"`
+	Age time.Duration `json:"age,omitempty" cbor:"6,keyasint,omitempty"`
 	// Roster is a hash of Members, which are left out if the asker has them.
-	Roster  uint64        `json:"roster"`
-	Members []MemberBrief `json:"members,omitempty"`
+	Roster  uint64        `json:"roster" cbor:"7,keyasint"`
+	Members []MemberBrief `json:"members,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // MemberBrief is what other data centres know of a live daemon.
 type MemberBrief struct {
-	ID      HostID `json:"id"`
-	Address string `json:"address"`
-	LogDown bool   `json:"log_down,omitempty"`
+	ID      HostID `json:"id" cbor:"1,keyasint"`
+	Address string `json:"address" cbor:"2,keyasint"`
+	LogDown bool   `json:"log_down,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // SummaryDigest is the newest summary that the sender of a gossip has.
 type SummaryDigest struct {
-	Maker       HostID      `json:"maker"`
-	Incarnation Incarnation `json:"incarnation"`
-	Beat        int64       `json:"beat"`
-	Roster      uint64      `json:"roster"`
+	Maker       HostID      `json:"maker" cbor:"1,keyasint"`
+	Incarnation Incarnation `json:"incarnation" cbor:"2,keyasint"`
+	Beat        int64       `json:"beat" cbor:"3,keyasint"`
+	Roster      uint64      `json:"roster" cbor:"4,keyasint"`
 }
 
 // MemberDigest is the newest news that the sender of a gossip has of a member.
 type MemberDigest struct {
-	ID          HostID      `json:"id"`
-	Incarnation Incarnation `json:"incarnation"`
-	Beat        int64       `json:"beat"`
+	ID          HostID      `json:"id" cbor:"1,keyasint"`
+	Incarnation Incarnation `json:"incarnation" cbor:"2,keyasint"`
+	Beat        int64       `json:"beat" cbor:"3,keyasint"`
+	LoadBeat    int64       `json:"load_beat" cbor:"4,keyasint"`
 }
 
 // Crash is a count of backend servers that died while running a request, as
 // one daemon saw them.
 type Crash struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
-	Host        HostID      `json:"host"`
-	Count       int         `json:"count"`
+	Fingerprint Fingerprint `json:"fingerprint" cbor:"1,keyasint"`
+	Host        HostID      `json:"host" cbor:"2,keyasint"`
+	Count       int         `json:"count" cbor:"3,keyasint"`
 	// Age is the time since the newest crash.
-	Age time.Duration `json:"age,omitempty"`
+	Age time.Duration `json:"age,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Gossip is a request for news: it says what the sender has.
 type Gossip struct {
-	From      Member          `json:"from"`
-	Digests   []MemberDigest  `json:"digests,omitempty"`
-	Summaries []SummaryDigest `json:"summaries,omitempty"`
-	Revision  Revision        `json:"revision"`
-	Crashes   []Crash         `json:"crashes,omitempty"`
+	From      Member          `json:"from" cbor:"1,keyasint"`
+	Digests   []MemberDigest  `json:"digests,omitempty" cbor:"2,keyasint,omitempty"`
+	Summaries []SummaryDigest `json:"summaries,omitempty" cbor:"3,keyasint,omitempty"`
+	Revision  Revision        `json:"revision" cbor:"4,keyasint"`
+	Crashes   []Crash         `json:"crashes,omitempty" cbor:"5,keyasint,omitempty"`
 	// All asks for the members of another data centre too.
-	All bool `json:"all,omitempty"`
+	All bool `json:"all,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // GossipAnswer is the news that the sender of a gossip lacked.
 type GossipAnswer struct {
-	Members   []Member  `json:"members,omitempty"`
-	Summaries []Summary `json:"summaries,omitempty"`
-	Revision  Revision  `json:"revision"`
-	Crashes   []Crash   `json:"crashes,omitempty"`
+	Members   []Member  `json:"members,omitempty" cbor:"1,keyasint,omitempty"`
+	Summaries []Summary `json:"summaries,omitempty" cbor:"2,keyasint,omitempty"`
+	Revision  Revision  `json:"revision" cbor:"3,keyasint"`
+	Crashes   []Crash   `json:"crashes,omitempty" cbor:"4,keyasint,omitempty"`
 	// Config is the newer configuration, if the answerer has one.
-	Config []byte `json:"config,omitempty"`
+	Config []byte `json:"config,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Peers is a daemon's way to the other daemons.
