--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -55,7 +55,7 @@
 // world is the stand-ins, served over TCP from the test, and the daemons, each
 // a process of its own.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	log     *fake.Log
 	hosts   *fake.Hosts
 	store   *fake.Store
@@ -87,7 +87,7 @@
 }
 
 // newWorld starts the stand-ins.
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	client, _ := adapt.NewClient()
 	w := &world{
@@ -199,7 +199,7 @@
 
 // logWriter keeps a daemon's log for a failed test.
 type logWriter struct {
-	t  *testing.T
+	t  testing.TB
 	id gypsum.HostID
 }
 
@@ -326,7 +326,7 @@
 }
 
 // newRelay starts a relay to an address.
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
