--- a/epoch/stream.go
+++ b/epoch/stream.go
@@ -40,10 +40,6 @@
 // readMax is the number of records asked for in one read.
 const readMax = 1000
 
-// readBackInterval is the time between two reads for a record that was
-// appended but is not yet shown.
-const readBackInterval = 20 * time.Millisecond
-
 // tickInterval is the time between two looks at what is due.
 const tickInterval = 50 * time.Millisecond
 
@@ -215,106 +211,6 @@
 	}
 }
 
-// gather waits until the next append is allowed and returns the group to commit.
-func (s *Stream) gather(ctx context.Context, first *request) []*request {
-	if wait := s.MinInterval - time.Since(s.lastAppend); wait > 0 {
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-	group := []*request{first}
-	for len(group) < readMax {
-		select {
-		case req := <-s.requests:
-			group = append(group, req)
-		default:
-			return group
-		}
-	}
-	return group
-}
-
-// commit appends a group of records and reads until all are resolved.
-func (s *Stream) commit(ctx context.Context, group []*request) {
-	group = s.serveReads(ctx, group)
-	if len(group) == 0 {
-		return
-	}
-	records := make([][]byte, len(group))
-	s.mu.Lock()
-	for i, req := range group {
-		records[i] = encode(&req.envelope)
-		s.waiting[req.envelope.Nonce] = req
-	}
-	s.appends++
-	s.mu.Unlock()
-
-	s.lastAppend = time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
-	offset, appendErr := s.Log.Append(callCtx, s.Name, records)
-	cancel()
-	var end gypsum.Offset
-	if appendErr == nil {
-		end = offset + gypsum.Offset(len(records))
-	}
-	s.failWaiting(appendErr, s.readBack(ctx, end))
-}
-
-// readBack reads the stream at least up to end. Reads may lag behind appends.
-func (s *Stream) readBack(ctx context.Context, end gypsum.Offset) error {
-	deadline := time.Now().Add(s.Timeout)
-	for {
-		err := s.catchUp(ctx)
-		if err != nil || s.next >= end || time.Now().After(deadline) {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(readBackInterval):
-		}
-	}
-}
-
-// serveReads answers the requests that only read.
-func (s *Stream) serveReads(ctx context.Context, group []*request) []*request {
-	appends := group[:0]
-	var reads []*request
-	for _, req := range group {
-		if req.envelope.Kind == kindRead {
-			reads = append(reads, req)
-		} else {
-			appends = append(appends, req)
-		}
-	}
-	if len(reads) == 0 {
-		return appends
-	}
-	err := s.catchUp(ctx)
-	for _, req := range reads {
-		req.result <- err
-	}
-	return appends
-}
-
-// failWaiting ends the requests that were not found in the stream.
-func (s *Stream) failWaiting(appendErr, readErr error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for nonce, req := range s.waiting {
-		delete(s.waiting, nonce)
-		switch {
-		case readErr != nil && errors.Is(readErr, gypsum.ErrHistoryLost):
-			req.result <- readErr
-		case appendErr != nil:
-			req.result <- fmt.Errorf("append to %s: %v: %w", s.Name, appendErr, gypsum.ErrLogUnavailable)
-		default:
-			req.result <- fmt.Errorf("read back %s: %v: %w", s.Name, readErr, gypsum.ErrLogUnavailable)
-		}
-	}
-}
-
 // pollIfDue reads the stream if it is polled and a read is due.
 func (s *Stream) pollIfDue(ctx context.Context) {
 	if s.PollInterval == 0 || time.Since(s.lastRead) < s.PollInterval {
@@ -348,13 +244,6 @@
 	}
 }
 
-// beginRestore skips to the oldest record left and looks for a snapshot there.
-func (s *Stream) beginRestore(first gypsum.Offset) {
-	s.Logger.Info("stream truncated", "stream", s.Name, "next", s.next, "first", first)
-	s.next = first
-	s.restoring = !s.Stateless
-}
-
 // finishRead notes that the end of the stream was reached.
 func (s *Stream) finishRead() error {
 	s.mu.Lock()
@@ -411,96 +300,3 @@
 	defer s.mu.Unlock()
 	s.resolve(env.Nonce, nil)
 }
-
-// applySnapshot restores from a snapshot that covers all records before it.
-// Any other is void.
-func (s *Stream) applySnapshot(offset gypsum.Offset, env *envelope) {
-	var result error
-	if env.Covers != offset-1 {
-		result = fmt.Errorf("snapshot %d of %s covers %d only: %w", offset, s.Name, env.Covers, gypsum.ErrEpochLost)
-	} else {
-		s.acceptSnapshot(offset, env)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.resolve(env.Nonce, result)
-}
-
-// acceptSnapshot notes a valid snapshot and, while restoring, takes it over.
-func (s *Stream) acceptSnapshot(offset gypsum.Offset, env *envelope) {
-	s.lastSnapshot = time.Now()
-	s.sinceRecords = 0
-	if !s.restoring {
-		return
-	}
-	if err := s.Machine.Restore(env.Body); err != nil {
-		s.Logger.Error("snapshot not restored", "stream", s.Name, "offset", offset, "error", err)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.restoring = false
-	s.mine = s.mine && s.epoch == env.Epoch
-	s.epoch = env.Epoch
-}
-
-// resolve ends the request with the nonce, if it waits here. The caller holds mu.
-func (s *Stream) resolve(nonce string, result error) {
-	if req, ok := s.waiting[nonce]; ok {
-		delete(s.waiting, nonce)
-		req.result <- result
-	}
-}
-
-// snapshotIfDue appends a snapshot if one is due and this process is responsible.
-func (s *Stream) snapshotIfDue(ctx context.Context) {
-	if s.SnapshotInterval == 0 || s.Responsible == nil {
-		return
-	}
-	if !s.snapshotDue() || !s.Responsible() {
-		return
-	}
-	err := s.catchUp(ctx)
-	if errors.Is(err, gypsum.ErrHistoryLost) && s.Repair != nil {
-		s.Logger.Error("stream history lost, going on from a repaired state", "stream", s.Name)
-		s.Repair()
-		err = nil
-	}
-	if err == nil && s.snapshotDue() {
-		s.commitSnapshot(ctx)
-	}
-	if s.snapshotDue() {
-		// A failed attempt is tried again after a part of the interval.
-		s.lastSnapshot = time.Now().Add(-s.SnapshotInterval * 3 / 4)
-		s.sinceRecords = 0
-	}
-}
-
-// snapshotDue tells whether the newest snapshot is too old.
-func (s *Stream) snapshotDue() bool {
-	return time.Since(s.lastSnapshot) >= s.SnapshotInterval ||
-		(s.SnapshotEvery > 0 && s.sinceRecords >= s.SnapshotEvery)
-}
-
-// commitSnapshot appends a snapshot of all that was read.
-func (s *Stream) commitSnapshot(ctx context.Context) {
-	body, err := s.Machine.Snapshot()
-	if err != nil {
-		s.Logger.Error("snapshot not made", "stream", s.Name, "error", err)
-		return
-	}
-	s.mu.Lock()
-	env := envelope{Kind: kindSnapshot, Covers: s.next - 1, Epoch: s.epoch, Body: body}
-	s.mu.Unlock()
-	req := newRequest(env)
-	s.commit(ctx, []*request{req})
-	if err := <-req.result; err != nil {
-		s.Logger.Info("snapshot void", "stream", s.Name, "error", err)
-	}
-}
-
-// newRequest returns a request with a fresh nonce.
-func newRequest(env envelope) *request {
-	env.Nonce = uuid.NewString()
-	return &request{envelope: env, result: make(chan error, 1)}
-}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -74,30 +73,23 @@
 	// Lag is how old load reports are.
 	Lag time.Duration
 
-	// OnCrash is called by a crash, if set.
-	OnCrash func()
-
-	mu          sync.Mutex
-	incarnation gypsum.Incarnation
-	version     gypsum.WeightVersion
-	fence       gypsum.Offset
-	running     int
-	waiting     []chan struct{}
-	swapping    bool
-	leaving     bool
-	crashed     chan struct{}
-	down        bool
-	frozen      chan struct{}
-	fault       Answer
-	failSwaps   int
-	crashes     int
-	started     int
-	orders      []gypsum.Order
-	report      gypsum.LoadReport
-	reportAt    time.Time
-	cacheEvent  int64
-	newWork     []time.Time
-	tokens      int64
+	process
+
+	version    gypsum.WeightVersion
+	fence      gypsum.Offset
+	running    int
+	waiting    []chan struct{}
+	swapping   bool
+	leaving    bool
+	fault      Answer
+	failSwaps  int
+	started    int
+	orders     []gypsum.Order
+	report     gypsum.LoadReport
+	reportAt   time.Time
+	cacheEvent int64
+	newWork    []time.Time
+	tokens     int64
 }
 
 // Tokens returns the number of tokens generated.
@@ -109,10 +101,13 @@
 
 // NewEngine returns an engine with version 1 of its weights.
 func NewEngine(slots int, tokenTime time.Duration) *Engine {
-	return &Engine{
-		Slots: slots, TokenTime: tokenTime, ChunkTokens: 4, SwapTime: 200 * time.Millisecond,
-		version: 1, fence: -1, incarnation: gypsum.Incarnation(time.Now().UnixMilli()), crashed: make(chan struct{}),
+	engine := &Engine{
+		Slots: slots, TokenTime: tokenTime, ChunkTokens: 4, SwapTime: 200 * time.Millisecond, version: 1, fence: -1,
 	}
+	engine.begin(func() {
+		engine.running, engine.waiting, engine.swapping, engine.reportAt = 0, nil, false, time.Time{}
+	})
+	return engine
 }
 
 // SetAnswer puts the engine's answers into a fault, 0 ends it.
@@ -143,66 +138,6 @@
 	e.failSwaps = count
 }
 
-// Crash ends the process: running answers break off, calls find nothing.
-func (e *Engine) Crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.crash()
-}
-
-// crash ends the process. The caller holds mu.
-func (e *Engine) crash() {
-	if e.down {
-		return
-	}
-	if e.OnCrash != nil {
-		e.OnCrash()
-	}
-	e.down = true
-	e.crashes++
-	close(e.crashed)
-	e.running, e.waiting, e.swapping = 0, nil, false
-}
-
-// Restart starts a crashed process again, with the weights it had.
-func (e *Engine) Restart() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.down {
-		return
-	}
-	e.down = false
-	e.crashed = make(chan struct{})
-	e.incarnation = max(e.incarnation+1, gypsum.Incarnation(time.Now().UnixMilli()))
-	e.reportAt = time.Time{}
-}
-
-// Freeze stops the process until Thaw.
-func (e *Engine) Freeze() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.frozen == nil {
-		e.frozen = make(chan struct{})
-	}
-}
-
-// Thaw lets a frozen process go on.
-func (e *Engine) Thaw() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.frozen != nil {
-		close(e.frozen)
-		e.frozen = nil
-	}
-}
-
-// Crashes returns how often the engine has crashed.
-func (e *Engine) Crashes() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.crashes
-}
-
 // Version returns the weights' version.
 func (e *Engine) Version() gypsum.WeightVersion {
 	e.mu.Lock()
@@ -224,26 +159,6 @@
 	return append([]time.Time{}, e.newWork...)
 }
 
-// reach waits while the engine is frozen and fails if it is down.
-func (e *Engine) reach(ctx context.Context) error {
-	for {
-		e.mu.Lock()
-		frozen, down := e.frozen, e.down
-		e.mu.Unlock()
-		if down {
-			return fmt.Errorf("connect to engine: %w", gypsum.ErrNotHanded)
-		}
-		if frozen == nil {
-			return ctx.Err()
-		}
-		select {
-		case <-frozen:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // Load returns the engine's report, as old as Lag.
 func (e *Engine) Load(ctx context.Context) (*gypsum.LoadReport, error) {
 	if err := e.reach(ctx); err != nil {
@@ -396,20 +311,6 @@
 	return nil
 }
 
-// wait spends the time of a chunk.
-func (e *Engine) wait(ctx context.Context, crashed chan struct{}, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-crashed:
-		return fmt.Errorf("engine died: %w", gypsum.ErrBroken)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return e.reach(ctx)
-}
-
 // chunk returns the tokens from index on.
 func (e *Engine) chunk(generation *gypsum.Generation, index, count, length int) *gypsum.Chunk {
 	e.mu.Lock()
--- a/fake/plain.go
+++ b/fake/plain.go
@@ -50,15 +50,9 @@
 	// Poison is a part of a body that crashes the replica.
 	Poison string
 
-	// OnCrash is called by a crash, if set.
-	OnCrash func()
+	process
 
-	mu          sync.Mutex
-	incarnation gypsum.Incarnation
 	running     int
-	down        bool
-	crashed     chan struct{}
-	frozen      chan struct{}
 	leaving     bool
 	loseAnswers bool
 	newWork     []time.Time
@@ -66,10 +60,9 @@
 
 // NewPlain returns a replica that writes to the ledger.
 func NewPlain(ledger *Ledger, took time.Duration) *Plain {
-	return &Plain{
-		Ledger: ledger, Time: took, Slots: 16, crashed: make(chan struct{}),
-		incarnation: gypsum.Incarnation(time.Now().UnixMilli()),
-	}
+	plain := &Plain{Ledger: ledger, Time: took, Slots: 16}
+	plain.begin(func() { plain.running = 0 })
+	return plain
 }
 
 // SetLeaving makes the replica say that it is leaving.
@@ -86,55 +79,6 @@
 	p.loseAnswers = lose
 }
 
-// Crash ends the process.
-func (p *Plain) Crash() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.crash()
-}
-
-// crash ends the process. The caller holds mu.
-func (p *Plain) crash() {
-	if !p.down {
-		if p.OnCrash != nil {
-			p.OnCrash()
-		}
-		p.down = true
-		close(p.crashed)
-		p.running = 0
-	}
-}
-
-// Restart starts a crashed process again.
-func (p *Plain) Restart() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.down {
-		p.down = false
-		p.crashed = make(chan struct{})
-		p.incarnation = max(p.incarnation+1, gypsum.Incarnation(time.Now().UnixMilli()))
-	}
-}
-
-// Freeze stops the process until Thaw.
-func (p *Plain) Freeze() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.frozen == nil {
-		p.frozen = make(chan struct{})
-	}
-}
-
-// Thaw lets a frozen process go on.
-func (p *Plain) Thaw() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.frozen != nil {
-		close(p.frozen)
-		p.frozen = nil
-	}
-}
-
 // NewWork returns when requests began.
 func (p *Plain) NewWork() []time.Time {
 	p.mu.Lock()
@@ -142,26 +86,6 @@
 	return append([]time.Time{}, p.newWork...)
 }
 
-// reach waits while the replica is frozen and fails if it is down.
-func (p *Plain) reach(ctx context.Context) error {
-	for {
-		p.mu.Lock()
-		frozen, down := p.frozen, p.down
-		p.mu.Unlock()
-		if down {
-			return fmt.Errorf("connect to service: %w", gypsum.ErrNotHanded)
-		}
-		if frozen == nil {
-			return ctx.Err()
-		}
-		select {
-		case <-frozen:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // Load returns the replica's report.
 func (p *Plain) Load(ctx context.Context) (*gypsum.LoadReport, error) {
 	if err := p.reach(ctx); err != nil {
@@ -188,7 +112,7 @@
 		name = string(request.ID)
 	}
 	number := p.Ledger.run(name)
-	if err := p.wait(ctx, crashed); err != nil {
+	if err := p.wait(ctx, crashed, p.Time); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
@@ -224,17 +148,3 @@
 		p.running--
 	}
 }
-
-// wait spends the time of a request.
-func (p *Plain) wait(ctx context.Context, crashed chan struct{}) error {
-	timer := time.NewTimer(p.Time)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-crashed:
-		return fmt.Errorf("service died: %w", gypsum.ErrBroken)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return p.reach(ctx)
-}
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -298,7 +298,7 @@
 // TestFencedOrders freezes the holder of the orders while weights change and
 // checks that no engine takes an order with an older number than it has seen.
 func TestFencedOrders(t *testing.T) {
-	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+	inFleet(t, nil, func(_ *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
 		for version := gypsum.WeightVersion(2); version < 8; version++ {
 			frozen := []gypsum.HostID{first, second}[version%2]
 			f.Network.Freeze(frozen)
--- /dev/null
+++ b/node/choose.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/route"
+)
+
+// choose returns the daemon that takes the call over, and the call as sent to it.
+func (n *Node) choose(view *View, call *gypsum.Call) (gypsum.Member, *gypsum.Call, *gypsum.Refusal) {
+	onward := *call
+	onward.Hops++
+	mayCross := n.budgets[call.Class].Allows(time.Now())
+	centre, rule := n.chooseCentre(view, call, mayCross)
+	if centre == nil {
+		refusal := gypsum.NotRun(gypsum.ReasonNoBackend, http.StatusServiceUnavailable, time.Second, "no backend server can take the call")
+		n.Logger.Info("call not placed", "request", call.ID, "service", call.Service, "may_cross", mayCross)
+		return gypsum.Member{}, nil, refusal
+	}
+	if !centre.Own && len(centre.Members) > 0 {
+		return n.chooseFar(view, &onward, centre, rule)
+	}
+	return n.chooseNear(view, &onward, rule)
+}
+
+// chooseCentre returns the data centre for a call. A call that came from
+// another one stays.
+func (n *Node) chooseCentre(view *View, call *gypsum.Call, mayCross bool) (*route.Centre, string) {
+	centres := view.Centres[call.Service]
+	if call.Centre == view.Self.Location.DataCentre {
+		for i := range centres {
+			if centres[i].Own {
+				return &centres[i], "placed_here"
+			}
+		}
+		return nil, ""
+	}
+	if len(call.Avoided) > 0 {
+		centres = slices.DeleteFunc(slices.Clone(centres), func(centre route.Centre) bool {
+			return slices.Contains(call.Avoided, centre.Location.DataCentre)
+		})
+	}
+	return route.ChooseCentre(centres, call.Class, view.Self.Location.Region, mayCross)
+}
+
+// chooseFar hands the call to a member of another data centre for placement there.
+func (n *Node) chooseFar(view *View, onward *gypsum.Call, centre *route.Centre, rule string) (gypsum.Member, *gypsum.Call, *gypsum.Refusal) {
+	if centre.Sent != nil {
+		centre.Sent.Add(onward.Class)
+	}
+	brief := centre.Members[rand.IntN(len(centre.Members))]
+	onward.Stage, onward.Centre = gypsum.StagePlace, centre.Location.DataCentre
+	target := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: centre.Location}
+	n.Logger.Info("call sent to data centre", "request", onward.ID, "service", onward.Service, "data_centre", centre.Location.DataCentre,
+		"to_host", brief.ID, "why", rule, "load", centre.Load(onward.Class), "weighed", len(view.Centres[onward.Service]))
+	return target, onward, nil
+}
+
+// chooseNear places the call on a backend server of the own data centre.
+func (n *Node) chooseNear(view *View, onward *gypsum.Call, rule string) (gypsum.Member, *gypsum.Call, *gypsum.Refusal) {
+	pool := view.Pools[onward.Service]
+	var placement gypsum.Placement
+	ok := false
+	if pool != nil && pool.Len() > 0 {
+		placement, ok = n.Placer.Place(onward, pool)
+	}
+	if !ok {
+		refusal := gypsum.NotRun(gypsum.ReasonNoBackend, http.StatusServiceUnavailable, time.Second, "no backend server here can take the call now")
+		refusal.Centre = view.Self.Location.DataCentre
+		return gypsum.Member{}, nil, refusal
+	}
+	if view.saturated(onward) {
+		onward.Bounces = gypsum.MaxBounces
+	}
+	backend, _ := pool.Find(placement.Backend)
+	pool.Placed(backend, onward.Class)
+	onward.Stage, onward.Target = gypsum.StageQueue, placement.Backend
+	n.Logger.Info("call placed", "request", onward.ID, "service", onward.Service, "backend", placement.Backend, "to_host", backend.Owner.ID,
+		"why", placement.Why, "centre_why", rule, "weighed", placement.Weighed, "load", placement.Load, "excluded", len(onward.Excluded))
+	return backend.Owner, onward, nil
+}
--- /dev/null
+++ b/queue/blame.go
@@ -0,0 +1,83 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// crashShadow is how long after the end of a suspect call a crash is blamed on
+// it alone.
+const crashShadow = time.Second
+
+// enterSuspect lets one call at a time run that is suspected of crashing
+// backend servers, so that a further crash can be blamed on it alone.
+func (q *Queue) enterSuspect(ctx context.Context) (release func(), err error) {
+	select {
+	case q.suspect <- struct{}{}:
+	case <-ctx.Done():
+		return nil, gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call waited")
+	}
+	return func() {
+		q.mu.Lock()
+		q.suspectEnd = time.Now()
+		q.mu.Unlock()
+		<-q.suspect
+	}, nil
+}
+
+// failure turns an executor's error into a refusal that says what is known.
+func (q *Queue) failure(ctx context.Context, call *gypsum.Call, err error, begin time.Time) *gypsum.Refusal {
+	var refusal *gypsum.Refusal
+	switch {
+	case errors.As(err, &refusal):
+	case errors.Is(err, gypsum.ErrNotHanded):
+		refusal = gypsum.NotRun(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server was not reached: %v", err))
+	case errors.Is(context.Cause(ctx), errPreempted):
+		refusal = gypsum.Unknown(gypsum.ReasonPreempted, http.StatusServiceUnavailable, time.Second, errPreempted.Error())
+	case errors.Is(context.Cause(ctx), errAborted):
+		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, errAborted.Error())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refusal = gypsum.Unknown(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call ran")
+	case ctx.Err() != nil:
+		refusal = gypsum.Unknown(gypsum.ReasonCancelled, http.StatusGatewayTimeout, 0, "the caller gave up while the call ran")
+	default:
+		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server failed: %v", err))
+		q.blame(ctx, call, refusal, begin)
+	}
+	refusal.Backend = q.Backend
+	return refusal
+}
+
+// blame counts a crash against a call that ran when its backend server died.
+// The refusal does not wait for it beyond the call's deadline.
+func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
+	blamed := make(chan []gypsum.Crash, 1)
+	q.Background(func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) })
+	select {
+	case refusal.Crashes = <-blamed:
+	case <-ctx.Done():
+	}
+}
+
+// countCrash returns the counts of a call's crashes if its backend server died.
+// Calls that were never near a crash go free if a suspect ran beside them.
+func (q *Queue) countCrash(ctx context.Context, call *gypsum.Call, begin time.Time) []gypsum.Crash {
+	ctx, cancel := context.WithTimeout(ctx, gypsum.LoadTimeout)
+	defer cancel()
+	if !q.Executor.Crashed(ctx, begin) {
+		return nil
+	}
+	q.mu.Lock()
+	shadowed := len(q.suspect) > 0 || time.Since(q.suspectEnd) < crashShadow
+	q.mu.Unlock()
+	if len(call.Crashes) == 0 && shadowed {
+		return nil
+	}
+	return q.OnCrash(call.Fingerprint)
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gypsumhook/gypsum"
 )
 
@@ -22,10 +19,6 @@
 	Crashed(ctx context.Context, since time.Time) bool
 }
 
-// crashShadow is how long after the end of a suspect call a crash is blamed on
-// it alone.
-const crashShadow = time.Second
-
 // Queue is the line of calls before one backend server. Set the exported
 // fields before the first Run.
 type Queue struct {
@@ -108,21 +101,6 @@
 	}
 }
 
-// Abort ends the running calls that may be run again elsewhere, because the
-// backend server no longer answers.
-func (q *Queue) Abort() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for waiting, cancel := range q.aborts {
-		if !waiting.Call.Once() {
-			cancel(errAborted)
-		}
-	}
-}
-
-// errAborted is the cause of the end of a call whose backend server is down.
-var errAborted = errors.New("backend server no longer answers")
-
 // State returns the queue's load.
 func (q *Queue) State() State {
 	q.mu.Lock()
@@ -153,22 +131,6 @@
 	return q.execute(ctx, waiting, sink)
 }
 
-// enterSuspect lets one call at a time run that is suspected of crashing
-// backend servers, so that a further crash can be blamed on it alone.
-func (q *Queue) enterSuspect(ctx context.Context) (release func(), err error) {
-	select {
-	case q.suspect <- struct{}{}:
-	case <-ctx.Done():
-		return nil, gypsum.NotRun(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call waited")
-	}
-	return func() {
-		q.mu.Lock()
-		q.suspectEnd = time.Now()
-		q.mu.Unlock()
-		<-q.suspect
-	}, nil
-}
-
 // enter admits a call into the line.
 func (q *Queue) enter(call *gypsum.Call) (*gypsum.Waiting, error) {
 	now := time.Now()
@@ -207,36 +169,6 @@
 	return waiting, nil
 }
 
-// preemptParts is the part of a live call's time from which its wait for a slot
-// is worth ending a trainer's call for: 1/preemptParts.
-const preemptParts = 20
-
-// preempt ends the trainer's call that began last, which goes on elsewhere behind
-// its last token, if a live call would wait too long for a slot. The caller
-// holds mu.
-func (q *Queue) preempt(state gypsum.QueueState) {
-	if float64(state.NextFree)*preemptParts < q.reserve.budget {
-		return
-	}
-	var last *gypsum.Waiting
-	for waiting := range q.aborts {
-		call := waiting.Call
-		if call.Class == gypsum.ClassLive || call.Recovery != gypsum.RecoveryResume || q.preempted[waiting] {
-			continue
-		}
-		if last == nil || waiting.Arrived.After(last.Arrived) {
-			last = waiting
-		}
-	}
-	if last != nil {
-		q.preempted[last] = true
-		q.aborts[last](errPreempted)
-	}
-}
-
-// errPreempted is the cause of the end of a trainer's call for a live one.
-var errPreempted = errors.New("a live call needs the slot")
-
 // bounceWait is the expected wait from which a live call is sent back to try
 // another backend server. News of loads is old; the owner's own count is exact.
 const bounceWait = 50 * time.Millisecond
@@ -421,54 +353,3 @@
 	}
 	q.startNext()
 }
-
-// failure turns an executor's error into a refusal that says what is known.
-func (q *Queue) failure(ctx context.Context, call *gypsum.Call, err error, begin time.Time) *gypsum.Refusal {
-	var refusal *gypsum.Refusal
-	switch {
-	case errors.As(err, &refusal):
-	case errors.Is(err, gypsum.ErrNotHanded):
-		refusal = gypsum.NotRun(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server was not reached: %v", err))
-	case errors.Is(context.Cause(ctx), errPreempted):
-		refusal = gypsum.Unknown(gypsum.ReasonPreempted, http.StatusServiceUnavailable, time.Second, errPreempted.Error())
-	case errors.Is(context.Cause(ctx), errAborted):
-		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, errAborted.Error())
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		refusal = gypsum.Unknown(gypsum.ReasonTimeout, http.StatusGatewayTimeout, time.Second, "the deadline passed while the call ran")
-	case ctx.Err() != nil:
-		refusal = gypsum.Unknown(gypsum.ReasonCancelled, http.StatusGatewayTimeout, 0, "the caller gave up while the call ran")
-	default:
-		refusal = gypsum.Unknown(gypsum.ReasonBackendFailed, http.StatusBadGateway, time.Second, fmt.Sprintf("the backend server failed: %v", err))
-		q.blame(ctx, call, refusal, begin)
-	}
-	refusal.Backend = q.Backend
-	return refusal
-}
-
-// blame counts a crash against a call that ran when its backend server died.
-// The refusal does not wait for it beyond the call's deadline.
-func (q *Queue) blame(ctx context.Context, call *gypsum.Call, refusal *gypsum.Refusal, begin time.Time) {
-	blamed := make(chan []gypsum.Crash, 1)
-	q.Background(func() { blamed <- q.countCrash(context.WithoutCancel(ctx), call, begin) })
-	select {
-	case refusal.Crashes = <-blamed:
-	case <-ctx.Done():
-	}
-}
-
-// countCrash returns the counts of a call's crashes if its backend server died.
-// Calls that were never near a crash go free if a suspect ran beside them.
-func (q *Queue) countCrash(ctx context.Context, call *gypsum.Call, begin time.Time) []gypsum.Crash {
-	ctx, cancel := context.WithTimeout(ctx, gypsum.LoadTimeout)
-	defer cancel()
-	if !q.Executor.Crashed(ctx, begin) {
-		return nil
-	}
-	q.mu.Lock()
-	shadowed := len(q.suspect) > 0 || time.Since(q.suspectEnd) < crashShadow
-	q.mu.Unlock()
-	if len(call.Crashes) == 0 && shadowed {
-		return nil
-	}
-	return q.OnCrash(call.Fingerprint)
-}
