Tests of the queue's policies and of the command line's exit codes

Change: focused tests in virtual time; failures of parsing are told from failures of commands. Measured: go test ./queue ./cmd/gypsumhook pass.

--- a/cmd/gypsumhook/main.go
+++ b/cmd/gypsumhook/main.go
@@ -42,13 +42,11 @@
 
 // exitCode returns the exit code of an error.
 func exitCode(err error) int {
-	var coder cli.ExitCoder
+	var acted *actionError
 	switch {
-	case errors.As(err, &coder):
-		return coder.ExitCode()
 	case errors.Is(err, setup.ErrSettings):
 		return exitSettings
-	case errors.Is(err, errUsage):
+	case errors.Is(err, errUsage), !errors.As(err, &acted) && connect.CodeOf(err) == connect.CodeUnknown:
 		return exitUsage
 	}
 	switch connect.CodeOf(err) {
@@ -65,8 +63,41 @@
 // errUsage is a wrong use of the command line.
 var errUsage = errors.New("wrong usage")
 
+// actionError is the failure of a command whose line was understood.
+type actionError struct {
+	cause error
+}
+
+// Error says what failed.
+func (e *actionError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *actionError) Unwrap() error { return e.cause }
+
+// markActions makes the failures of actions tell from those of parsing.
+func markActions(command *cli.Command) {
+	if action := command.Action; action != nil {
+		command.Action = func(ctx context.Context, command *cli.Command) error {
+			if err := action(ctx, command); err != nil {
+				return &actionError{cause: err}
+			}
+			return nil
+		}
+	}
+	for _, sub := range command.Commands {
+		markActions(sub)
+	}
+}
+
 // newCommand returns the command line.
 func newCommand() *cli.Command {
+	command := commandLine()
+	markActions(command)
+	return command
+}
+
+// commandLine returns the command line's parts.
+func commandLine() *cli.Command {
 	return &cli.Command{
 		Name:            "gypsumhook",
 		Usage:           "rollout service for reinforcement learning",
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,229 @@
+package queue_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/queue"
+)
+
+// slow is an executor whose calls take a time, 1 ms for each token asked for.
+type slow struct {
+	mu    sync.Mutex
+	order []string
+}
+
+// Execute is part of queue.Executor.
+func (s *slow) Execute(ctx context.Context, call *gypsum.Call, sink gypsum.Sink) error {
+	s.mu.Lock()
+	s.order = append(s.order, call.Tenant)
+	s.mu.Unlock()
+	generation := call.Generation
+	for index := generation.ResumeTokens; index < generation.MaxTokens; index++ {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := sink(&gypsum.Event{Chunk: &gypsum.Chunk{Index: index, Tokens: 1}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Crashed is part of queue.Executor.
+func (s *slow) Crashed(context.Context, time.Time) bool { return false }
+
+// started returns the tenants of the calls in the order of their starts.
+func (s *slow) started() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string{}, s.order...)
+}
+
+// newQueue returns a queue before an executor.
+func newQueue(slots, limit int) (*queue.Queue, *slow) {
+	executor := &slow{}
+	q := &queue.Queue{
+		Backend: "engine", Line: queue.NewPriority(), Admission: queue.NewDeadline(), Executor: executor, MaxQueue: limit,
+		Logger:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Background: func(task func()) { go task() },
+		OnCrash:    func(gypsum.Fingerprint) []gypsum.Crash { return nil },
+	}
+	q.SetSlots(slots)
+	return q, executor
+}
+
+// call returns a call that may not be sent back for a wait.
+func call(class gypsum.Class, tenant string, tokens int, budget time.Duration) *gypsum.Call {
+	return &gypsum.Call{
+		ID: gypsum.RequestID(tenant), Class: class, Tenant: tenant, Budget: budget, Bounces: gypsum.MaxBounces,
+		Generation: &gypsum.Generation{MaxTokens: tokens}, Recovery: gypsum.RecoveryResume,
+	}
+}
+
+// run runs a call and returns its refusal, nil if it was answered.
+func run(t *testing.T, q *queue.Queue, c *gypsum.Call) *gypsum.Refusal {
+	t.Helper()
+	err := q.Run(t.Context(), c, func(*gypsum.Event) error { return nil })
+	if err == nil {
+		return nil
+	}
+	return gypsum.AsRefusal(err)
+}
+
+// TestShares checks that trainers' plans get slots by their weights.
+func TestShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, executor := newQueue(1, 1000)
+		is.True(run(t, q, call(gypsum.ClassTrainer, "warm", 10, time.Hour)) == nil)
+		var calls sync.WaitGroup
+		calls.Go(func() { run(t, q, call(gypsum.ClassTrainer, "first", 10, time.Hour)) })
+		synctest.Wait()
+		for range 40 {
+			for tenant, weight := range map[string]int{"one": 1, "three": 3} {
+				c := call(gypsum.ClassTrainer, tenant, 10, time.Hour)
+				c.Weight = weight
+				calls.Go(func() { run(t, q, c) })
+			}
+		}
+		calls.Wait()
+		counts := map[string]int{}
+		for _, tenant := range executor.started()[2:42] {
+			counts[tenant]++
+		}
+		is.True(counts["three"] >= 28 && counts["three"] <= 32) // three of four
+	})
+}
+
+// TestLiveFirst checks that live calls go before trainers' and the nearest
+// deadline goes first.
+func TestLiveFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, executor := newQueue(1, 1000)
+		is.True(run(t, q, call(gypsum.ClassLive, "warm", 10, time.Minute)) == nil)
+		var calls sync.WaitGroup
+		start := func(c *gypsum.Call) {
+			calls.Go(func() { run(t, q, c) })
+			synctest.Wait()
+		}
+		start(call(gypsum.ClassLive, "first", 10, time.Minute))
+		start(call(gypsum.ClassTrainer, "trainer", 10, time.Minute))
+		start(call(gypsum.ClassLive, "late", 10, 50*time.Second))
+		start(call(gypsum.ClassLive, "near", 10, 20*time.Second))
+		calls.Wait()
+		is.Equal(executor.started(), []string{"warm", "first", "near", "late", "trainer"})
+	})
+}
+
+// TestRefusedAtArrival checks that a call whose deadline cannot be met is
+// refused at once, as not run and with a time to come back.
+func TestRefusedAtArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, _ := newQueue(1, 1000)
+		for range 20 {
+			is.True(run(t, q, call(gypsum.ClassLive, "warm", 100, time.Second)) == nil)
+		}
+		var calls sync.WaitGroup
+		for n := range 5 {
+			calls.Go(func() { run(t, q, call(gypsum.ClassLive, fmt.Sprint(n), 100, 10*time.Second)) })
+		}
+		synctest.Wait()
+		begin := time.Now()
+		refusal := run(t, q, call(gypsum.ClassLive, "hurried", 100, 150*time.Millisecond))
+		is.True(refusal != nil)
+		is.Equal(refusal.Outcome, gypsum.OutcomeNotRun)
+		is.Equal(refusal.Reason, gypsum.ReasonOverloaded)
+		is.True(refusal.RetryAfter > 0)
+		is.Equal(time.Since(begin), time.Duration(0)) // at once
+		calls.Wait()
+	})
+}
+
+// TestTenantBound checks that one caller cannot fill the line.
+func TestTenantBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, _ := newQueue(1, 20)
+		is.True(run(t, q, call(gypsum.ClassLive, "warm", 10, time.Minute)) == nil)
+		var calls sync.WaitGroup
+		for range 30 {
+			calls.Go(func() { run(t, q, call(gypsum.ClassLive, "greedy", 10, time.Minute)) })
+		}
+		synctest.Wait()
+		is.True(run(t, q, call(gypsum.ClassLive, "greedy", 10, time.Minute)) != nil)
+		is.True(run(t, q, call(gypsum.ClassLive, "modest", 10, time.Minute)) == nil)
+		calls.Wait()
+	})
+}
+
+// TestPreempt checks that a live call takes the slot of a trainer's long call,
+// which is told so.
+func TestPreempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, _ := newQueue(1, 20)
+		is.True(run(t, q, call(gypsum.ClassTrainer, "warm", 10000, time.Hour)) == nil)
+		preempted := make(chan *gypsum.Refusal, 1)
+		go func() { preempted <- run(t, q, call(gypsum.ClassTrainer, "trainer", 10000, time.Hour)) }()
+		synctest.Wait()
+		begin := time.Now()
+		is.True(run(t, q, call(gypsum.ClassLive, "live", 10, time.Second)) == nil)
+		is.True(time.Since(begin) < 20*time.Millisecond)
+		is.Equal((<-preempted).Reason, gypsum.ReasonPreempted)
+	})
+}
+
+// TestClosed checks that a closed queue sends waiting calls elsewhere and lets
+// running ones end.
+func TestClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, _ := newQueue(1, 20)
+		results := make(chan *gypsum.Refusal, 2)
+		for _, tenant := range []string{"runs", "waits"} {
+			go func() { results <- run(t, q, call(gypsum.ClassLive, tenant, 100, time.Minute)) }()
+			synctest.Wait()
+		}
+		q.Close(gypsum.ReasonNoBackend)
+		moved := <-results
+		is.True(moved.Misrouted && moved.Outcome == gypsum.OutcomeNotRun)
+		is.True(<-results == nil)
+	})
+}
+
+// TestCancelled checks that a caller that gives up while it waits is not run.
+func TestCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, executor := newQueue(1, 20)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			run(t, q, call(gypsum.ClassLive, "runs", 100, time.Minute))
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		err := q.Run(ctx, call(gypsum.ClassLive, "gives up", 10, time.Minute), func(*gypsum.Event) error { return nil })
+		var refusal *gypsum.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Outcome, gypsum.OutcomeNotRun)
+		<-done
+		is.Equal(executor.started(), []string{"runs"})
+	})
+}
