--- a/member/table.go
+++ b/member/table.go
@@ -67,6 +67,44 @@
 	}
 }
 
+// Beat takes over a member's own word on itself, without its loads, and so saves
+// to ask it for its beat.
+func (t *Table) Beat(member gypsum.Member, now time.Time) {
+	if member.ID == t.Self.ID || member.Location.DataCentre != t.Self.Location.DataCentre {
+		return
+	}
+	known, ok := t.entries[member.ID]
+	if ok && !newer(member.Incarnation, member.Beat, &known.member) {
+		return
+	}
+	if ok && member.Incarnation == known.member.Incarnation {
+		member.Backends, member.LoadBeat = known.member.Backends, known.member.LoadBeat
+	} else {
+		member.Backends, member.LoadBeat = nil, noLoads
+	}
+	if !ok {
+		known = &entry{}
+		t.entries[member.ID] = known
+	}
+	known.take(member, now)
+}
+
+// noLoads is the LoadBeat of a member whose loads are not known.
+const noLoads = -1
+
+// take takes over newer news of a member.
+func (e *entry) take(member gypsum.Member, heard time.Time) {
+	e.member, e.heard, e.seen = member, heard, true
+	if e.failed && member.Beat > e.failedBeat+1 {
+		e.failed = false
+	}
+}
+
+// newerLoads tells whether news of the same beat brings newer loads.
+func newerLoads(member, known *gypsum.Member) bool {
+	return member.Incarnation == known.Incarnation && member.Beat == known.Beat && member.LoadBeat > known.LoadBeat
+}
+
 // newer tells whether news with an incarnation and beat replaces a member's.
 func newer(incarnation gypsum.Incarnation, beat int64, known *gypsum.Member) bool {
 	if incarnation != known.Incarnation {
@@ -82,7 +120,7 @@
 			continue
 		}
 		known, ok := t.entries[member.ID]
-		if ok && !newer(member.Incarnation, member.Beat, &known.member) {
+		if ok && !newer(member.Incarnation, member.Beat, &known.member) && !newerLoads(&member, &known.member) {
 			continue
 		}
 		if member.Age > t.GoneAfter {
@@ -96,10 +134,7 @@
 		if ok && member.LoadBeat == known.member.LoadBeat && member.Incarnation == known.member.Incarnation {
 			member.Backends = known.member.Backends
 		}
-		known.member, known.heard, known.seen = member, now.Add(-member.Age), true
-		if known.failed && member.Beat > known.failedBeat+1 {
-			known.failed = false
-		}
+		known.take(member, now.Add(-member.Age))
 		taken = append(taken, member)
 	}
 	return taken
@@ -182,7 +217,7 @@
 	var news []gypsum.Member
 	add := func(member gypsum.Member) {
 		known, ok := has[member.ID]
-		if !ok || newer(member.Incarnation, member.Beat, &known) {
+		if !ok || newer(member.Incarnation, member.Beat, &known) || newerLoads(&member, &known) {
 			if ok && member.LoadBeat == known.LoadBeat && member.Incarnation == known.Incarnation {
 				member.Backends = nil
 			}
--- a/node/control.go
+++ b/node/control.go
@@ -35,20 +35,23 @@
 	lastBeat   time.Time
 	lastGossip time.Time
 	lastFar    time.Time
-	lastList   time.Time
-	listing    bool
-	listRead   bool
-	begun      time.Time
-	dirty      bool
+	// Asked counts the members of the own data centre that were asked for news.
+	asked    int
+	lastList time.Time
+	listing  bool
+	listRead bool
+	begun    time.Time
+	dirty    bool
 }
 
-// farRounds is how many intervals pass between two exchanges with another data
-// centre: its summary changes less than its members' news.
-const farRounds = 3
+// summaryRounds is how many intervals pass between two exchanges with another data
+// centre, and one in how many exchanges within a data centre the summaries of
+// the others are part of.
+const summaryRounds = 2
 
 // centreSilence is how many times longer than a member a data centre may be
 // silent: its news takes several hops.
-const centreSilence = 2
+const centreSilence = 3
 
 // failed notes that a call to a member failed.
 func (c *control) failed(id gypsum.HostID) {
@@ -114,7 +117,7 @@
 		c.lastBeat = now
 		c.beat(now)
 	}
-	if now.Sub(c.lastFar) >= farRounds*c.node.Tuning.GossipInterval {
+	if now.Sub(c.lastFar) >= summaryRounds*c.node.Tuning.GossipInterval {
 		c.lastFar = now
 		c.spreadFar(ctx)
 	}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -139,11 +139,15 @@
 // gossipFor returns the request for news to a member.
 func (c *control) gossipFor(target *gypsum.Member) *gypsum.Gossip {
 	gossip := &gypsum.Gossip{
-		From: c.table.Self, Summaries: c.summaries.Digests(),
-		Revision: c.node.book.Revision(), Crashes: c.node.crashes.list(time.Now()),
+		From: c.table.Self, Revision: c.node.book.Revision(), Crashes: c.node.crashes.list(time.Now()),
 	}
 	if target.Location.DataCentre == c.table.Self.Location.DataCentre {
 		gossip.Digests = c.table.Digests()
+		c.asked++
+		gossip.MembersOnly = c.asked%summaryRounds != 0
+	}
+	if !gossip.MembersOnly {
+		gossip.Summaries = c.summaries.Digests()
 	}
 	// The other side asks for these itself if it lacks them.
 	gossip.From.Backends = nil
@@ -196,7 +200,11 @@
 	answers := make(chan *gypsum.GossipAnswer, 1)
 	n.post(func(c *control) {
 		near := gossip.From.Location.DataCentre == c.table.Self.Location.DataCentre
-		answer := &gypsum.GossipAnswer{Revision: n.book.Revision(), Summaries: c.summaries.News(gossip.Summaries, time.Now())}
+		answer := &gypsum.GossipAnswer{Revision: n.book.Revision()}
+		if !gossip.MembersOnly {
+			answer.Summaries = c.summaries.News(gossip.Summaries, time.Now())
+		}
+		c.table.Beat(gossip.From, time.Now())
 		if near || gossip.All {
 			answer.Members = c.table.News(gossip.Digests, time.Now())
 		}
--- a/peers.go
+++ b/peers.go
@@ -120,6 +120,8 @@
 	Crashes   []Crash         `json:"crashes,omitempty" cbor:"5,keyasint,omitempty"`
 	// All asks for the members of another data centre too.
 	All bool `json:"all,omitempty" cbor:"6,keyasint,omitempty"`
+	// MembersOnly asks for no summaries.
+	MembersOnly bool `json:"members_only,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // GossipAnswer is the news that the sender of a gossip lacked.
--- a/queue/meter.go
+++ b/queue/meter.go
@@ -21,7 +21,7 @@
 const firstDeviationParts = 6
 
 // deviations is how many mean deviations the margin of an expected time holds.
-const deviations = 10
+const deviations = 12
 
 // meter learns how long calls hold a slot.
 type meter struct {
--- a/route/centre.go
+++ b/route/centre.go
@@ -13,7 +13,7 @@
 // older, and a call refused there has lost a round trip.
 const (
 	fullLoad      = 1.0
-	crossFullLoad = 0.7
+	crossFullLoad = 0.35
 )
 
 // Centre is a data centre that serves a service.
