--- a/bench/run.go
+++ b/bench/run.go
@@ -83,9 +83,8 @@
 	if err := r.configure(ctx); err != nil {
 		return nil, fmt.Errorf("configure: %w", err)
 	}
-	begin := time.Now()
 	r.drive(ctx)
-	return r.result(policy, time.Since(begin)), nil
+	return r.result(policy), nil
 }
 
 // configure sets the plans of the scenario.
@@ -201,7 +200,7 @@
 }
 
 // result sums up what was seen.
-func (r *run) result(policy *Policy, took time.Duration) *Result {
+func (r *run) result(policy *Policy) *Result {
 	result := &Result{
 		Scenario: r.scenario.Name, Policy: policy.Name, IdleBound: r.scenario.idleBound(), Capacity: r.scenario.capacity(),
 		Staleness: r.record.Stale(),
@@ -233,7 +232,6 @@
 		running := r.fleet.Node(id)
 		result.LinkBytes += int64(running.LinkBytes(gypsum.ClassLive) + running.LinkBytes(gypsum.ClassTrainer))
 	}
-	_ = took
 	return result
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -96,7 +96,7 @@
 			c.tick(ctx, time.Now())
 		}
 		if c.dirty && len(c.node.events) == 0 {
-			c.publish(ctx, time.Now())
+			c.publish(time.Now())
 		}
 	}
 }
@@ -179,7 +179,7 @@
 }
 
 // publish makes a new view and lets the daemon's parts follow it.
-func (c *control) publish(ctx context.Context, now time.Time) {
+func (c *control) publish(now time.Time) {
 	c.dirty = false
 	view := c.makeView(now)
 	c.node.view.Store(view)
@@ -187,7 +187,6 @@
 	c.node.plans.follow(view)
 	c.node.shards.follow(view)
 	c.node.keepers.follow(view)
-	_ = ctx
 }
 
 // makeView returns the present view.
--- a/procs/bench_test.go
+++ b/procs/bench_test.go
@@ -29,15 +29,15 @@
 	for name, url := range map[string]string{
 		"direct": direct + "/orders", "daemon": "http://" + w.daemons["chioggia-1"].callers + "/services/" + string(check.PlainService) + "/orders",
 	} {
-		b.Run(name, func(b *testing.B) { load1(b, w.http, url) })
+		b.Run(name, func(b *testing.B) { measure(b, w.http, url) })
 	}
 }
 
 // callers is the number of callers of the benchmark.
 const callers = 32
 
-// load1 sends requests from a few callers and reports latencies and rate.
-func load1(b *testing.B, client *http.Client, url string) {
+// measure sends requests from a few callers and reports latencies and rate.
+func measure(b *testing.B, client *http.Client, url string) {
 	var mu sync.Mutex
 	var took []time.Duration
 	begin := time.Now()
