--- /dev/null
+++ b/cmd/gypsumhook/service.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/gypsumhook/gypsum/admin/operatorv1"
+)
+
+// serviceCommands returns the commands on services.
+func serviceCommands() []*cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "kind", Value: "model", Usage: "model or plain"},
+		&cli.StringFlag{Name: "model", Usage: "name of the model in the weight store"},
+		&cli.DurationFlag{Name: "default-timeout", Value: 10 * time.Second, Usage: "deadline of calls that state none"},
+		&cli.Int32Flag{Name: "max-queue", Value: 256, Usage: "calls that may wait for one backend server"},
+		&cli.Int32Flag{Name: "max-away", Usage: "replicas that may change weights at once, 0 for a quarter"},
+		&cli.Int32Flag{Name: "crash-limit", Value: 3, Usage: "backend servers that a request may crash"},
+		&cli.BoolFlag{Name: "follow-weights", Usage: "load each new version of the model"},
+		&cli.BoolFlag{Name: "fenced", Usage: "engines refuse an order with an old fencing number"},
+	}
+	return []*cli.Command{
+		{Name: "create", ArgsUsage: "NAME", Flags: flags, Action: putService(true)},
+		{Name: "change", ArgsUsage: "NAME", Flags: flags, Action: putService(false)},
+		{Name: "delete", ArgsUsage: "NAME", Action: deleteService},
+		{Name: "list", Action: listServices},
+		{Name: "show", ArgsUsage: "NAME", Action: listServices},
+	}
+}
+
+// findService returns the service in force.
+func findService(ctx context.Context, command *cli.Command, name string) (*operatorv1.Service, error) {
+	response, err := connectTo(command).ListServices(ctx, connect.NewRequest(&operatorv1.ListRequest{}))
+	if err != nil {
+		return nil, fmt.Errorf("list services: %w", err)
+	}
+	for _, service := range response.Msg.GetServices() {
+		if service.GetName() == name {
+			return service, nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("there is no service %q", name))
+}
+
+// putService returns the action that creates or changes a service.
+func putService(create bool) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		named, err := name(command)
+		if err != nil {
+			return err
+		}
+		service := &operatorv1.Service{Name: named}
+		if !create {
+			if service, err = findService(ctx, command, named); err != nil {
+				return err
+			}
+		}
+		set := func(flag string) bool { return create || command.IsSet(flag) }
+		assign(set("kind"), command.String("kind"), &service.Kind)
+		assign(set("model"), command.String("model"), &service.Model)
+		assign(set("max-queue"), command.Int32("max-queue"), &service.MaxQueue)
+		assign(set("max-away"), command.Int32("max-away"), &service.MaxAway)
+		assign(set("crash-limit"), command.Int32("crash-limit"), &service.CrashLimit)
+		assign(set("follow-weights"), command.Bool("follow-weights"), &service.FollowWeights)
+		assign(set("fenced"), command.Bool("fenced"), &service.Fenced)
+		assign(set("default-timeout"), durationpb.New(command.Duration("default-timeout")), &service.DefaultTimeout)
+		request := &operatorv1.PutServiceRequest{Change: changeOf(command, service.GetRevision()), Service: service}
+		response, err := connectTo(command).PutService(ctx, connect.NewRequest(request))
+		return accepted(command, response, err)
+	}
+}
+
+// deleteService deletes a service.
+func deleteService(ctx context.Context, command *cli.Command) error {
+	named, err := name(command)
+	if err != nil {
+		return err
+	}
+	service, err := findService(ctx, command, named)
+	if err != nil {
+		return err
+	}
+	request := &operatorv1.DeleteRequest{Change: changeOf(command, service.GetRevision()), Name: named}
+	response, err := connectTo(command).DeleteService(ctx, connect.NewRequest(request))
+	return accepted(command, response, err)
+}
+
+// listServices prints all services, or the one named.
+func listServices(ctx context.Context, command *cli.Command) error {
+	response, err := connectTo(command).ListServices(ctx, connect.NewRequest(&operatorv1.ListRequest{}))
+	if err != nil {
+		return fmt.Errorf("list services: %w", err)
+	}
+	if command.Name == "show" {
+		named, err := name(command)
+		if err != nil {
+			return err
+		}
+		service, err := findService(ctx, command, named)
+		if err != nil {
+			return err
+		}
+		response.Msg.Services = []*operatorv1.Service{service}
+	}
+	var rows [][]string
+	for _, s := range response.Msg.GetServices() {
+		rows = append(rows, []string{
+			s.GetName(), s.GetKind(), s.GetModel(), s.GetDefaultTimeout().AsDuration().String(), fmt.Sprint(s.GetMaxQueue()),
+			fmt.Sprint(s.GetCrashLimit()), fmt.Sprint(s.GetFollowWeights()), fmt.Sprint(s.GetRevision()),
+		})
+	}
+	return show(command, response.Msg, []string{"NAME", "KIND", "MODEL", "TIMEOUT", "QUEUE", "CRASHES", "FOLLOWS", "REVISION"}, rows)
+}
