--- a/hosts.go
+++ b/hosts.go
@@ -38,8 +38,3 @@
 	Engine(host Host) Engine
 	Plain(host Host) Plain
 }
-
-// Scorer is a service that scores samples.
-type Scorer interface {
-	Score(ctx context.Context, sample *Sample) (float64, error)
-}
