--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -444,3 +444,57 @@
 		is.Equal(len(answer.Samples), 0)
 	})
 }
+
+// TestRestartInAnotherDataCentre checks that an answer that is run again in
+// another data centre keeps nothing of the attempt before, although the engines
+// there have different weights.
+func TestRestartInAnotherDataCentre(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, caller *check.Caller) {
+		for id, engine := range f.Engines {
+			if id != "chioggia-engine-1" && id != "chioggia-engine-2" {
+				engine.SetLeaving(true)
+			}
+		}
+		f.Engines["chioggia-engine-1"].SetAnswer(fake.AnswerCut)
+		f.Engines["chioggia-engine-2"].SetVersion(2)
+		time.Sleep(3 * time.Second)
+		answered := 0
+		for turn := range 12 {
+			result := caller.Complete(t.Context(), first, fmt.Sprintf("prompt %d", turn), gypsum.RecoveryRestart)
+			if result.Answer != "" {
+				answered++
+			}
+			time.Sleep(time.Second)
+		}
+		is.True(answered >= 6)
+		is.Equal(f.Node(first).Stats.Retries.Load(), int64(0)) // the restart is made there, once
+	})
+}
+
+// TestSilentHost freezes the host that has handed orders to a plain service,
+// while they run, and checks that nobody runs them again elsewhere.
+func TestSilentHost(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, caller *check.Caller) {
+		caller.Timeout = 10 * time.Second
+		f.Plains["genova-plain-1"].SetLeaving(true)
+		for _, plain := range f.Plains {
+			plain.Time = 5 * time.Second
+		}
+		time.Sleep(3 * time.Second)
+		var calls sync.WaitGroup
+		for range 12 {
+			calls.Go(func() { caller.Order(t.Context(), first, check.NewKey(), "crew") })
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.True(len(f.Ledger.Runs()) > 0) // some run already
+		f.Network.Freeze(third)
+		time.Sleep(6 * time.Second)
+		f.Network.Thaw(third)
+		calls.Wait()
+		for key, runs := range f.Ledger.Runs() {
+			if runs > 1 {
+				t.Errorf("order %s ran %d times", key, runs)
+			}
+		}
+	})
+}
