One list call for show, one pause for the checks, counters without readers gone

Cause: reading the whole change again: `service show` and `plan show` listed all objects twice, each kind had its own look-up by name, check, fleet and bench each had the same pause, and two counters of gossip were never read. Change: pick looks up by name in a list that is already there; check.Pause serves all three; the counters are gone. Behaviour is the same. Ruled out: one putter for services and plans (their flags and messages differ; a generic one would be longer than the two).

--- a/bench/run.go
+++ b/bench/run.go
@@ -175,30 +175,22 @@
 // strike lets the scenario's fault last for the middle third of the time.
 func (r *run) strike(ctx context.Context) {
 	third := r.scenario.Time / 3
-	sleep(ctx, third)
+	check.Pause(ctx, third)
 	centres := r.scenario.Layout.Centres
 	near, far := centres[0].Location, centres[len(centres)-1].Location
 	engine := r.fleet.Engines[string(near.DataCentre)+"-engine-1"]
 	switch r.scenario.Fault {
 	case "replica_lost":
 		engine.Crash()
-		sleep(ctx, third)
+		check.Pause(ctx, third)
 		engine.Restart()
 	case "region_cut":
 		r.fleet.Network.CutRegions(near.Region, far.Region, true)
-		sleep(ctx, third)
+		check.Pause(ctx, third)
 		r.fleet.Network.CutRegions(near.Region, far.Region, false)
 	}
 }
 
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // result sums up what was seen.
 func (r *run) result(policy *Policy) *Result {
 	result := &Result{
--- a/check/trainer.go
+++ b/check/trainer.go
@@ -54,7 +54,7 @@
 		if t.OnStep != nil {
 			t.OnStep(step, t.version, samples, wait)
 		}
-		pause(ctx, t.TrainTime)
+		Pause(ctx, t.TrainTime)
 		t.version++
 		t.Publish(ctx, t.version)
 	}
@@ -73,7 +73,7 @@
 		}
 		answer, err := t.pullOnce(ctx, pull)
 		if err != nil {
-			pause(ctx, pullAgain)
+			Pause(ctx, pullAgain)
 			continue
 		}
 		if answer.Session != t.session || answer.Number != t.number {
@@ -123,8 +123,8 @@
 	t.Record.stale += max(0, behind)
 }
 
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, wait time.Duration) {
+// Pause waits for a time or until ctx ends.
+func Pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/cmd/gypsumhook/operator.go
+++ b/cmd/gypsumhook/operator.go
@@ -180,3 +180,14 @@
 	response, err := connectTo(command).Resume(ctx, connect.NewRequest(request))
 	return accepted(command, response, err)
 }
+
+// pick returns the object of a name from a list of its kind.
+func pick[T interface{ GetName() string }](objects []T, kind, name string) (T, error) {
+	for _, object := range objects {
+		if object.GetName() == name {
+			return object, nil
+		}
+	}
+	var none T
+	return none, connect.NewError(connect.CodeNotFound, fmt.Errorf("there is no %s %q", kind, name))
+}
--- a/cmd/gypsumhook/plan.go
+++ b/cmd/gypsumhook/plan.go
@@ -43,12 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("list plans: %w", err)
 	}
-	for _, plan := range response.Msg.GetPlans() {
-		if plan.GetName() == name {
-			return plan, nil
-		}
-	}
-	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("there is no plan %q", name))
+	return pick(response.Msg.GetPlans(), "plan", name)
 }
 
 // putPlan returns the action that creates or changes a plan.
@@ -109,7 +104,7 @@
 		if err != nil {
 			return err
 		}
-		plan, err := findPlan(ctx, command, named)
+		plan, err := pick(response.Msg.GetPlans(), "plan", named)
 		if err != nil {
 			return err
 		}
--- a/cmd/gypsumhook/service.go
+++ b/cmd/gypsumhook/service.go
@@ -39,12 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("list services: %w", err)
 	}
-	for _, service := range response.Msg.GetServices() {
-		if service.GetName() == name {
-			return service, nil
-		}
-	}
-	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("there is no service %q", name))
+	return pick(response.Msg.GetServices(), "service", name)
 }
 
 // putService returns the action that creates or changes a service.
@@ -101,7 +96,7 @@
 		if err != nil {
 			return err
 		}
-		service, err := findService(ctx, command, named)
+		service, err := pick(response.Msg.GetServices(), "service", named)
 		if err != nil {
 			return err
 		}
--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -89,11 +89,3 @@
 func (f *Fleet) NewCaller(record *check.Record, timeout time.Duration) *check.Caller {
 	return &check.Caller{Dial: f.Dial, Record: record, Timeout: timeout}
 }
-
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/fleet/scene.go
+++ b/fleet/scene.go
@@ -111,9 +111,9 @@
 			if result.Answer != "" {
 				break
 			}
-			pause(ctx, 2*callGap)
+			check.Pause(ctx, 2*callGap)
 		}
-		pause(ctx, callGap)
+		check.Pause(ctx, callGap)
 	}
 }
 
@@ -125,14 +125,14 @@
 			prompt := fmt.Sprintf("caller %d call %d", number, call)
 			s.Caller.Complete(context.WithoutCancel(ctx), via, prompt, recoveries[call%len(recoveries)])
 		}
-		pause(ctx, callGap)
+		check.Pause(ctx, callGap)
 	}
 }
 
 // operate makes a change every few seconds.
 func (s *Scene) operate(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		pause(ctx, changeGap)
+		check.Pause(ctx, changeGap)
 		if via, ok := s.via(turn); ok {
 			s.change(ctx, via, turn, "operator")
 		}
@@ -227,7 +227,7 @@
 	seen := make(map[gypsum.HostID]gypsum.Revision)
 	known := make(map[gypsum.HostID]time.Time)
 	for ctx.Err() == nil {
-		pause(ctx, watchGap)
+		check.Pause(ctx, watchGap)
 		for _, id := range s.Fleet.Live() {
 			running := s.Fleet.Node(id)
 			if running == nil || running.View().Config == nil {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -16,12 +16,10 @@
 // centresPerRound bounds the data centres that a delegate asks in one round.
 const centresPerRound = 3
 
-// gossipCounts counts the exchanges of a daemon.
+// gossipCounts counts the bytes of a daemon's exchanges.
 type gossipCounts struct {
-	rounds atomic.Int64
-	failed atomic.Int64
-	in     atomic.Int64
-	out    atomic.Int64
+	in  atomic.Int64
+	out atomic.Int64
 }
 
 // ControlBytes returns the bytes of control messages received and sent.
@@ -158,7 +156,6 @@
 func (n *Node) ask(ctx context.Context, target gypsum.Member, gossip *gypsum.Gossip) {
 	ctx, cancel := context.WithTimeout(ctx, n.Tuning.SuspectAfter)
 	defer cancel()
-	n.gossip.rounds.Add(1)
 	count(&n.gossip.out, gossip)
 	begin := time.Now()
 	answer, err := n.Peers.Gossip(ctx, target, gossip)
@@ -167,7 +164,6 @@
 		count(&n.gossip.in, answer)
 	}
 	if err != nil {
-		n.gossip.failed.Add(1)
 		return
 	}
 	n.takeConfig(answer.Config)
