--- /dev/null
+++ b/batch/desk.go
@@ -0,0 +1,448 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// Topics are the topics that batches use.
+type Topics struct {
+	State  gypsum.Topic
+	Bodies gypsum.Topic
+	Texts  gypsum.Topic
+}
+
+// Errors of batches.
+var (
+	// ErrNoBatch is an id of which all records of the store hold no batch.
+	ErrNoBatch = errors.New("no such batch")
+	// ErrNoItem is an item that has no body to return.
+	ErrNoItem = errors.New("no such item")
+)
+
+// Sizes of what a desk keeps and returns.
+const (
+	// maxAnswer bounds the texts of one answer, below the pages' 1 MB with room for
+	// the encoding.
+	maxAnswer = 700 << 10
+	// textsKept and textSizeKept bound the texts kept for readers: some seconds of
+	// a site's results.
+	textsKept    = 512
+	textSizeKept = 32 << 10
+	// bodiesKept is how many batches' items are kept until they begin to run.
+	bodiesKept = 16
+	// fetchSlack is read beyond a value's size, for the records' keys.
+	fetchSlack = 4 << 10
+)
+
+// Desk accepts, reads and ends batches. Set the exported fields before use.
+type Desk struct {
+	Host   gypsum.HostID
+	Boot   gypsum.Incarnation
+	Book   *Book
+	Follow *store.Follower
+	Store  gypsum.KeyedStore
+	Topics Topics
+	Parts  int
+	// RecordSize bounds one record.
+	RecordSize gypsum.Bytes
+	// State writes the state topic, Write returns the writer of another partition.
+	State  *store.Writer
+	Write  func(gypsum.Topic, gypsum.Partition) *store.Writer
+	Logger *slog.Logger
+
+	serial atomic.Int64
+	texts  *lru.Cache[string, string]
+	bodies *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
+}
+
+// Start prepares the desk for use.
+func (d *Desk) Start() error {
+	var err error
+	if d.texts, err = lru.New[string, string](textsKept); err != nil {
+		return fmt.Errorf("make cache of texts: %w", err)
+	}
+	if d.bodies, err = lru.New[gypsum.BatchID, []gypsum.BatchItem](bodiesKept); err != nil {
+		return fmt.Errorf("make cache of items: %w", err)
+	}
+	return nil
+}
+
+// unique returns a key part that no other record has.
+func (d *Desk) unique() string {
+	return string(d.Host) + "." + strconv.FormatInt(int64(d.Boot), 36) + "." + strconv.FormatInt(d.serial.Add(1), 36)
+}
+
+// part returns the partition of a batch's bodies and texts.
+func (d *Desk) part(id gypsum.BatchID) gypsum.Partition {
+	return gypsum.Partition(gypsum.Hash64(string(id)) % uint64(d.Parts))
+}
+
+// Accept stores a batch. It returns nil once the batch is known to be in the store,
+// gypsum.ErrStoreRefused if no part of it is and none will be, and
+// gypsum.ErrStoreUnknown otherwise.
+func (d *Desk) Accept(ctx context.Context, batch *gypsum.Batch) error {
+	if d.Book.Knows(batch.ID) {
+		return nil
+	}
+	bodies, err := d.storeItems(ctx, batch)
+	if err != nil {
+		// Items without a header are no batch: nothing of it will run.
+		return fmt.Errorf("store items: %w: %w", gypsum.ErrStoreRefused, err)
+	}
+	header := Header{
+		ID: batch.ID, Route: batch.Route, HostName: batch.HostName, Service: batch.Service, Model: batch.Model,
+		MinVersion: batch.MinVersion, Total: len(batch.Items), Single: batch.Single, MaxAttempts: batch.MaxAttempts,
+		Submitted: batch.Submitted.UnixMilli(), Due: batch.Due.UnixMilli(), GiveUp: batch.GiveUp.UnixMilli(),
+		Bodies: bodies, Origin: d.Host, Step: batch.Step,
+	}
+	record, err := encode(header, kindHeader, string(batch.ID), d.unique())
+	if err != nil {
+		return fmt.Errorf("%w: %w", gypsum.ErrStoreRefused, err)
+	}
+	d.bodies.Add(batch.ID, batch.Items)
+	offset, err := d.State.Append(ctx, record)
+	if err != nil {
+		return fmt.Errorf("store header: %w", err)
+	}
+	d.Logger.Info("batch stored", "batch", batch.ID, "items", len(batch.Items), "model", batch.Model, "step", batch.Step,
+		"min_version", batch.MinVersion, "offset", offset)
+	return nil
+}
+
+// storeItems stores a batch's items and tells where.
+func (d *Desk) storeItems(ctx context.Context, batch *gypsum.Batch) (Stored, error) {
+	var values [][]byte
+	size := 0
+	budget := int(d.RecordSize) - fetchSlack
+	for begin := 0; begin < len(batch.Items); {
+		end, weight := begin, 0
+		for end < len(batch.Items) {
+			weight += itemSize(&batch.Items[end])
+			if end > begin && weight > budget {
+				break
+			}
+			end++
+		}
+		value, err := cbor.Marshal(batch.Items[begin:end])
+		if err != nil {
+			return Stored{}, fmt.Errorf("encode items: %w", err)
+		}
+		values, size, begin = append(values, value), size+len(value), end
+	}
+	key := string(batch.ID) + "/" + d.unique()
+	return d.storeValues(ctx, d.Topics.Bodies, batch.ID, key, values, size)
+}
+
+// storeValues stores the parts of a value and tells where.
+func (d *Desk) storeValues(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, key string, values [][]byte, size int) (Stored, error) {
+	offset, err := d.Write(topic, d.part(id)).Append(ctx, store.Cut(key, values)...)
+	if err != nil {
+		return Stored{}, fmt.Errorf("append to %s: %w", topic, err)
+	}
+	return Stored{Offset: offset, Key: key, Count: len(values), Size: size}, nil
+}
+
+// itemSize returns about what an item takes in a record.
+func itemSize(item *gypsum.BatchItem) int {
+	size := len(item.ID) + len(item.Path) + len(item.Body) + len(item.Group) + 64
+	for name, value := range item.Header {
+		size += len(name) + len(value) + 8
+	}
+	return size
+}
+
+// fetch returns the parts of a stored value.
+func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, stored Stored) ([][]byte, error) {
+	place := store.Place{Topic: topic, Part: d.part(id), Offset: stored.Offset, Key: stored.Key, Count: stored.Count}
+	return store.Fetch(ctx, d.Store, place, gypsum.Bytes(stored.Size+fetchSlack))
+}
+
+// Items returns the items of an accepted batch.
+func (d *Desk) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
+	if items, ok := d.bodies.Get(header.ID); ok {
+		return items, nil
+	}
+	values, err := d.fetch(ctx, d.Topics.Bodies, header.ID, header.Bodies)
+	if err != nil {
+		return nil, err
+	}
+	items := make([]gypsum.BatchItem, 0, header.Total)
+	for _, value := range values {
+		part, err := decode[[]gypsum.BatchItem](value)
+		if err != nil {
+			return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
+		}
+		items = append(items, part...)
+	}
+	d.bodies.Add(header.ID, items)
+	return items, nil
+}
+
+// Forget drops the kept items of a batch.
+func (d *Desk) Forget(id gypsum.BatchID) { d.bodies.Remove(id) }
+
+// find makes sure that a batch is known, or that there is none: then ErrNoBatch.
+func (d *Desk) find(ctx context.Context, id gypsum.BatchID) error {
+	if d.Book.Knows(id) {
+		return nil
+	}
+	if err := d.Follow.CatchUp(ctx); err != nil {
+		return err
+	}
+	if !d.Book.Knows(id) {
+		return fmt.Errorf("batch %s: %w", id, ErrNoBatch)
+	}
+	return nil
+}
+
+// Body returns the body of an item. It returns ErrNoBatch or ErrNoItem only if
+// that is certain.
+func (d *Desk) Body(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID) ([]byte, error) {
+	if err := d.find(ctx, id); err != nil {
+		return nil, err
+	}
+	_, header, _, _ := d.Book.Results(id, 0)
+	items, err := d.Items(ctx, &header)
+	if err != nil {
+		return nil, err
+	}
+	for i := range items {
+		if items[i].ID == item {
+			return items[i].Body, nil
+		}
+	}
+	return nil, fmt.Errorf("item %s of batch %s: %w", item, id, ErrNoItem)
+}
+
+// End ends a batch. It returns nil once the end is known to be in the store.
+func (d *Desk) End(ctx context.Context, id gypsum.BatchID) error {
+	if err := d.find(ctx, id); err != nil {
+		return err
+	}
+	ended := false
+	d.Book.Progress(id, func(_ map[gypsum.ItemID]bool, done bool) { ended = done })
+	if ended {
+		return nil
+	}
+	record, err := encode(End{Batch: id}, kindEnd, string(id), d.unique())
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store end: %w", err)
+	}
+	d.Logger.Info("batch ended", "batch", id)
+	return nil
+}
+
+// Read returns the number of items of a batch and its results from a position on.
+// It waits for the first one up to wait.
+func (d *Desk) Read(ctx context.Context, id gypsum.BatchID, from int, wait time.Duration) (int, []gypsum.BatchResult, error) {
+	if err := d.find(ctx, id); err != nil {
+		return 0, nil, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		results, header, changed, _ := d.Book.Results(id, from)
+		if len(results) > 0 || from >= header.Total {
+			read, err := d.readTexts(ctx, id, results)
+			return header.Total, read, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, fmt.Errorf("wait for results: %w", ctx.Err())
+		case <-timer.C:
+			return header.Total, nil, nil
+		case <-changed:
+		}
+	}
+}
+
+// readTexts returns results with their texts, as many as one answer holds.
+func (d *Desk) readTexts(ctx context.Context, id gypsum.BatchID, results []Result) ([]gypsum.BatchResult, error) {
+	size, count := 0, 0
+	for count < len(results) && (count == 0 || size+results[count].Text.Size <= maxAnswer) {
+		size += results[count].Text.Size
+		count++
+	}
+	read := make([]gypsum.BatchResult, 0, count)
+	missing, err := d.prefetch(ctx, id, results[:count])
+	if err != nil {
+		return nil, err
+	}
+	for i := range results[:count] {
+		result := &results[i]
+		text, ok := missing[result.Text.Key]
+		if !ok {
+			if text, err = d.text(ctx, id, result.Text); err != nil {
+				return nil, err
+			}
+		}
+		read = append(read, gypsum.BatchResult{Item: result.Item, State: result.State, Text: text, Versions: result.Versions})
+	}
+	return read, nil
+}
+
+// prefetch reads the texts that stand together in the store in one call.
+func (d *Desk) prefetch(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
+	low, high, size, wanted := gypsum.Offset(-1), gypsum.Offset(-1), 0, 0
+	for i := range results {
+		stored := results[i].Text
+		if stored.Count != 1 || d.texts.Contains(stored.Key) {
+			continue
+		}
+		if low < 0 || stored.Offset < low {
+			low = stored.Offset
+		}
+		high, size, wanted = max(high, stored.Offset), size+stored.Size+fetchSlack/8, wanted+1
+	}
+	if wanted < 2 || int(high-low) > 2*wanted {
+		return nil, nil
+	}
+	page, err := d.Store.Read(ctx, gypsum.KeyedRead{
+		Topic: d.Topics.Texts, Part: d.part(id), From: low, Max: gypsum.Bytes(2*size + fetchSlack),
+	})
+	if errors.Is(err, gypsum.ErrTruncated) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read texts: %w", err)
+	}
+	texts := make(map[string]string, wanted)
+	for i := range page.Records {
+		key := page.Records[i].Key
+		if cut := len(key) - len("/000"); cut > 0 {
+			texts[key[:cut]] = string(page.Records[i].Value)
+		}
+	}
+	return texts, nil
+}
+
+// text returns a stored text.
+func (d *Desk) text(ctx context.Context, id gypsum.BatchID, stored Stored) (string, error) {
+	if stored.Count == 0 {
+		return "", nil
+	}
+	if text, ok := d.texts.Get(stored.Key); ok {
+		return text, nil
+	}
+	values, err := d.fetch(ctx, d.Topics.Texts, id, stored)
+	if err != nil {
+		return "", err
+	}
+	text := make([]byte, 0, stored.Size)
+	for _, value := range values {
+		text = append(text, value...)
+	}
+	return string(text), nil
+}
+
+// storeText stores a text and tells where. It is kept for readers if keep is set.
+func (d *Desk) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
+	if text == "" {
+		return Stored{}, nil
+	}
+	budget := int(d.RecordSize) - fetchSlack
+	var values [][]byte
+	for rest := text; rest != ""; {
+		cut := min(budget, len(rest))
+		values, rest = append(values, []byte(rest[:cut])), rest[cut:]
+	}
+	key := string(id) + "/" + string(item) + "/" + d.unique()
+	stored, err := d.storeValues(ctx, d.Topics.Texts, id, key, values, len(text))
+	if err == nil && keep && len(text) <= textSizeKept {
+		d.texts.Add(key, text)
+	}
+	return stored, err
+}
+
+// Finish stores the result of an item. The first one stored counts.
+func (d *Desk) Finish(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
+	stored, err := d.storeText(ctx, id, result.Item, result.Text, true)
+	if err != nil {
+		return err
+	}
+	record, err := encode(Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: stored},
+		kindResult, string(id), string(result.Item), d.unique())
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store result: %w", err)
+	}
+	return nil
+}
+
+// Checkpoint stores the events that an item's run has given so far.
+func (d *Desk) Checkpoint(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, last int64, versions []gypsum.WeightVersion, text string) error {
+	stored, err := d.storeText(ctx, id, item, text, false)
+	if err != nil {
+		return err
+	}
+	record, err := encode(Partial{Batch: id, Item: item, Last: last, Versions: versions, Text: stored},
+		kindPartial, string(id), string(item))
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store checkpoint: %w", err)
+	}
+	return nil
+}
+
+// PartialText returns the text of a checkpoint.
+func (d *Desk) PartialText(ctx context.Context, partial *Partial) (string, error) {
+	return d.text(ctx, partial.Batch, partial.Text)
+}
+
+// NoteFailures stores how often an item's runs have failed.
+func (d *Desk) NoteFailures(ctx context.Context, failures Failures) error {
+	record, err := encode(failures, kindFailures, string(failures.Batch), string(failures.Item))
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store failures: %w", err)
+	}
+	return nil
+}
+
+// Claim asks for a service on behalf of this host, or gives it up. The record's
+// place among others decides; Book tells who won.
+func (d *Desk) Claim(ctx context.Context, service gypsum.ServiceName, replaces gypsum.Offset, released bool) error {
+	record, err := encode(Claim{Service: service, Host: d.Host, Boot: d.Boot, Replaces: replaces, Released: released},
+		kindClaim, string(service), d.unique())
+	if err != nil {
+		return err
+	}
+	offset, err := d.State.Append(ctx, record)
+	if err != nil {
+		return fmt.Errorf("store claim: %w", err)
+	}
+	return d.Follow.Reach(ctx, offset+1)
+}
+
+// Beat stores a sign of life.
+func (d *Desk) Beat(ctx context.Context, number int64) error {
+	record, err := encode(Heartbeat{Host: d.Host, Boot: d.Boot, Beat: number}, kindHeartbeat, string(d.Host))
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store heartbeat: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/batch/record.go
@@ -0,0 +1,139 @@
+// Package batch keeps durable batches: the records that stand for them in the
+// platform's store, the state that all daemons fold from these, and the way to
+// accept, read and end a batch.
+package batch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Kinds of records of the state topic: the first part of their keys.
+const (
+	kindHeader    = "b"
+	kindResult    = "r"
+	kindEnd       = "e"
+	kindClaim     = "c"
+	kindHeartbeat = "h"
+	kindPartial   = "p"
+	kindFailures  = "f"
+)
+
+// Header is the record of an accepted batch.
+type Header struct {
+	ID          gypsum.BatchID       `cbor:"1,keyasint"`
+	Route       string               `cbor:"2,keyasint"`
+	HostName    string               `cbor:"3,keyasint"`
+	Service     gypsum.ServiceName   `cbor:"4,keyasint"`
+	Model       gypsum.EngineModel   `cbor:"5,keyasint"`
+	MinVersion  gypsum.WeightVersion `cbor:"6,keyasint"`
+	Total       int                  `cbor:"7,keyasint"`
+	Single      bool                 `cbor:"8,keyasint,omitempty"`
+	MaxAttempts int                  `cbor:"9,keyasint"`
+	Submitted   int64                `cbor:"10,keyasint"`
+	Due         int64                `cbor:"11,keyasint"`
+	GiveUp      int64                `cbor:"12,keyasint"`
+	Bodies      Stored               `cbor:"13,keyasint"`
+	Origin      gypsum.HostID        `cbor:"14,keyasint"`
+	Step        int                  `cbor:"15,keyasint"`
+}
+
+// Stored tells where a value stands in one of the batch's own topics.
+type Stored struct {
+	Offset gypsum.Offset `cbor:"1,keyasint"`
+	Key    string        `cbor:"2,keyasint"`
+	Count  int           `cbor:"3,keyasint"`
+	Size   int           `cbor:"4,keyasint"`
+}
+
+// Result is the record of an item's result.
+type Result struct {
+	Batch    gypsum.BatchID         `cbor:"1,keyasint"`
+	Item     gypsum.ItemID          `cbor:"2,keyasint"`
+	State    gypsum.ItemState       `cbor:"3,keyasint"`
+	Versions []gypsum.WeightVersion `cbor:"4,keyasint,omitempty"`
+	Text     Stored                 `cbor:"5,keyasint"`
+}
+
+// Partial is the record of the events that an item's run has given so far.
+type Partial struct {
+	Batch    gypsum.BatchID         `cbor:"1,keyasint"`
+	Item     gypsum.ItemID          `cbor:"2,keyasint"`
+	Last     int64                  `cbor:"3,keyasint"`
+	Versions []gypsum.WeightVersion `cbor:"4,keyasint,omitempty"`
+	Text     Stored                 `cbor:"5,keyasint"`
+}
+
+// End is the record of the end of a batch.
+type End struct {
+	Batch gypsum.BatchID `cbor:"1,keyasint"`
+}
+
+// Failures is the record of an item's failed runs.
+type Failures struct {
+	Batch  gypsum.BatchID `cbor:"1,keyasint"`
+	Item   gypsum.ItemID  `cbor:"2,keyasint"`
+	Failed int            `cbor:"3,keyasint"`
+	// Crashed counts the engines that died while they ran the item.
+	Crashed int `cbor:"4,keyasint"`
+}
+
+// Claim is the record by which a host takes a service, or gives it up.
+type Claim struct {
+	Service gypsum.ServiceName `cbor:"1,keyasint"`
+	Host    gypsum.HostID      `cbor:"2,keyasint"`
+	Boot    gypsum.Incarnation `cbor:"3,keyasint"`
+	// Replaces is the offset of the claim that this one follows, -1 for the first.
+	Replaces gypsum.Offset `cbor:"4,keyasint"`
+	// Released means that the host gives up the service.
+	Released bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Heartbeat is the record of a holder that is alive.
+type Heartbeat struct {
+	Host gypsum.HostID      `cbor:"1,keyasint"`
+	Boot gypsum.Incarnation `cbor:"2,keyasint"`
+	Beat int64              `cbor:"3,keyasint"`
+}
+
+// errRecord is a record that cannot be read.
+var errRecord = errors.New("unreadable record")
+
+// encode returns a record with a key of a kind and parts.
+func encode(content any, kind string, parts ...string) (gypsum.KeyedRecord, error) {
+	value, err := cbor.Marshal(content)
+	if err != nil {
+		return gypsum.KeyedRecord{}, fmt.Errorf("encode record: %w", err)
+	}
+	return gypsum.KeyedRecord{Key: kind + "/" + strings.Join(parts, "/"), Value: value}, nil
+}
+
+// decode decodes a record's value.
+func decode[T any](value []byte) (T, error) {
+	var content T
+	if err := cbor.Unmarshal(value, &content); err != nil {
+		return content, fmt.Errorf("%w: %w", errRecord, err)
+	}
+	return content, nil
+}
+
+// kindOf returns the kind of a record.
+func kindOf(key string) string {
+	kind, _, _ := strings.Cut(key, "/")
+	return kind
+}
+
+// SubmittedAt returns when the batch was submitted.
+func (h *Header) SubmittedAt() time.Time { return time.UnixMilli(h.Submitted) }
+
+// DueAt returns when all results are wanted.
+func (h *Header) DueAt() time.Time { return time.UnixMilli(h.Due) }
+
+// GiveUpAt returns when items may be given up.
+func (h *Header) GiveUpAt() time.Time { return time.UnixMilli(h.GiveUp) }
--- a/cmd/gypsumhook/main.go
+++ b/cmd/gypsumhook/main.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/gypsumhook/gypsum/daemon"
+	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/setup"
 )
 
@@ -44,7 +45,7 @@
 func exitCode(err error) int {
 	var acted *actionError
 	switch {
-	case errors.Is(err, setup.ErrSettings):
+	case errors.Is(err, setup.ErrSettings), errors.Is(err, platform.ErrSettings):
 		return exitSettings
 	case errors.Is(err, errUsage), !errors.As(err, &acted) && connect.CodeOf(err) == connect.CodeUnknown:
 		return exitUsage
@@ -113,6 +114,7 @@
 				Flags: []cli.Flag{&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true}},
 			},
 			{Name: "settings", Usage: "print all settings as a table", Action: printSettings},
+			edgeCommand(),
 		}, operatorCommands()...),
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 	operators := d.operatorsServer()
 	app := kratos.New(
 		kratos.Name("gypsumhook"), kratos.ID(string(d.Settings.Host)), kratos.Context(context.WithoutCancel(ctx)),
-		kratos.Logger(newKratosLogger(d.Logger)), kratos.Server(callers, peers, operators),
+		kratos.Logger(NewKratosLogger(d.Logger)), kratos.Server(callers, peers, operators),
 		kratos.StopTimeout(d.Settings.DrainTimeout), kratos.BeforeStop(d.drain),
 	)
 	stopOnDone := context.AfterFunc(ctx, func() { _ = app.Stop() })
--- a/daemon/logger.go
+++ b/daemon/logger.go
@@ -8,10 +8,10 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 )
 
-// newKratosLogger returns a logger for kratos that writes to slog.
-func newKratosLogger(logger *slog.Logger) klog.Logger { return &kratosLogger{logger: logger} }
+// NewKratosLogger returns a logger for kratos that writes to slog.
+func NewKratosLogger(logger *slog.Logger) klog.Logger { return &kratosLogger{logger: logger} }
 
-// kratosLogger is the logger made by newKratosLogger.
+// kratosLogger is the logger made by NewKratosLogger.
 type kratosLogger struct {
 	logger *slog.Logger
 }
--- a/errors.go
+++ b/errors.go
@@ -117,4 +117,10 @@
 	ErrCrossed = errors.New("answer of another request")
 	// ErrBroken is an answer that ended early or has a gap.
 	ErrBroken = errors.New("answer broken off")
+	// ErrNotExecuted is an answer that says that the request has not run and will not.
+	ErrNotExecuted = errors.New("not executed by the backend server")
+	// ErrItemFailed is a run of an item that the engine answered with a failure.
+	ErrItemFailed = errors.New("run of the item failed")
+	// ErrItemInvalid is an item that no engine can ever do.
+	ErrItemInvalid = errors.New("item can never be done")
 )
--- /dev/null
+++ b/front/histogram.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// bounds are the upper bounds of a histogram's buckets.
+var bounds = [...]time.Duration{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second, 10 * time.Second,
+}
+
+// Histogram counts durations by bucket. It may be used by many goroutines.
+type Histogram struct {
+	buckets [len(bounds) + 1]atomic.Int64
+	sum     atomic.Int64
+}
+
+// Observe counts a duration.
+func (h *Histogram) Observe(took time.Duration) {
+	bucket := 0
+	for bucket < len(bounds) && took > bounds[bucket] {
+		bucket++
+	}
+	h.buckets[bucket].Add(1)
+	h.sum.Add(int64(took))
+}
+
+// Snapshot returns the counts up to each bound in milliseconds, the count of all and
+// their sum in milliseconds.
+func (h *Histogram) Snapshot() map[string]int64 {
+	counts := make(map[string]int64, len(bounds)+2)
+	total := int64(0)
+	for i := range h.buckets {
+		total += h.buckets[i].Load()
+		if i < len(bounds) {
+			counts["le_"+strconv.FormatInt(bounds[i].Milliseconds(), 10)+"_ms"] = total
+		}
+	}
+	counts["count"], counts["sum_ms"] = total, time.Duration(h.sum.Load()).Milliseconds()
+	return counts
+}
--- /dev/null
+++ b/host/metrics.go
@@ -0,0 +1,75 @@
+package host
+
+import (
+	"expvar"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// serverOf is a server that the app runs.
+type serverOf = transport.Server
+
+// Why a host is not ready.
+var (
+	errStopping        = errors.New("host is stopping")
+	errNoConfiguration = errors.New("no configuration was learned yet")
+	errNoState         = errors.New("batches have not been read from the store yet")
+)
+
+// metrics are a host's metrics.
+type metrics struct {
+	Revision     gypsum.Revision  `json:"revision"`
+	StoreAwayMS  int64            `json:"store_away_ms"`
+	Replicas     int              `json:"replicas"`
+	LogDropped   int64            `json:"log_lines_dropped"`
+	Live         map[string]int64 `json:"live_requests"`
+	Submit       map[string]int64 `json:"batch_submissions"`
+	Read         map[string]int64 `json:"batch_reads"`
+	UnknownRoute int64            `json:"unknown_route"`
+	BadInput     int64            `json:"bad_input"`
+	Requests     int64            `json:"relay_requests"`
+	Answers      int64            `json:"relay_answers"`
+	Attempts     int64            `json:"relay_attempts"`
+	Resumes      int64            `json:"relay_resumes"`
+	Refused      int64            `json:"relay_refused"`
+	Failed       int64            `json:"relay_failed"`
+	Started      int64            `json:"items_started"`
+	Resumed      int64            `json:"items_resumed"`
+	Moved        int64            `json:"items_moved"`
+	Finished     int64            `json:"items_finished"`
+	Errored      int64            `json:"items_errored"`
+	Broken       int64            `json:"item_runs_broken"`
+	Rejected     int64            `json:"item_runs_rejected"`
+	Orders       int64            `json:"orders"`
+	Claims       int64            `json:"claims"`
+	Takeovers    int64            `json:"takeovers"`
+}
+
+// publishMetrics publishes the host's metrics.
+func (h *Host) publishMetrics() {
+	publishOnce.Do(func() {
+		expvar.Publish("gypsumhook", expvar.Func(func() any { return h.metrics() }))
+	})
+}
+
+// metrics returns the present metrics.
+func (h *Host) metrics() metrics {
+	snapshot, relayed, ran := h.state.Now(), &h.relay.Stats, &h.runner.Stats
+	current := metrics{
+		StoreAwayMS: h.storeAway().Milliseconds(), Replicas: len(snapshot.Replicas), LogDropped: h.Dropped(),
+		Live: h.front.Stats.Live.Snapshot(), Submit: h.front.Stats.Submit.Snapshot(), Read: h.front.Stats.Read.Snapshot(),
+		UnknownRoute: h.front.Stats.Unknown.Load(), BadInput: h.front.Stats.Bad.Load(),
+		Requests: relayed.Requests.Load(), Answers: relayed.Answers.Load(), Attempts: relayed.Attempts.Load(),
+		Resumes: relayed.Resumes.Load(), Refused: relayed.Refused.Load(), Failed: relayed.Failed.Load(),
+		Started: ran.Started.Load(), Resumed: ran.Resumed.Load(), Moved: ran.Moved.Load(), Finished: ran.Finished.Load(),
+		Errored: ran.Errored.Load(), Broken: ran.Broken.Load(), Rejected: ran.Rejected.Load(),
+		Orders: ran.Orders.Load(), Claims: ran.Claims.Load(), Takeovers: ran.Takeovers.Load(),
+	}
+	if snapshot.Manifest != nil {
+		current.Revision = snapshot.Manifest.Revision
+	}
+	return current
+}
--- /dev/null
+++ b/live.go
@@ -0,0 +1,46 @@
+package gypsum
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// LiveRequest is a client's request that waits for its answer.
+type LiveRequest struct {
+	ID       RequestID
+	Method   string
+	Target   string
+	HostName string
+	Header   http.Header
+	Body     []byte
+}
+
+// LiveAnswer is a replica's whole answer.
+type LiveAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// LiveStream is the answer of a replica whose events come one by one.
+type LiveStream interface {
+	// Answer is the status and header, with the body if it is no stream of events.
+	Answer() *LiveAnswer
+	// Events tells whether the body is a stream of events.
+	Events() bool
+	// Next returns the number and the bytes of the next whole event, io.EOF at a
+	// clean end.
+	Next() (int64, []byte, error)
+	Close() error
+}
+
+// Replicas are the calls to replicas that live requests need.
+type Replicas interface {
+	// Exchange returns the whole answer. It returns ErrNotHanded if no byte left,
+	// ErrNotExecuted if the replica has not run the request, ErrCrossed for another
+	// request's answer and ErrBroken for one that is not whole.
+	Exchange(ctx context.Context, replica *Replica, request *LiveRequest, budget time.Duration) (*LiveAnswer, error)
+	// Stream begins an answer behind the event with the number after, 0 for none.
+	Stream(ctx context.Context, replica *Replica, request *LiveRequest, budget time.Duration, after int64) (LiveStream, error)
+}
--- /dev/null
+++ b/relay/choose.go
@@ -0,0 +1,111 @@
+// Package relay takes a live request to a replica and its answer back: which
+// replica, when to try another, when to refuse and when to come back.
+package relay
+
+import (
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Weights of a choice.
+const (
+	// firstLatency is the answer time of a replica that has not been seen.
+	firstLatency = 50 * time.Millisecond
+	// centreLatency and regionLatency are the round trips to another data centre and
+	// to another region, rounded up from the sheets.
+	centreLatency = 5 * time.Millisecond
+	regionLatency = 65 * time.Millisecond
+)
+
+// Target is what is known of a replica when one is chosen.
+type Target struct {
+	Replica *gypsum.Replica
+	// Open is the number of this host's requests there, Latency the mean time of its
+	// answers, zero if none was seen.
+	Open    int
+	Latency time.Duration
+	// Shunned means that it failed lately and may fail again.
+	Shunned bool
+	// Tried means that it was handed this request before.
+	Tried bool
+}
+
+// Choose returns the replica that is expected to answer first, nil if there is
+// none. Load: replicas of one service differ in speed, some are several times
+// slower for a while, and each host sees a small share of the requests, so that the
+// counts of others are unknown. The answer time seen here stands for them. A shunned
+// replica is taken only if all are; one that was tried only if all were.
+func Choose(targets []Target, home gypsum.Location) *Target {
+	var best *Target
+	for i := range targets {
+		if best == nil || before(&targets[i], best, home) {
+			best = &targets[i]
+		}
+	}
+	return best
+}
+
+// before tells whether a target goes before another.
+func before(a, b *Target, home gypsum.Location) bool {
+	if a.Tried != b.Tried {
+		return !a.Tried
+	}
+	if a.Shunned != b.Shunned {
+		return !a.Shunned
+	}
+	return a.expected(home) < b.expected(home)
+}
+
+// expected returns the expected time to an answer.
+func (t *Target) expected(home gypsum.Location) time.Duration {
+	latency := t.Latency
+	if latency == 0 {
+		latency = firstLatency + distance(t.Replica.Location, home)
+	}
+	waves := 1 + t.Open/max(1, t.Replica.Slots)
+	return latency*time.Duration(waves) + latency*time.Duration(t.Open)/time.Duration(8*max(1, t.Replica.Slots))
+}
+
+// distance returns the round trip between two places.
+func distance(a, b gypsum.Location) time.Duration {
+	switch {
+	case a.DataCentre == b.DataCentre:
+		return 0
+	case a.Region == b.Region:
+		return centreLatency
+	}
+	return regionLatency
+}
+
+// Bounds of the time that one attempt gets while others may follow.
+const (
+	shortestPatience = 300 * time.Millisecond
+	patienceTimes    = 8
+)
+
+// Patience returns how long a replica may take before another is asked. Load: a
+// replica falls silent without a reset, and the request's aim is a few hundred
+// milliseconds. The last attempt gets all the time that is left.
+func Patience(latency, target, left time.Duration, last bool) time.Duration {
+	if last {
+		return left
+	}
+	if latency == 0 {
+		latency = firstLatency
+	}
+	return min(left, max(shortestPatience, target, patienceTimes*latency))
+}
+
+// Bounds of the time after which a refused client is told to come back.
+const (
+	shortestReturn = 200 * time.Millisecond
+	longestReturn  = 2 * time.Second
+)
+
+// ReturnAfter returns when a refused client should come back: once as much time has
+// passed again as the cause of the refusal has lasted, within bounds. An outage that
+// has just begun is likely to be short, one that has lasted to go on.
+func ReturnAfter(lasted time.Duration) time.Duration {
+	return min(longestReturn, max(shortestReturn, lasted))
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,344 @@
+// Package runner runs the items of durable batches on engines, and gives engines
+// their orders. One host at a time holds a service and does both for it.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/state"
+)
+
+// Times of a holder.
+const (
+	// tickInterval is how often decisions are looked at without a change.
+	tickInterval = 50 * time.Millisecond
+	// beatInterval is the time between two signs of life of a holder.
+	beatInterval = 400 * time.Millisecond
+	// silenceLimit is three signs of life missed.
+	silenceLimit = 3 * beatInterval
+	// claimTimeout bounds a claim: an append and a read between regions.
+	claimTimeout = 3 * time.Second
+	// claimSpread is the time over which hosts that saw the same silence claim, so
+	// that most see another's claim before they write their own.
+	claimSpread = 300 * time.Millisecond
+	// farDelay lets hosts of the store's region claim first: their appends are quicker.
+	farDelay = 200 * time.Millisecond
+	// ordersLimit is how old a holder's own sign of life may be before it stops to
+	// give orders: another host may have taken over.
+	ordersLimit = silenceLimit - beatInterval
+	// idleHold is how long a holder without open batches stays one: some steps.
+	idleHold = 30 * time.Second
+	// checkpointTimeout bounds what a stopping holder stores.
+	checkpointTimeout = 2 * time.Second
+)
+
+// Runner is a daemon's part in running batches. Set the exported fields before Run.
+type Runner struct {
+	Host    gypsum.HostID
+	Boot    gypsum.Incarnation
+	Desk    *batch.Desk
+	Engines gypsum.Engines
+	State   *state.Keeper
+	// StoreAway tells whether the store does not answer.
+	StoreAway func() bool
+	// Near tells whether the host stands in the store's region.
+	Near   bool
+	Lease  time.Duration
+	Logger *slog.Logger
+	Stats  Stats
+
+	events   chan func()
+	held     map[gypsum.ServiceName]*hold
+	claims   map[gypsum.ServiceName]*claiming
+	beating  bool
+	beat     int64
+	beaten   time.Time
+	stopping bool
+	stop     chan chan struct{}
+	done     chan struct{}
+}
+
+// Stats counts what a runner did.
+type Stats struct {
+	Started   atomic.Int64
+	Resumed   atomic.Int64
+	Moved     atomic.Int64
+	Finished  atomic.Int64
+	Errored   atomic.Int64
+	Broken    atomic.Int64
+	Rejected  atomic.Int64
+	Orders    atomic.Int64
+	Claims    atomic.Int64
+	Takeovers atomic.Int64
+}
+
+// claiming is a claim that is being considered or made.
+type claiming struct {
+	at      time.Time
+	running bool
+}
+
+// eventsQueued is the room for news of runs: all items of some steps.
+const eventsQueued = 4096
+
+// New returns a runner; its exported fields are set before Run.
+func New() *Runner {
+	return &Runner{
+		events: make(chan func(), eventsQueued), held: make(map[gypsum.ServiceName]*hold),
+		claims: make(map[gypsum.ServiceName]*claiming), stop: make(chan chan struct{}), done: make(chan struct{}),
+	}
+}
+
+// Run makes decisions until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	defer close(r.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case stopped := <-r.stop:
+			r.release(ctx)
+			close(stopped)
+			continue
+		case event := <-r.events:
+			event()
+		case <-r.Desk.Book.Changed():
+		case <-ticker.C:
+		}
+		for pending := true; pending; {
+			select {
+			case event := <-r.events:
+				event()
+			default:
+				pending = false
+			}
+		}
+		if !r.stopping {
+			r.decide(ctx, time.Now())
+		}
+	}
+}
+
+// post runs an update on the runner's goroutine.
+func (r *Runner) post(ctx context.Context, update func()) {
+	select {
+	case r.events <- update:
+	case <-ctx.Done():
+	}
+}
+
+// Stop gives up all services: runs end, what they gave is stored, and others may
+// go on from there. It returns when that is done or ctx ends.
+func (r *Runner) Stop(ctx context.Context) {
+	stopped := make(chan struct{})
+	select {
+	case r.stop <- stopped:
+	case <-ctx.Done():
+		return
+	case <-r.done:
+		return
+	}
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+	}
+}
+
+// release gives up all services.
+func (r *Runner) release(ctx context.Context) {
+	r.stopping = true
+	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
+	defer cancel()
+	for service, held := range r.held {
+		held.checkpointAll(ctx)
+		if err := r.Desk.Claim(ctx, service, held.fence, true); err != nil {
+			r.Logger.Warn("service not released", "service", service, "error", err)
+		}
+		held.end()
+		delete(r.held, service)
+	}
+}
+
+// jobsOf returns the open batches, by the service that their route now names.
+// Batches of a removed route belong to the service that they were accepted for.
+func (r *Runner) jobsOf(snapshot *state.Snapshot) map[gypsum.ServiceName][]batch.Header {
+	jobs := make(map[gypsum.ServiceName][]batch.Header)
+	for _, header := range r.Desk.Book.Open() {
+		service := header.Service
+		if route := routeOf(snapshot.Manifest, header.Route); route != nil && len(route.Services) > 0 {
+			service = route.Services[0].Service
+		}
+		jobs[service] = append(jobs[service], header)
+	}
+	return jobs
+}
+
+// routeOf returns the route with a name, nil if there is none.
+func routeOf(manifest *gypsum.Manifest, name string) *gypsum.Route {
+	for i := range manifest.Routes {
+		if manifest.Routes[i].Name == name {
+			return &manifest.Routes[i]
+		}
+	}
+	return nil
+}
+
+// decide looks at all that may have to be done.
+func (r *Runner) decide(ctx context.Context, now time.Time) {
+	snapshot := r.State.Now()
+	if snapshot.Manifest == nil || !r.Desk.Follow.Loaded() {
+		return
+	}
+	jobs := r.jobsOf(snapshot)
+	r.followClaims(ctx, jobs, now)
+	for service, held := range r.held {
+		if len(jobs[service]) > 0 {
+			held.active = now
+		}
+		held.decide(snapshot, jobs[service], now)
+	}
+	r.keepBeating(ctx, now)
+}
+
+// followClaims begins and ends to hold services as the records say, and claims
+// those that need it.
+func (r *Runner) followClaims(ctx context.Context, jobs map[gypsum.ServiceName][]batch.Header, now time.Time) {
+	for service, held := range r.held {
+		holder, _, _ := r.Desk.Book.Holder(service)
+		if !r.mine(&holder) || holder.Fence != held.fence {
+			r.Logger.Warn("service lost", "service", service, "fence", held.fence, "holder", holder.Host, "new_fence", holder.Fence)
+			held.end()
+			delete(r.held, service)
+		}
+	}
+	for service, open := range jobs {
+		holder, alive, known := r.Desk.Book.Holder(service)
+		if known && r.mine(&holder) {
+			if r.held[service] == nil {
+				r.begin(ctx, service, &holder)
+			}
+			delete(r.claims, service)
+			continue
+		}
+		r.consider(ctx, service, open, &holder, alive, known, now)
+	}
+}
+
+// mine tells whether this process holds a service.
+func (r *Runner) mine(holder *batch.Holder) bool {
+	return holder.Host == r.Host && holder.Boot == r.Boot && !holder.Released
+}
+
+// begin begins to hold a service.
+func (r *Runner) begin(ctx context.Context, service gypsum.ServiceName, holder *batch.Holder) {
+	held := newHold(ctx, r, service, holder.Fence)
+	if holder.Prior != "" && holder.Prior != r.Host {
+		held.ordersFrom = time.Now().Add(r.Lease)
+		r.Stats.Takeovers.Add(1)
+	}
+	held.active = time.Now()
+	r.held[service] = held
+	r.beaten = time.Now()
+	r.Logger.Info("service held", "service", service, "fence", holder.Fence, "prior", holder.Prior)
+}
+
+// consider claims a service whose batches nobody runs, after a wait that differs
+// between hosts.
+func (r *Runner) consider(ctx context.Context, service gypsum.ServiceName, open []batch.Header, holder *batch.Holder, alive time.Time, known bool, now time.Time) {
+	if r.StoreAway() {
+		delete(r.claims, service)
+		return
+	}
+	free := !known || holder.Released || (holder.Host == r.Host && holder.Boot != r.Boot)
+	if !free && now.Sub(alive) < silenceLimit {
+		delete(r.claims, service)
+		return
+	}
+	claim := r.claims[service]
+	if claim == nil {
+		claim = &claiming{at: now.Add(r.claimDelay(service, open, holder))}
+		r.claims[service] = claim
+	}
+	if claim.running || now.Before(claim.at) {
+		return
+	}
+	claim.running = true
+	replaces := gypsum.Offset(-1)
+	if known {
+		replaces = holder.Fence
+	}
+	r.Logger.Info("service claimed", "service", service, "replaces", replaces, "holder", holder.Host,
+		"released", holder.Released, "silent_ms", now.Sub(alive).Milliseconds(), "open_batches", len(open))
+	r.Stats.Claims.Add(1)
+	go r.claim(ctx, service, replaces, free)
+}
+
+// claimDelay returns how long this host waits for another to claim.
+func (r *Runner) claimDelay(service gypsum.ServiceName, open []batch.Header, holder *batch.Holder) time.Duration {
+	if slices.ContainsFunc(open, func(header batch.Header) bool { return header.Origin == r.Host }) {
+		return 0
+	}
+	rank := gypsum.Rendezvous(string(service)+"/"+fmt.Sprint(holder.Fence), string(r.Host))
+	delay := tickInterval + time.Duration(rank%uint64(claimSpread))
+	if !r.Near {
+		delay += farDelay
+	}
+	return delay
+}
+
+// claim makes sure that the holder is still silent, and claims.
+func (r *Runner) claim(ctx context.Context, service gypsum.ServiceName, replaces gypsum.Offset, free bool) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := r.Desk.Follow.CatchUp(ctx)
+	if err == nil {
+		holder, alive, known := r.Desk.Book.Holder(service)
+		if (known && holder.Fence == replaces && (free || time.Since(alive) >= silenceLimit)) || (!known && replaces < 0) {
+			err = r.Desk.Claim(ctx, service, replaces, false)
+		}
+	}
+	if err != nil {
+		r.Logger.Warn("claim failed", "service", service, "replaces", replaces, "error", err)
+	}
+	r.post(ctx, func() { delete(r.claims, service) })
+}
+
+// keepBeating gives signs of life while the host holds a service.
+func (r *Runner) keepBeating(ctx context.Context, now time.Time) {
+	active := false
+	for _, held := range r.held {
+		active = active || now.Sub(held.active) < idleHold
+	}
+	if !active || r.beating || now.Sub(r.beaten) < beatInterval {
+		return
+	}
+	r.beating = true
+	r.beat++
+	number := r.beat
+	go func() {
+		beatCtx, cancel := context.WithTimeout(ctx, silenceLimit)
+		defer cancel()
+		err := r.Desk.Beat(beatCtx, number)
+		if err != nil {
+			r.Logger.Warn("no sign of life stored", "error", err)
+		}
+		r.post(ctx, func() {
+			r.beating = false
+			if err == nil {
+				r.beaten = now
+			}
+		})
+	}()
+}
+
+// mayOrder tells whether the host's own signs of life are new enough to give orders.
+func (r *Runner) mayOrder(now time.Time) bool { return now.Sub(r.beaten) < ordersLimit }
