--- a/manifest.go
+++ b/manifest.go
@@ -96,6 +96,4 @@
 	// Born is the start of the replica, which tells two starts under one id apart.
 	Born   Incarnation
 	Models map[EngineModel]WeightVersion
-	// OrderSequence is the number of orders that the replica has accepted.
-	OrderSequence int64
 }
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -23,6 +23,9 @@
 	longestPause = 2 * time.Second
 )
 
+// unknownSequence stands for a number of accepted orders that no report has told.
+const unknownSequence = -1
+
 // engine is what the holder knows of an engine.
 type engine struct {
 	replica  *gypsum.Replica
@@ -34,6 +37,7 @@
 	pace     time.Duration
 	failures int
 	closed   time.Time
+	// sequence is the number of orders that the engine has accepted.
 	sequence int64
 
 	runs     atomic.Int64
@@ -43,7 +47,7 @@
 
 // newEngine returns what is known of an engine from its registration.
 func newEngine(replica *gypsum.Replica) *engine {
-	made := &engine{starting: make(map[gypsum.EngineModel]int), versions: make(map[gypsum.EngineModel]gypsum.WeightVersion)}
+	made := &engine{sequence: unknownSequence, starting: make(map[gypsum.EngineModel]int), versions: make(map[gypsum.EngineModel]gypsum.WeightVersion)}
 	made.follow(replica)
 	return made
 }
@@ -52,10 +56,9 @@
 func (e *engine) follow(replica *gypsum.Replica) {
 	if e.replica != nil && e.replica.Born != replica.Born {
 		clear(e.versions)
-		e.sequence, e.pace, e.failures, e.closed = 0, 0, 0, time.Time{}
+		e.sequence, e.pace, e.failures, e.closed = unknownSequence, 0, 0, time.Time{}
 	}
 	e.replica = replica
-	e.sequence = max(e.sequence, replica.OrderSequence)
 	for model, version := range replica.Models {
 		e.versions[model] = max(e.versions[model], version)
 	}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -68,6 +68,15 @@
 	replica, expect := on.replica, on.sequence
 	h.runner.Stats.Orders.Add(1)
 	go func() {
+		if expect == unknownSequence {
+			report, err := h.runner.Engines.Report(h.ctx, replica)
+			if err != nil {
+				h.runner.Logger.Warn("engine gave no report", "replica", replica.ID, "error", err)
+				h.runner.post(h.ctx, func() { h.orderEnded(on, replica, given, nil) })
+				return
+			}
+			expect = report.OrderSequence
+		}
 		answer, err := h.runner.Engines.Order(h.ctx, &gypsum.WeightOrder{
 			Replica: replica, Model: load.Model, Version: load.Version, Holder: h.runner.Host, Fence: h.fence + 1, Expect: expect,
 		})
@@ -77,6 +86,7 @@
 		switch answer {
 		case gypsum.OrderHolds:
 			report.Models = map[gypsum.EngineModel]gypsum.WeightVersion{load.Model: load.Version}
+			report.OrderSequence = expect
 		case gypsum.OrderAccepted:
 			report = h.awaitLoad(replica, load, loadTime)
 		default:
@@ -119,7 +129,7 @@
 		on.failed(time.Now())
 		return
 	}
-	on.sequence = max(on.sequence, report.OrderSequence)
+	on.sequence = report.OrderSequence
 	for model, version := range report.Models {
 		on.versions[model] = max(on.versions[model], version)
 	}
