--- a/batch/desk.go
+++ b/batch/desk.go
@@ -163,10 +163,17 @@
 	return size
 }
 
-// fetch returns the parts of a stored value.
-func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, stored Stored) ([][]byte, error) {
-	place := store.Place{Topic: topic, Part: d.part(id), Offset: stored.Offset, Key: stored.Key, Count: stored.Count}
-	return store.Fetch(ctx, d.Store, place, gypsum.Bytes(stored.Size+fetchSlack))
+// fetch returns stored values by their keys.
+func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, values ...Stored) (map[string][]byte, error) {
+	places := make([]store.Place, 0, len(values))
+	for _, stored := range values {
+		places = append(places, store.Place{Offset: stored.Offset, Key: stored.Key, Count: stored.Count, Size: stored.Size})
+	}
+	found, err := store.Fetch(ctx, d.Store, topic, d.part(id), string(id)+"/", places)
+	if err != nil {
+		return nil, fmt.Errorf("batch %s: %w", id, err)
+	}
+	return found, nil
 }
 
 // Items returns the items of an accepted batch.
@@ -178,15 +185,25 @@
 	if err != nil {
 		return nil, err
 	}
-	items := make([]gypsum.BatchItem, 0, header.Total)
-	for _, value := range values {
-		part, err := decode[[]gypsum.BatchItem](value)
+	items, err := decodeItems(values[header.Bodies.Key], header.Total)
+	if err != nil {
+		return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
+	}
+	d.bodies.Add(header.ID, items)
+	return items, nil
+}
+
+// decodeItems decodes lists of items that follow each other.
+func decodeItems(content []byte, total int) ([]gypsum.BatchItem, error) {
+	items := make([]gypsum.BatchItem, 0, total)
+	for len(content) > 0 {
+		var part []gypsum.BatchItem
+		rest, err := cbor.UnmarshalFirst(content, &part)
 		if err != nil {
-			return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
+			return nil, fmt.Errorf("%w: %w", errRecord, err)
 		}
-		items = append(items, part...)
+		items, content = append(items, part...), rest
 	}
-	d.bodies.Add(header.ID, items)
 	return items, nil
 }
 
@@ -278,78 +295,46 @@
 		size += results[count].Text.Size
 		count++
 	}
-	read := make([]gypsum.BatchResult, 0, count)
-	missing, err := d.prefetch(ctx, id, results[:count])
+	texts, err := d.readStored(ctx, id, results[:count])
 	if err != nil {
 		return nil, err
 	}
+	read := make([]gypsum.BatchResult, 0, count)
 	for i := range results[:count] {
 		result := &results[i]
-		text, ok := missing[result.Text.Key]
-		if !ok {
-			if text, err = d.text(ctx, id, result.Text); err != nil {
-				return nil, err
-			}
-		}
-		read = append(read, gypsum.BatchResult{Item: result.Item, State: result.State, Text: text, Versions: result.Versions})
+		read = append(read, gypsum.BatchResult{
+			Item: result.Item, State: result.State, Text: texts[result.Text.Key], Versions: result.Versions,
+		})
 	}
 	return read, nil
 }
 
-// prefetch reads the texts that stand together in the store in one call.
-func (d *Desk) prefetch(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
-	low, high, size, wanted := gypsum.Offset(-1), gypsum.Offset(-1), 0, 0
+// readStored returns the texts of results by their keys: those kept, and the others
+// from the store.
+func (d *Desk) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
+	texts := make(map[string]string, len(results))
+	var missing []Stored
 	for i := range results {
 		stored := results[i].Text
-		if stored.Count != 1 || d.texts.Contains(stored.Key) {
+		if stored.Count == 0 {
 			continue
 		}
-		if low < 0 || stored.Offset < low {
-			low = stored.Offset
+		if text, ok := d.texts.Get(stored.Key); ok {
+			texts[stored.Key] = text
+		} else {
+			missing = append(missing, stored)
 		}
-		high, size, wanted = max(high, stored.Offset), size+stored.Size+fetchSlack/8, wanted+1
-	}
-	if wanted < 2 || int(high-low) > 2*wanted {
-		return nil, nil
-	}
-	page, err := d.Store.Read(ctx, gypsum.KeyedRead{
-		Topic: d.Topics.Texts, Part: d.part(id), From: low, Max: gypsum.Bytes(2*size + fetchSlack),
-	})
-	if errors.Is(err, gypsum.ErrTruncated) {
-		return nil, nil
 	}
+	values, err := d.fetch(ctx, d.Topics.Texts, id, missing...)
 	if err != nil {
-		return nil, fmt.Errorf("read texts: %w", err)
+		return nil, err
 	}
-	texts := make(map[string]string, wanted)
-	for i := range page.Records {
-		key := page.Records[i].Key
-		if cut := len(key) - len("/000"); cut > 0 {
-			texts[key[:cut]] = string(page.Records[i].Value)
-		}
+	for key, value := range values {
+		texts[key] = string(value)
 	}
 	return texts, nil
 }
 
-// text returns a stored text.
-func (d *Desk) text(ctx context.Context, id gypsum.BatchID, stored Stored) (string, error) {
-	if stored.Count == 0 {
-		return "", nil
-	}
-	if text, ok := d.texts.Get(stored.Key); ok {
-		return text, nil
-	}
-	values, err := d.fetch(ctx, d.Topics.Texts, id, stored)
-	if err != nil {
-		return "", err
-	}
-	text := make([]byte, 0, stored.Size)
-	for _, value := range values {
-		text = append(text, value...)
-	}
-	return string(text), nil
-}
-
 // storeText stores a text and tells where. It is kept for readers if keep is set.
 func (d *Desk) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
 	if text == "" {
@@ -403,9 +388,13 @@
 	return nil
 }
 
-// PartialText returns the text of a checkpoint.
-func (d *Desk) PartialText(ctx context.Context, partial *Partial) (string, error) {
-	return d.text(ctx, partial.Batch, partial.Text)
+// PartialTexts returns the texts of a batch's checkpoints by their keys.
+func (d *Desk) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
+	stored := make([]Stored, 0, len(partials))
+	for item := range partials {
+		stored = append(stored, partials[item].Text)
+	}
+	return d.fetch(ctx, d.Topics.Texts, id, stored...)
 }
 
 // NoteFailures stores how often an item's runs have failed.
--- a/runner/hold.go
+++ b/runner/hold.go
@@ -189,17 +189,17 @@
 	}()
 }
 
-// readPartials reads the stored events of a batch's runs. One that cannot be read is
-// run from its beginning.
+// readPartials reads the stored events of a batch's runs. If they cannot be read, the
+// items are run from their beginning.
 func (h *hold) readPartials(ctx context.Context, view *batch.View) map[gypsum.ItemID]*finished {
 	texts := make(map[gypsum.ItemID]*finished, len(view.Partials))
+	stored, err := h.runner.Desk.PartialTexts(ctx, view.Header.ID, view.Partials)
+	if err != nil {
+		h.runner.Logger.Warn("stored events not read", "batch", view.Header.ID, "error", err)
+		return texts
+	}
 	for item, partial := range view.Partials {
-		text, err := h.runner.Desk.PartialText(ctx, &partial)
-		if err != nil {
-			h.runner.Logger.Warn("stored events not read", "batch", partial.Batch, "item", item, "error", err)
-			continue
-		}
-		texts[item] = &finished{last: partial.Last, text: text, versions: partial.Versions}
+		texts[item] = &finished{last: partial.Last, text: string(stored[partial.Text.Key]), versions: partial.Versions}
 	}
 	return texts
 }
