Appends are repeated beside a silent call; the end of an outage is seen in 0.6 s

Ruled out: the holder, which kept its results. All calls of one sequence number are one append to the store, so a second one beside the first is harmless.

--- a/store/follower.go
+++ b/store/follower.go
@@ -23,6 +23,9 @@
 	// readSlack is what a read may take beyond its wait before its connection
 	// counts as silent.
 	readSlack = 800 * time.Millisecond
+	// readAgain bounds a read while the store does not answer: a slow answer from the
+	// other region.
+	readAgain = 600 * time.Millisecond
 	// loadTimeout bounds one page of the newest records: 1 MB between regions.
 	loadTimeout = 3 * time.Second
 	// readPause is the wait after a read that failed.
@@ -146,12 +149,15 @@
 
 // read reads what has come.
 func (f *Follower) read(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, readWait+readSlack)
-	defer cancel()
 	f.mu.Lock()
-	from := f.position
+	from, wait, limit := f.position, readWait, readWait+readSlack
+	if f.down {
+		wait, limit = 0, readAgain
+	}
 	f.mu.Unlock()
-	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: readWait})
+	readCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait})
 	if err != nil {
 		return fmt.Errorf("follow %s: %w", f.Topic, err)
 	}
--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,130 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// add appends a record to a store.
+func add(t *testing.T, backing gypsum.KeyedStore, key string) {
+	t.Helper()
+	_, err := backing.Append(t.Context(), gypsum.KeyedAppend{Topic: topic, Records: []gypsum.KeyedRecord{{Key: key, Value: []byte("v")}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// startFollower runs a follower until the test ends; seen returns the keys it handled.
+func startFollower(t *testing.T, backing gypsum.KeyedStore) (follower *store.Follower, seen func() []string) {
+	var keys []string
+	follower = &store.Follower{Store: backing, Topic: topic, Logger: quiet(), Handle: func(update store.Update) {
+		for i := range update.Records {
+			keys = append(keys, update.Records[i].Key)
+		}
+	}}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- follower.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return follower, func() []string { synctest.Wait(); return keys }
+}
+
+// A follower sees the newest records and then each one, in order.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		add(t, backing, "b")
+		add(t, backing, "a")
+		follower, seen := startFollower(t, backing)
+		is.Equal(seen(), []string{"b", "a"}) // by offset, not by key
+		add(t, backing, "c")
+		is.Equal(seen(), []string{"b", "a", "c"})
+		is.NoErr(follower.CatchUp(t.Context()))
+	})
+}
+
+// A follower whose place has expired goes on from the newest records.
+func TestFollowBehindExpiredRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		_, seen := startFollower(t, backing)
+		add(t, backing, "a")
+		is.Equal(seen(), []string{"a"})
+		backing.SetFault(fake.KeyedRefuse)
+		time.Sleep(2 * time.Second)
+		backing.SetFault(0)
+		add(t, backing, "b")
+		add(t, backing, "c")
+		backing.Forget()
+		time.Sleep(3 * time.Second)
+		keys := seen()
+		is.Equal(keys[len(keys)-2:], []string{"b", "c"})
+	})
+}
+
+// An outage is known within a read's time, and its end within a fraction of that.
+func TestOutageIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		follower, _ := startFollower(t, backing)
+		time.Sleep(100 * time.Millisecond)
+		backing.SetFault(fake.KeyedSilent)
+		time.Sleep(3 * time.Second)
+		_, down := follower.Answered()
+		is.True(down)
+		is.True(follower.CatchUp(ctxFor(t, time.Second)) != nil) // nothing is certain now
+		time.Sleep(3 * time.Second)
+		backing.SetFault(0)
+		time.Sleep(900 * time.Millisecond)
+		_, down = follower.Answered()
+		is.True(!down)
+	})
+}
+
+// ctxFor returns a context that ends after a time.
+func ctxFor(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Values are found by their offsets, and by their keys once these have expired.
+func TestFetch(t *testing.T) {
+	is := is.New(t)
+	backing := fake.NewKeyedStore()
+	var places []store.Place
+	for i := range 3 {
+		key := fmt.Sprintf("batch/%d", i)
+		records := store.Cut(key, [][]byte{fmt.Appendf(nil, "head%d-", i), []byte("tail")})
+		offset, err := backing.Append(t.Context(), gypsum.KeyedAppend{Topic: topic, Records: records})
+		is.NoErr(err)
+		places = append(places, store.Place{Offset: offset, Key: key, Count: 2, Size: 10})
+		add(t, backing, "other/"+key)
+	}
+	for _, expired := range []bool{false, true} {
+		if expired {
+			backing.Forget()
+		}
+		before := backing.Calls()
+		values, err := store.Fetch(t.Context(), backing, topic, 0, "batch/", places)
+		is.NoErr(err)
+		is.Equal(string(values["batch/1"]), "head1-tail")
+		is.Equal(len(values), 3)
+		is.True(backing.Calls()-before <= 2) // all in one read of the log, or one of the newest
+	}
+	_, err := store.Fetch(t.Context(), backing, topic, 0, "gone/", []store.Place{{Offset: 1, Key: "gone/1", Count: 1}})
+	is.True(errors.Is(err, store.ErrMissing))
+}
--- a/store/writer.go
+++ b/store/writer.go
@@ -18,6 +18,9 @@
 	// appendTimeout bounds one call: the store's longest queue of appends is 2 s,
 	// beyond which it refuses.
 	appendTimeout = 2500 * time.Millisecond
+	// appendAgain is the time after which a call without an answer is made once more
+	// beside the first: above the answer of a slow store in the other region.
+	appendAgain = 500 * time.Millisecond
 	// appendPause is the wait after a call that failed, so that an outage costs
 	// each host ten calls a second at most.
 	appendPause = 100 * time.Millisecond
@@ -25,7 +28,7 @@
 
 // Writer appends records to one partition. Records of several callers share a
 // call. A call without an answer is repeated under the same sequence number until
-// its outcome is known. Set the exported fields before Run.
+// its outcome is known or nobody waits for it. Set the exported fields before Run.
 type Writer struct {
 	Store gypsum.KeyedStore
 	Topic gypsum.Topic
@@ -143,51 +146,89 @@
 	return group
 }
 
-// settle repeats a call until its outcome is known or no caller waits for it.
+// settle makes a call until its outcome is known or no caller waits for it.
 func (w *Writer) settle(ctx context.Context, group []*pending) error {
 	var records []gypsum.KeyedRecord
 	for _, request := range group {
 		records = append(records, request.records...)
 	}
-	uncertain := false
+	add := gypsum.KeyedAppend{
+		Topic: w.Topic, Part: w.Part, Records: records, Producer: w.Producer, Epoch: w.epoch, Sequence: w.sequence,
+	}
+	offset, uncertain, err := w.call(ctx, add, group)
+	if err == nil {
+		w.sequence++
+		w.succeed(group, offset)
+		return nil
+	}
+	w.Logger.Warn("append failed", "topic", w.Topic, "part", w.Part, "records", len(records), "uncertain", uncertain, "error", err)
+	if uncertain || errors.Is(err, gypsum.ErrStoreFenced) || errors.Is(err, gypsum.ErrStoreSequence) {
+		// A higher epoch keeps the call from taking effect behind a later one.
+		w.nextEpoch()
+	}
+	if uncertain {
+		w.fail(group, fmt.Errorf("%w: %w", gypsum.ErrStoreUnknown, err))
+		return ctx.Err()
+	}
+	w.giveBack(group)
+	return w.pause(ctx)
+}
+
+// call makes a call, and makes it again beside the first while there is no answer:
+// all are one append to the store. Uncertain means that it may have been carried out
+// although err is set.
+func (w *Writer) call(ctx context.Context, add gypsum.KeyedAppend, group []*pending) (offset gypsum.Offset, uncertain bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan outcome)
+	again := time.NewTimer(0)
+	defer again.Stop()
+	open := 0
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := w.Store.Append(callCtx, gypsum.KeyedAppend{
-			Topic: w.Topic, Part: w.Part, Records: records, Producer: w.Producer, Epoch: w.epoch, Sequence: w.sequence,
-		})
-		cancel()
-		switch {
-		case err == nil:
-			w.sequence++
-			w.succeed(group, offset)
-			return nil
-		case errors.Is(err, gypsum.ErrStoreFenced), errors.Is(err, gypsum.ErrStoreSequence):
-			w.nextEpoch()
-			if uncertain {
-				w.fail(group, fmt.Errorf("%w: %w", gypsum.ErrStoreUnknown, err))
-				return nil
+		select {
+		case <-ctx.Done():
+			return 0, true, ctx.Err()
+		case <-again.C:
+			if open > 0 {
+				uncertain = true
+			}
+			if uncertain && !anyWaits(group) {
+				return 0, true, fmt.Errorf("no caller waits: %w", gypsum.ErrStoreUnknown)
+			}
+			open++
+			go w.attempt(ctx, add, answers)
+			again.Reset(appendAgain)
+		case answer := <-answers:
+			open--
+			switch {
+			case answer.err == nil:
+				return answer.offset, false, nil
+			case errors.Is(answer.err, gypsum.ErrStoreFenced), errors.Is(answer.err, gypsum.ErrStoreSequence):
+				return 0, uncertain, answer.err
+			case !errors.Is(answer.err, gypsum.ErrStoreRefused):
+				uncertain = true
+			}
+			if !uncertain {
+				return 0, false, answer.err
+			}
+			if open == 0 {
+				again.Reset(appendPause)
 			}
-		case !errors.Is(err, gypsum.ErrStoreRefused):
-			uncertain = true
-		}
-		w.Logger.Warn("append failed", "topic", w.Topic, "part", w.Part, "records", len(records), "uncertain", uncertain, "error", err)
-		if !uncertain {
-			w.giveBack(group)
-			return w.pause(ctx)
-		}
-		if !anyWaits(group) {
-			// A higher epoch keeps the call from taking effect behind a later one.
-			w.nextEpoch()
-			w.fail(group, fmt.Errorf("%w: %w", gypsum.ErrStoreUnknown, err))
-			return nil
-		}
-		if err := w.pause(ctx); err != nil {
-			w.fail(group, fmt.Errorf("%w: %w", gypsum.ErrStoreUnknown, err))
-			return err
 		}
 	}
 }
 
+// attempt makes one call of an append.
+func (w *Writer) attempt(ctx context.Context, add gypsum.KeyedAppend, answers chan<- outcome) {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	offset, err := w.Store.Append(callCtx, add)
+	select {
+	case answers <- outcome{offset: offset, err: err}:
+	case <-ctx.Done():
+	}
+}
+
 // nextEpoch begins a new epoch of the writer.
 func (w *Writer) nextEpoch() { w.epoch, w.sequence = w.epoch+1, 0 }
 
--- /dev/null
+++ b/store/writer_test.go
@@ -0,0 +1,133 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+const topic = gypsum.Topic("keyed.test")
+
+// quiet returns a logger that drops all lines.
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// startWriter runs a writer until the test ends.
+func startWriter(t *testing.T, backing gypsum.KeyedStore) *store.Writer {
+	writer := &store.Writer{Store: backing, Topic: topic, Producer: "host.1", CallSize: 1 << 20, Logger: quiet()}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- writer.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return writer
+}
+
+// keysOf returns the keys of a topic's records in their order.
+func keysOf(t *testing.T, backing gypsum.KeyedStore) []string {
+	t.Helper()
+	page, err := backing.Read(t.Context(), gypsum.KeyedRead{Topic: topic})
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := make([]string, 0, len(page.Records))
+	for i := range page.Records {
+		keys = append(keys, page.Records[i].Key)
+	}
+	return keys
+}
+
+// An append whose answers are lost is in the store once.
+func TestLostAnswersAddOnce(t *testing.T) {
+	for name, fault := range map[string]fake.KeyedFault{"lost": fake.KeyedLost, "late": fake.KeyedLate, "silent": fake.KeyedSilent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				backing := fake.NewKeyedStore()
+				backing.Delay = 30 * time.Millisecond
+				writer := startWriter(t, backing)
+				backing.SetFault(fault)
+				time.AfterFunc(2*time.Second, func() { backing.SetFault(0) })
+				_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: "a", Value: []byte("1")})
+				is.NoErr(err)
+				time.Sleep(10 * time.Second)
+				_, err = writer.Append(t.Context(), gypsum.KeyedRecord{Key: "b", Value: []byte("1")})
+				is.NoErr(err)
+				is.Equal(keysOf(t, backing), []string{"a", "b"})
+			})
+		})
+	}
+}
+
+// A refusal is told only if the records are not in the store and never will be.
+func TestRefusedIsNeverIn(t *testing.T) {
+	for name, fault := range map[string]fake.KeyedFault{"refuse": fake.KeyedRefuse, "lost": fake.KeyedLost, "late": fake.KeyedLate, "silent": fake.KeyedSilent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				backing := fake.NewKeyedStore()
+				writer := startWriter(t, backing)
+				backing.SetFault(fault)
+				refused := make(map[string]bool)
+				for i := range 5 {
+					key := fmt.Sprint(i)
+					ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+					_, err := writer.Append(ctx, gypsum.KeyedRecord{Key: key, Value: []byte("1")})
+					cancel()
+					is.True(err != nil)
+					refused[key] = errors.Is(err, gypsum.ErrStoreRefused)
+					is.True(refused[key] || errors.Is(err, gypsum.ErrStoreUnknown))
+				}
+				backing.SetFault(0)
+				time.Sleep(time.Minute)
+				_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: "last", Value: []byte("1")})
+				is.NoErr(err)
+				for _, key := range keysOf(t, backing) {
+					is.True(!refused[key]) // told as refused, but in the store
+				}
+			})
+		})
+	}
+}
+
+// Once a store that was silent answers again, what waits is stored at once: an
+// outage must not last longer for clients than it does.
+func TestSilenceEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		backing.Delay = 30 * time.Millisecond
+		writer := startWriter(t, backing)
+		backing.SetFault(fake.KeyedSilent)
+		const outage = 6200 * time.Millisecond
+		time.AfterFunc(outage, func() { backing.SetFault(0) })
+		begun := time.Now()
+		_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: "a", Value: []byte("1")})
+		is.NoErr(err)
+		is.True(time.Since(begun) < outage+700*time.Millisecond) // the call in flight is not waited for
+	})
+}
+
+// A slow store is not given up: its answers are waited for.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		backing.Delay = 1500 * time.Millisecond
+		writer := startWriter(t, backing)
+		begun := time.Now()
+		_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: "a", Value: []byte("1")})
+		is.NoErr(err)
+		is.True(time.Since(begun) < 1600*time.Millisecond)
+		is.Equal(keysOf(t, backing), []string{"a"})
+	})
+}
