--- /dev/null
+++ b/fake/batch.go
@@ -0,0 +1,257 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// BatchEngine is a model engine as durable batches meet it.
+type BatchEngine struct {
+	ID gypsum.BackendID
+	// Pace is the time of one event on the otherwise idle engine.
+	Pace  time.Duration
+	Slots int
+
+	versions map[gypsum.EngineModel]gypsum.WeightVersion
+	running  int
+	loading  gypsum.EngineModel
+	orders   int64
+	fence    gypsum.Offset
+	silent   bool
+	down     bool
+	ended    chan struct{}
+}
+
+// BatchRun is a run that an engine has begun.
+type BatchRun struct {
+	Engine gypsum.BackendID
+	Item   gypsum.ItemID
+	After  int64
+	At     time.Time
+}
+
+// BatchOrder is an order that an engine has accepted.
+type BatchOrder struct {
+	gypsum.WeightOrder
+	At time.Time
+}
+
+// BatchEngines are model engines in memory. They are a gypsum.Engines.
+type BatchEngines struct {
+	// LoadTime is the time of a load of weights.
+	LoadTime time.Duration
+	// Events gives the number of events of an item; 10 if it is nil.
+	Events func(gypsum.ItemID) int64
+	// Fails tells how an item ends instead of running, nil for a good run.
+	Fails func(gypsum.ItemID) error
+
+	mu      sync.Mutex
+	engines map[gypsum.BackendID]*BatchEngine
+	runs    []BatchRun
+	orders  []BatchOrder
+}
+
+// slowdownPerRun is how much one more run slows an engine.
+const slowdownPerRun = 0.035
+
+// NewBatchEngines returns a number of engines that hold version 1 of the models.
+func NewBatchEngines(count, slots int, pace time.Duration, models ...gypsum.EngineModel) *BatchEngines {
+	made := &BatchEngines{
+		LoadTime: 900 * time.Millisecond, engines: make(map[gypsum.BackendID]*BatchEngine),
+	}
+	for i := range count {
+		engine := &BatchEngine{
+			ID: gypsum.BackendID(fmt.Sprintf("engine-%d", i+1)), Pace: pace, Slots: slots,
+			versions: make(map[gypsum.EngineModel]gypsum.WeightVersion), ended: make(chan struct{}),
+		}
+		for _, model := range models {
+			engine.versions[model] = 1
+		}
+		made.engines[engine.ID] = engine
+	}
+	return made
+}
+
+// Replicas returns the registrations of all engines.
+func (b *BatchEngines) Replicas(service gypsum.ServiceName) []*gypsum.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	replicas := make([]*gypsum.Replica, 0, len(b.engines))
+	for id, engine := range b.engines {
+		models := make(map[gypsum.EngineModel]gypsum.WeightVersion, len(engine.versions))
+		for model, version := range engine.versions {
+			models[model] = version
+		}
+		replicas = append(replicas, &gypsum.Replica{
+			ID: id, Service: service, Address: string(id), State: gypsum.ReplicaReady, Slots: engine.Slots, Models: models,
+		})
+	}
+	return replicas
+}
+
+// Slow sets the pace of an engine.
+func (b *BatchEngines) Slow(id gypsum.BackendID, pace time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines[id].Pace = pace
+}
+
+// Silence lets an engine answer nothing more on open and new connections.
+func (b *BatchEngines) Silence(id gypsum.BackendID, silent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines[id].silent = silent
+}
+
+// Crash ends an engine with all its runs, or brings it back.
+func (b *BatchEngines) Crash(id gypsum.BackendID, down bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.engines[id]
+	engine.down = down
+	close(engine.ended)
+	engine.ended = make(chan struct{})
+}
+
+// Runs returns the runs begun so far, Orders the orders accepted.
+func (b *BatchEngines) Runs() []BatchRun {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]BatchRun(nil), b.runs...)
+}
+
+// Orders returns the orders accepted so far.
+func (b *BatchEngines) Orders() []BatchOrder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]BatchOrder(nil), b.orders...)
+}
+
+// EventData returns the data of an item's event.
+func EventData(item gypsum.ItemID, number int64) string { return fmt.Sprintf("%s:%d", item, number) }
+
+// WholeText returns the text of an item that has run to its end.
+func (b *BatchEngines) WholeText(item gypsum.ItemID) string {
+	var parts []string
+	for number := int64(1); number <= b.eventsOf(item); number++ {
+		parts = append(parts, EventData(item, number))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// eventsOf returns the number of events of an item.
+func (b *BatchEngines) eventsOf(item gypsum.ItemID) int64 {
+	if b.Events == nil {
+		return 10
+	}
+	return b.Events(item)
+}
+
+// errReset is a connection that the engine has reset.
+var errReset = errors.New("connection reset")
+
+// enter begins a run.
+func (b *BatchEngines) enter(run *gypsum.ItemRun, model gypsum.EngineModel) (*BatchEngine, chan struct{}, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.engines[run.Replica.ID]
+	switch {
+	case engine == nil || engine.down:
+		return nil, nil, gypsum.ErrNotHanded
+	case engine.running >= engine.Slots || engine.loading == model:
+		return nil, nil, gypsum.ErrNotExecuted
+	}
+	engine.running++
+	b.runs = append(b.runs, BatchRun{Engine: engine.ID, Item: run.Item.ID, After: run.After, At: time.Now()})
+	return engine, engine.ended, nil
+}
+
+// RunItem is part of gypsum.Engines.
+func (b *BatchEngines) RunItem(ctx context.Context, run *gypsum.ItemRun, sink func(gypsum.StreamEvent) error) error {
+	model := gypsum.EngineModel(run.Item.Header["Model"])
+	engine, ended, err := b.enter(run, model)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		b.mu.Lock()
+		engine.running--
+		b.mu.Unlock()
+	}()
+	if b.Fails != nil {
+		if err := b.Fails(run.Item.ID); err != nil {
+			return err
+		}
+	}
+	for number := run.After + 1; number <= b.eventsOf(run.Item.ID); number++ {
+		b.mu.Lock()
+		step := time.Duration(float64(engine.Pace) * (1 + slowdownPerRun*float64(engine.running)))
+		version, silent := engine.versions[model], engine.silent
+		b.mu.Unlock()
+		if silent {
+			step = time.Hour
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ended:
+			return errReset
+		case <-time.After(step):
+		}
+		if err := sink(gypsum.StreamEvent{Number: number, Data: EventData(run.Item.ID, number), Version: version}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Order is part of gypsum.Engines.
+func (b *BatchEngines) Order(_ context.Context, order *gypsum.WeightOrder) (gypsum.OrderAnswer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.engines[order.Replica.ID]
+	switch {
+	case engine == nil || engine.down:
+		return "", gypsum.ErrNotHanded
+	case order.Fence < engine.fence:
+		return gypsum.OrderFenced, nil
+	case engine.loading != "" || order.Expect != engine.orders:
+		return gypsum.OrderConflict, nil
+	case engine.versions[order.Model] == order.Version:
+		return gypsum.OrderHolds, nil
+	}
+	engine.fence, engine.loading = order.Fence, order.Model
+	engine.orders++
+	b.orders = append(b.orders, BatchOrder{WeightOrder: *order, At: time.Now()})
+	time.AfterFunc(b.LoadTime, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		engine.versions[order.Model], engine.loading = order.Version, ""
+	})
+	return gypsum.OrderAccepted, nil
+}
+
+// Report is part of gypsum.Engines.
+func (b *BatchEngines) Report(_ context.Context, replica *gypsum.Replica) (*gypsum.EngineReport, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.engines[replica.ID]
+	if engine == nil || engine.down {
+		return nil, gypsum.ErrNotHanded
+	}
+	report := &gypsum.EngineReport{
+		Models: make(map[gypsum.EngineModel]gypsum.WeightVersion), Busy: engine.loading != "", OrderSequence: engine.orders,
+		Running: engine.running,
+	}
+	for model, version := range engine.versions {
+		report.Models[model] = version
+	}
+	return report, nil
+}
--- /dev/null
+++ b/runner/harness_test.go
@@ -0,0 +1,207 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/runner"
+	"github.com/gypsumhook/gypsum/state"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// Names that all tests use.
+const (
+	service = gypsum.ServiceName("motif")
+	model   = gypsum.EngineModel("crew")
+	lease   = 3 * time.Second
+)
+
+// logOutput is where the hosts of a test log to.
+var logOutput io.Writer = io.Discard
+
+// deployment is a store, engines and hosts in one process.
+type deployment struct {
+	t       *testing.T
+	store   *fake.KeyedStore
+	engines *fake.BatchEngines
+	hosts   []*testHost
+}
+
+// testHost is one host.
+type testHost struct {
+	desk    *batch.Desk
+	runner  *runner.Runner
+	state   *state.Keeper
+	path    *fake.CutStore
+	follow  *store.Follower
+	kill    context.CancelFunc
+	running int
+	ended   chan error
+}
+
+// newDeployment returns hosts with the given shares of a core in front of engines.
+func newDeployment(t *testing.T, engines *fake.BatchEngines, shares ...float64) *deployment {
+	made := &deployment{t: t, store: fake.NewKeyedStore(), engines: engines}
+	made.store.Delay = 5 * time.Millisecond
+	for i, share := range shares {
+		made.hosts = append(made.hosts, made.start(fmt.Sprintf("host-%d", i+1), share))
+	}
+	time.Sleep(100 * time.Millisecond)
+	return made
+}
+
+// start starts a host that is killed at the end of the test.
+func (d *deployment) start(name string, share float64) *testHost {
+	logger := slog.New(slog.NewTextHandler(logOutput, nil)).With("host", name)
+	ctx, kill := context.WithCancel(d.t.Context())
+	made := &testHost{path: &fake.CutStore{KeyedStore: d.store}, kill: kill, ended: make(chan error, 8), state: state.NewKeeper(logger)}
+	boot := gypsum.Incarnation(time.Now().UnixNano())
+	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
+	writers := make(map[gypsum.Topic]*store.Writer)
+	for _, topic := range []gypsum.Topic{topics.State, topics.Bodies, topics.Texts} {
+		writers[topic] = &store.Writer{
+			Store: made.path, Topic: topic, Producer: fmt.Sprint(name, boot), CallSize: 1 << 20, Logger: logger,
+		}
+		made.run(ctx, writers[topic].Run)
+	}
+	book := batch.NewBook(logger)
+	made.follow = &store.Follower{Store: made.path, Topic: topics.State, Handle: book.Apply, Logger: logger}
+	made.run(ctx, made.follow.Run)
+	made.desk = &batch.Desk{
+		Host: gypsum.HostID(name), Boot: boot, Book: book, Follow: made.follow, Store: made.path, Topics: topics, Parts: 1,
+		RecordSize: 64 << 10, State: writers[topics.State], Logger: logger,
+		Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
+	}
+	if err := made.desk.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	made.state.TakeManifest(&gypsum.Manifest{
+		Revision: 1, Routes: []gypsum.Route{{
+			Name: "train", Kind: gypsum.RouteRollout, Services: []gypsum.WeightedService{{Service: service, Weight: 1}},
+		}},
+		Services: map[gypsum.ServiceName]gypsum.ServiceRule{
+			service: {Name: service, Slots: 16, Stride: 1, Models: []gypsum.EngineModel{model}},
+		},
+	})
+	for _, replica := range d.engines.Replicas(service) {
+		made.state.TakeReplica(replica)
+	}
+	made.runner = runner.New()
+	made.runner.Host, made.runner.Boot, made.runner.Desk, made.runner.Engines = gypsum.HostID(name), boot, made.desk, d.engines
+	made.runner.State, made.runner.Near, made.runner.Share, made.runner.Lease = made.state, true, share, lease
+	made.runner.StoreAway = func() bool { _, down := made.follow.Answered(); return down }
+	made.runner.Logger = logger
+	made.run(ctx, made.runner.Run)
+	d.t.Cleanup(made.stop)
+	return made
+}
+
+// run runs a goroutine of the host.
+func (h *testHost) run(ctx context.Context, run func(context.Context) error) {
+	h.running++
+	go func() { h.ended <- run(ctx) }()
+}
+
+// stop kills the host.
+func (h *testHost) stop() {
+	h.kill()
+	for ; h.running > 0; h.running-- {
+		<-h.ended
+	}
+}
+
+// newBatch returns a batch of one group for each number: that of its items' events.
+func newBatch(id string, minVersion gypsum.WeightVersion, lengths ...int64) *gypsum.Batch {
+	now := time.Now()
+	made := &gypsum.Batch{
+		ID: gypsum.BatchID(id), Route: "train", HostName: "train.example", Service: service, Model: model, MinVersion: minVersion,
+		MaxAttempts: 3, Submitted: now, Due: now.Add(7500 * time.Millisecond), GiveUp: now.Add(40 * time.Second),
+	}
+	for i, length := range lengths {
+		made.Items = append(made.Items, gypsum.BatchItem{
+			ID: itemID(id, i, length), Path: "/train/x", Header: map[string]string{"Model": string(model)},
+			Body: []byte("prompt"), ExpectedTokens: int(length),
+		})
+	}
+	return made
+}
+
+// itemID returns an id that tells the number of the item's events.
+func itemID(id string, number int, length int64) gypsum.ItemID {
+	return gypsum.ItemID(fmt.Sprintf("%s.%d.%d", id, number, length))
+}
+
+// lengthOf returns the number of events that an id tells.
+func lengthOf(item gypsum.ItemID) int64 {
+	var id string
+	var number int
+	var length int64
+	if _, err := fmt.Sscanf(string(item), "%3s.%d.%d", &id, &number, &length); err != nil {
+		return 10
+	}
+	return length
+}
+
+// submit gives a batch to a host, which must accept it.
+func (d *deployment) submit(host int, made *gypsum.Batch) {
+	d.t.Helper()
+	if err := d.hosts[host].desk.Accept(d.t.Context(), made); err != nil {
+		d.t.Fatal("batch not accepted:", err)
+	}
+}
+
+// await waits until a host lists all results of a batch, and checks them. It returns
+// the results and the time from the submission.
+func (d *deployment) await(host int, made *gypsum.Batch, limit time.Duration) ([]gypsum.BatchResult, time.Duration) {
+	d.t.Helper()
+	var results []gypsum.BatchResult
+	for time.Since(made.Submitted) < limit {
+		ctx, cancel := context.WithTimeout(d.t.Context(), 2*time.Second)
+		_, more, err := d.hosts[host].desk.Read(ctx, made.ID, len(results), time.Second)
+		cancel()
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		results = append(results, more...)
+		if len(results) == len(made.Items) {
+			d.check(made, results)
+			return results, time.Since(made.Submitted)
+		}
+	}
+	d.t.Fatalf("batch %s has %d of %d results after %s", made.ID, len(results), len(made.Items), limit)
+	return nil, 0
+}
+
+// check checks that each item is listed once with its whole text.
+func (d *deployment) check(made *gypsum.Batch, results []gypsum.BatchResult) {
+	d.t.Helper()
+	seen := make(map[gypsum.ItemID]bool)
+	for _, result := range results {
+		if seen[result.Item] {
+			d.t.Errorf("item %s stands twice", result.Item)
+		}
+		seen[result.Item] = true
+		if result.State == gypsum.ItemCompleted && result.Text != d.engines.WholeText(result.Item) {
+			d.t.Errorf("item %s has another text: %q", result.Item, result.Text)
+		}
+		for _, version := range result.Versions {
+			if version < made.MinVersion {
+				d.t.Errorf("item %s was made by version %d, below %d", result.Item, version, made.MinVersion)
+			}
+		}
+	}
+}
+
+// holder returns the host that holds the service, as another host sees it.
+func (d *deployment) holder(seenBy int) gypsum.HostID {
+	holder, _, _ := d.hosts[seenBy].desk.Book.Holder(service)
+	return holder.Host
+}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,294 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+)
+
+// pace is the time of one event on an idle engine.
+const pace = 28 * time.Millisecond
+
+// newEngines returns engines whose items' lengths stand in their ids.
+func newEngines(count int) *fake.BatchEngines {
+	engines := fake.NewBatchEngines(count, 16, pace, model)
+	engines.Events = lengthOf
+	return engines
+}
+
+// lengths returns a number of short items and some long ones.
+func lengths(short, long int) []int64 {
+	var all []int64
+	for range short {
+		all = append(all, 12)
+	}
+	for range long {
+		all = append(all, 110)
+	}
+	return all
+}
+
+// The daemon that accepts a batch runs it, and all daemons read the same.
+func TestBatchRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(60, 4)...)
+		d.submit(0, made)
+		results, took := d.await(0, made, 10*time.Second)
+		is.True(took < 5*time.Second)
+		is.Equal(d.holder(1), gypsum.HostID("host-1"))
+		elsewhere, _ := d.await(2, made, 10*time.Second)
+		is.Equal(results, elsewhere)
+		is.Equal(len(d.engines.Runs()), 64) // none ran twice
+		is.NoErr(d.hosts[1].desk.Accept(t.Context(), made))
+		is.Equal(len(d.engines.Runs()), 64) // a repeat starts nothing
+	})
+}
+
+// Another host goes on where a killed holder's long runs had come to.
+func TestHolderKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(60, 4)...)
+		d.submit(0, made)
+		time.Sleep(2500 * time.Millisecond)
+		d.hosts[0].stop()
+		_, took := d.await(1, made, 15*time.Second)
+		is.True(took < 7500*time.Millisecond) // in time although the holder was lost
+		resumed := 0
+		for _, run := range d.engines.Runs() {
+			if run.After > 0 {
+				resumed++
+			}
+		}
+		is.Equal(resumed, 4)
+	})
+}
+
+// A holder that stops hands over at once: nothing is run from its beginning again.
+func TestHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(60, 4)...)
+		d.submit(0, made)
+		time.Sleep(time.Second)
+		d.hosts[0].runner.Stop(t.Context())
+		_, took := d.await(1, made, 15*time.Second)
+		is.True(took < 5500*time.Millisecond)
+		is.True(d.holder(1) != "host-1")
+	})
+}
+
+// A strong host takes over before a weak one, also where the weak one accepted the batch.
+func TestStrongHostHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.19, 0.19, 0.8, 0.19)
+		made := newBatch("bat", 1, lengths(20, 0)...)
+		d.submit(0, made)
+		d.await(0, made, 10*time.Second)
+		is.Equal(d.holder(0), gypsum.HostID("host-3"))
+	})
+}
+
+// A holder that cannot reach the store is replaced; once it is back it gives way,
+// and both hosts' work leaves one result for each item.
+func TestHolderCutFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(30, 4)...)
+		d.submit(0, made)
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].path.SetCut(true)
+		results, took := d.await(1, made, 15*time.Second)
+		is.True(took < 7500*time.Millisecond)
+		d.hosts[0].path.SetCut(false)
+		time.Sleep(5 * time.Second)
+		again, _ := d.await(0, made, 30*time.Second)
+		is.Equal(results, again)
+		is.Equal(d.holder(0), gypsum.HostID("host-2"))
+	})
+}
+
+// While the store is away the holder goes on, no other host claims, and what was
+// finished is stored once the store is back.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(30, 4)...)
+		d.submit(0, made)
+		time.Sleep(300 * time.Millisecond)
+		d.store.SetFault(fake.KeyedSilent)
+		time.Sleep(6 * time.Second)
+		d.store.SetFault(0)
+		_, took := d.await(1, made, 15*time.Second)
+		is.True(took < 7500*time.Millisecond) // as long as the outage, not longer
+		is.Equal(d.holder(1), gypsum.HostID("host-1"))
+		is.Equal(len(d.engines.Runs()), 34) // none ran twice
+	})
+}
+
+// After the loss of all hosts the store alone brings every batch back.
+func TestAllHostsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(30, 4)...)
+		d.submit(0, made)
+		time.Sleep(1500 * time.Millisecond)
+		for _, host := range d.hosts {
+			host.stop()
+		}
+		d.store.Forget()
+		time.Sleep(time.Second)
+		d.hosts = append(d.hosts, d.start("host-1", 0.8), d.start("host-3", 0.8))
+		_, took := d.await(3, made, 30*time.Second)
+		is.True(took < 10*time.Second)
+	})
+}
+
+// An engine that turns slow, falls silent or crashes does not stall a step.
+func TestEngineFaults(t *testing.T) {
+	faults := map[string]func(*fake.BatchEngines){
+		"slow":    func(e *fake.BatchEngines) { e.Slow("engine-1", 4*pace) },
+		"silent":  func(e *fake.BatchEngines) { e.Silence("engine-1", true) },
+		"crashed": func(e *fake.BatchEngines) { e.Crash("engine-1", true) },
+	}
+	for name, inject := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := newDeployment(t, newEngines(4), 0.8, 0.8)
+				made := newBatch("bat", 1, lengths(20, 8)...)
+				d.submit(0, made)
+				time.Sleep(700 * time.Millisecond)
+				inject(d.engines)
+				_, took := d.await(0, made, 15*time.Second)
+				is.True(took < 7*time.Second) // 110 events take 3.1 to 4.2 s without the fault
+			})
+		})
+	}
+}
+
+// A named version is loaded on all engines of its only model, a few at a time, and
+// no result comes from a version below the batch's least.
+func TestNamedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(8), 0.8, 0.8)
+		first := newBatch("ba1", 1, lengths(30, 2)...)
+		d.submit(0, first)
+		d.await(0, first, 10*time.Second)
+		for _, host := range d.hosts {
+			host.state.TakeVersion(model, 2)
+		}
+		second := newBatch("ba2", 2, lengths(30, 2)...)
+		d.submit(0, second)
+		_, took := d.await(0, second, 20*time.Second)
+		is.True(took < 6*time.Second)
+		time.Sleep(6 * time.Second)
+		orders := d.engines.Orders()
+		is.Equal(len(orders), 8) // one load for each engine
+		for i := range orders {
+			within := 0
+			for j := range orders {
+				if gap := orders[i].At.Sub(orders[j].At); gap >= 0 && gap < d.engines.LoadTime {
+					within++
+				}
+			}
+			is.True(within <= 2) // loads at one time
+		}
+	})
+}
+
+// After a takeover the new holder's orders carry a higher fencing number and come
+// no sooner than the lease after the claim.
+func TestOrdersAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.8, 0.8)
+		d.hosts[0].state.TakeVersion(model, 2)
+		d.hosts[1].state.TakeVersion(model, 2)
+		made := newBatch("bat", 1, lengths(10, 8)...)
+		d.submit(0, made)
+		time.Sleep(1200 * time.Millisecond)
+		before := d.engines.Orders()
+		is.True(len(before) > 0)
+		d.hosts[0].stop()
+		killed := time.Now()
+		time.Sleep(12 * time.Second)
+		after := d.engines.Orders()[len(before):]
+		is.True(len(after) > 0)
+		for _, order := range after {
+			is.True(order.Holder == "host-2" && order.Fence > before[0].Fence)
+			is.True(order.At.Sub(killed) >= lease)
+		}
+	})
+}
+
+// An item whose runs fail is given up after the attempts that its route allows, also
+// when the holder changes between them; one that can never be done at once.
+func TestFailingItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := newEngines(4)
+		d := newDeployment(t, engines, 0.8, 0.8)
+		made := newBatch("bat", 1, 12, 13, 14)
+		bad, never := made.Items[1].ID, made.Items[2].ID
+		engines.Fails = func(item gypsum.ItemID) error {
+			switch item {
+			case bad:
+				return gypsum.ErrItemFailed
+			case never:
+				return gypsum.ErrItemInvalid
+			}
+			return nil
+		}
+		d.submit(0, made)
+		results, _ := d.await(0, made, 10*time.Second)
+		runs := make(map[gypsum.ItemID]int)
+		for _, run := range engines.Runs() {
+			runs[run.Item]++
+		}
+		is.Equal(runs[bad], made.MaxAttempts)
+		is.Equal(runs[never], 1)
+		for _, result := range results {
+			is.Equal(result.State == gypsum.ItemErrored, result.Item == bad || result.Item == never)
+		}
+	})
+}
+
+// The end of a batch ends its runs; a group that comes again in the next step goes on
+// from what it has.
+func TestEndedBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.8, 0.8)
+		made := newBatch("bat", 1, lengths(4, 2)...)
+		d.submit(0, made)
+		time.Sleep(1500 * time.Millisecond)
+		is.NoErr(d.hosts[1].desk.End(t.Context(), made.ID))
+		time.Sleep(time.Second)
+		next := newBatch("nex", 1)
+		next.Items = made.Items[4:]
+		d.submit(0, next)
+		d.await(0, next, 10*time.Second)
+		for _, run := range d.engines.Runs()[6:] {
+			is.True(run.After > 30) // resumed behind the events of the ended batch
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.NoErr(d.hosts[0].desk.End(ctx, made.ID)) // ending again is harmless
+	})
+}
