--- a/fake/batch.go
+++ b/fake/batch.go
@@ -165,7 +165,7 @@
 	switch {
 	case engine == nil || engine.down:
 		return nil, nil, gypsum.ErrNotHanded
-	case engine.running >= engine.Slots || engine.loading == model:
+	case engine.running >= engine.Slots || (engine.loading != "" && engine.loading == model):
 		return nil, nil, gypsum.ErrNotExecuted
 	}
 	engine.running++
--- a/front/batch.go
+++ b/front/batch.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,14 +16,11 @@
 
 // Limits of calls about batches.
 const (
-	maxIDSize = 64
 	// submitPatience is how long a submission may wait for a store that does not
 	// answer: another host may reach it, and the client can ask there.
 	submitPatience = 1500 * time.Millisecond
 	// callPatience is how long other calls may wait for the store.
 	callPatience = 1200 * time.Millisecond
-	// readWait is how long a read without a stated wait is kept.
-	readWait = time.Second
 	// goneReturn is when to ask again after an answer that nobody can be sure of.
 	goneReturn = 250 * time.Millisecond
 )
@@ -37,17 +33,14 @@
 		return
 	}
 	defer release()
-	made, err := platform.DecodeBatch(content)
-	if err == nil && (id == "" || len(id) > maxIDSize) {
-		err = errors.Errorf("id of %d bytes", len(id))
-	}
+	made, err := platform.DecodeBatch(id, content)
 	if err != nil {
 		f.Stats.Bad.Add(1)
 		f.Logger.Info("batch not understood", "batch", id, "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	made.ID, made.Route, made.HostName, made.Service = gypsum.BatchID(id), route.Name, r.Host, pickService(route)
+	made.Route, made.HostName, made.Service = route.Name, r.Host, pickService(route)
 	made.Single, made.MaxAttempts = route.SingleVersion, route.MaxAttempts
 	made.Submitted = time.Now()
 	made.Due, made.GiveUp = made.Submitted.Add(route.ResultDue), made.Submitted.Add(route.Retention)
@@ -67,90 +60,78 @@
 	}
 }
 
-// isBatchCall tells whether a request is a call about a batch, by its path.
-func isBatchCall(r *http.Request) bool {
-	path := r.URL.Path
-	return (strings.HasPrefix(path, "/lots/") && (r.Method == http.MethodGet || r.Method == http.MethodDelete)) ||
-		(strings.HasPrefix(path, "/items/") && r.Method == http.MethodGet)
-}
-
 // serveBatchCall serves a call about a batch.
-func (f *Front) serveBatchCall(w http.ResponseWriter, r *http.Request) {
+func (f *Front) serveBatchCall(w http.ResponseWriter, r *http.Request, call *platform.BatchCall) {
 	begun := time.Now()
-	kind, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if id == "" || len(id) > maxIDSize {
-		http.Error(w, "no such batch", http.StatusNotFound)
+	var err error
+	switch call.Kind {
+	case platform.BatchRead:
+		err = f.readResults(w, r, call)
+		f.Stats.Read.Observe(time.Since(begun))
+	case platform.BatchBody:
+		err = f.readBodyOf(w, r, call)
+	case platform.BatchEnd:
+		err = f.endBatch(w, r, call.ID)
+	}
+	if err == nil {
 		return
 	}
-	switch {
-	case kind == "items":
-		f.readItem(w, r, gypsum.BatchID(id))
-	case r.Method == http.MethodDelete:
-		f.endBatch(w, r, gypsum.BatchID(id))
-	default:
-		f.readResults(w, r, gypsum.BatchID(id))
-		f.Stats.Read.Observe(time.Since(begun))
+	f.Logger.Info("batch call failed", "batch", call.ID, "method", r.Method, "after", call.After, "item", call.Item,
+		"took_ms", time.Since(begun).Milliseconds(), "error", err)
+	// Only what is certain is answered with 404.
+	if errors.Is(err, batch.ErrNoBatch) || errors.Is(err, batch.ErrNoItem) {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
 	}
+	refuse(w, gypsum.NotRun(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, goneReturn, "the batch cannot be read now"))
 }
 
 // readResults answers a read of results.
-func (f *Front) readResults(w http.ResponseWriter, r *http.Request, id gypsum.BatchID) {
-	from, err := strconv.Atoi(r.URL.Query().Get("after"))
-	if r.URL.Query().Get("after") == "" {
-		from, err = 0, nil
-	}
-	if err != nil || from < 0 {
-		http.Error(w, "after is no position", http.StatusBadRequest)
-		return
-	}
-	wait := readWait
-	if millis, err := strconv.Atoi(r.Header.Get(platform.HeaderWait)); err == nil && millis >= 0 {
-		wait = time.Duration(millis) * time.Millisecond
-	}
+func (f *Front) readResults(w http.ResponseWriter, r *http.Request, call *platform.BatchCall) error {
+	wait := call.Wait
 	if f.Stopping.Load() {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait+callPatience)
 	defer cancel()
-	total, results, err := f.Desk.Read(ctx, id, from, wait)
+	total, results, err := f.Desk.Read(ctx, call.ID, call.After, wait)
 	if err != nil {
-		f.batchError(w, r, id, err)
-		return
+		return err
 	}
-	content, err := platform.EncodeResults(total, from, results)
+	content, err := platform.EncodeResults(total, call.After, results)
 	if err != nil {
-		f.batchError(w, r, id, err)
-		return
+		return err
 	}
 	writeJSON(w, content)
 	if len(results) > 0 {
-		f.Logger.Info("results read", "batch", id, "after", from, "results", len(results), "total", total)
+		f.Logger.Info("results read", "batch", call.ID, "after", call.After, "results", len(results), "total", total)
 	}
+	return nil
 }
 
-// readItem answers a request for an item's body.
-func (f *Front) readItem(w http.ResponseWriter, r *http.Request, id gypsum.BatchID) {
+// readBodyOf answers a request for an item's body.
+func (f *Front) readBodyOf(w http.ResponseWriter, r *http.Request, call *platform.BatchCall) error {
 	ctx, cancel := context.WithTimeout(r.Context(), callPatience)
 	defer cancel()
-	body, err := f.Desk.Body(ctx, id, gypsum.ItemID(r.URL.Query().Get("id")))
+	body, err := f.Desk.Body(ctx, call.ID, call.Item)
 	if err != nil {
-		f.batchError(w, r, id, err)
-		return
+		return err
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
+	return nil
 }
 
-// endBatch ends a batch.
-func (f *Front) endBatch(w http.ResponseWriter, r *http.Request, id gypsum.BatchID) {
+// endBatch ends a batch, also if the client has left meanwhile.
+func (f *Front) endBatch(w http.ResponseWriter, r *http.Request, id gypsum.BatchID) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitPatience)
 	defer cancel()
 	if err := f.Desk.End(ctx, id); err != nil {
-		f.batchError(w, r, id, err)
-		return
+		return err
 	}
 	writeJSON(w, []byte("{}"))
+	return nil
 }
 
 // writeJSON writes a JSON answer.
@@ -159,14 +140,3 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = w.Write(content)
 }
-
-// batchError answers a call about a batch that cannot be served. Only what is
-// certain is answered with 404.
-func (f *Front) batchError(w http.ResponseWriter, r *http.Request, id gypsum.BatchID, err error) {
-	f.Logger.Info("batch call failed", "batch", id, "method", r.Method, "path", r.URL.Path, "after", r.URL.Query().Get("after"), "error", err)
-	if errors.Is(err, batch.ErrNoBatch) || errors.Is(err, batch.ErrNoItem) {
-		http.Error(w, err.Error(), http.StatusNotFound)
-		return
-	}
-	refuse(w, gypsum.NotRun(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, goneReturn, "the batch cannot be read now"))
-}
--- a/front/front.go
+++ b/front/front.go
@@ -47,6 +47,10 @@
 	Bad     atomic.Int64
 }
 
+// configurationAge is how old the configuration may be for an answer that there is no
+// route: a change is to be in force within seconds.
+const configurationAge = time.Second
+
 // Handler returns the handler.
 func (f *Front) Handler() http.Handler { return http.HandlerFunc(f.serve) }
 
@@ -63,13 +67,8 @@
 	}
 	route := FindRoute(manifest.Routes, hostName(r), r.URL.EscapedPath())
 	switch {
-	case route == nil && isBatchCall(r):
-		f.serveBatchCall(w, r)
 	case route == nil:
-		f.Stats.Unknown.Add(1)
-		f.Logger.Info("no route", "request", r.Header.Get(platform.HeaderRequestID), "host_name", hostName(r), "path", r.URL.EscapedPath(),
-			"revision", manifest.Revision)
-		http.Error(w, "no route", http.StatusNotFound)
+		f.withoutRoute(w, r, manifest)
 	case route.Kind == gypsum.RouteRollout && r.Method == http.MethodPost:
 		f.submit(w, r, manifest, route, arrived)
 		f.Stats.Submit.Observe(time.Since(arrived))
@@ -79,6 +78,26 @@
 	}
 }
 
+// withoutRoute serves a request that no route matches: a call about a batch, or nothing.
+func (f *Front) withoutRoute(w http.ResponseWriter, r *http.Request, manifest *gypsum.Manifest) {
+	call, err := platform.DecodeBatchCall(r)
+	switch {
+	case err != nil:
+		f.Stats.Bad.Add(1)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case call != nil:
+		f.serveBatchCall(w, r, call)
+	case f.StoreAway() > configurationAge:
+		refuse(w, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, goneReturn,
+			"no route is known, and the configuration may have changed"))
+	default:
+		f.Stats.Unknown.Add(1)
+		f.Logger.Info("no route", "request", r.Header.Get(platform.HeaderRequestID), "host_name", hostName(r),
+			"path", r.URL.EscapedPath(), "revision", manifest.Revision)
+		http.Error(w, "no route", http.StatusNotFound)
+	}
+}
+
 // hostName returns the name by which a request selects its routes.
 func hostName(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
--- /dev/null
+++ b/mimic/replica.go
@@ -0,0 +1,237 @@
+package mimic
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/platform"
+)
+
+// Fault is a fault of a replica's answers.
+type Fault string
+
+// The faults of a replica.
+const (
+	// FaultCrossed answers with another request's id.
+	FaultCrossed Fault = "crossed"
+	// FaultCut ends an answer in its middle, FaultReset before its begin.
+	FaultCut   Fault = "cut"
+	FaultReset Fault = "reset"
+	// FaultUnsigned leaves out the receipt.
+	FaultUnsigned Fault = "unsigned"
+	// FaultBusy refuses as a full replica does.
+	FaultBusy Fault = "busy"
+	// FaultError fails each request that it runs.
+	FaultError Fault = "error"
+	// FaultSilent answers nothing.
+	FaultSilent Fault = "silent"
+	// FaultOther is another replica at the address.
+	FaultOther Fault = "other"
+)
+
+// Replica is one replica: an engine if Engines is set, else a plain one.
+type Replica struct {
+	ID      gypsum.BackendID
+	Engines *fake.BatchEngines
+	// Work is the time of a plain request.
+	Work time.Duration
+
+	mu    sync.Mutex
+	fault Fault
+	ran   []string
+}
+
+// SetFault puts the replica into a fault, an empty one ends it.
+func (p *Replica) SetFault(fault Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = fault
+}
+
+// Ran returns the ids of the requests that the replica has run.
+func (p *Replica) Ran() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.ran...)
+}
+
+// enter returns the fault that a request meets and notes that it ran.
+func (p *Replica) enter(id string) Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault != FaultBusy && p.fault != FaultOther {
+		p.ran = append(p.ran, id)
+	}
+	return p.fault
+}
+
+// Handler returns the replica's handler.
+func (p *Replica) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", p.report)
+	mux.HandleFunc("POST /order", p.order)
+	mux.HandleFunc("/", p.request)
+	return mux
+}
+
+// Receipt is the receipt of an answer by a replica.
+func Receipt(id gypsum.BackendID, request string) string { return string(id) + "." + request }
+
+// PlainBody is the body of a replica's answer to a plain request.
+func PlainBody(request, target string, body []byte) string {
+	return fmt.Sprintf("answer to %s %s %x", request, target, body)
+}
+
+// request serves a request: an item of a batch at an engine, any other at a plain one.
+func (p *Replica) request(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(platform.HeaderRequestID)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	fault := p.enter(id)
+	header := w.Header()
+	header.Set(platform.HeaderRequestID, id)
+	if expected := r.Header.Get("Expect-Instance"); fault == FaultOther || (expected != "" && expected != string(p.ID)) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if fault != FaultUnsigned {
+		header.Set("Server-Stamp", Receipt(p.ID, id))
+	}
+	switch fault {
+	case FaultBusy:
+		header.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case FaultError:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case FaultCrossed:
+		header.Set(platform.HeaderRequestID, "another")
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		<-r.Context().Done()
+		return
+	}
+	if p.Engines != nil || strings.Contains(r.URL.Path, "/stream") {
+		p.stream(w, r, body, fault)
+		return
+	}
+	time.Sleep(p.Work)
+	content := PlainBody(id, r.RequestURI, body)
+	header.Set("Content-Length", strconv.Itoa(len(content)))
+	if fault == FaultCut {
+		_, _ = io.WriteString(w, content[:len(content)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, content)
+}
+
+// stream serves an answer of events.
+func (p *Replica) stream(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
+	id := gypsum.ItemID(r.Header.Get(platform.HeaderRequestID))
+	after, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
+	engines := p.Engines
+	if engines == nil {
+		engines = fake.NewBatchEngines(1, 1, p.Work, "")
+	}
+	item := &gypsum.BatchItem{ID: id, Body: body, Header: map[string]string{"Model": r.Header.Get("Model")}}
+	replica := &gypsum.Replica{ID: p.ID}
+	if p.Engines == nil {
+		replica.ID = "engine-1"
+	}
+	control, version, begun := http.NewResponseController(w), gypsum.WeightVersion(0), false
+	err := engines.RunItem(r.Context(), &gypsum.ItemRun{Replica: replica, Item: item, After: after}, func(event gypsum.StreamEvent) error {
+		lines := ""
+		if !begun {
+			begun, version = true, event.Version
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Weight-Versions", strconv.FormatInt(int64(version), 10))
+		} else if event.Version != version {
+			version = event.Version
+			lines = fmt.Sprintf("weight-versions: %d\n", version)
+		}
+		text := fmt.Sprintf("%sid: %d\ndata: %s\n\n", lines, event.Number, event.Data)
+		if fault == FaultCut && event.Number == after+3 {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+		return control.Flush()
+	})
+	switch {
+	case begun && err != nil:
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, gypsum.ErrNotExecuted):
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case errors.Is(err, gypsum.ErrItemInvalid):
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	case errors.Is(err, gypsum.ErrItemFailed):
+		w.WriteHeader(http.StatusInternalServerError)
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// report serves an engine's report.
+func (p *Replica) report(w http.ResponseWriter, r *http.Request) {
+	if p.Engines == nil {
+		http.NotFound(w, r)
+		return
+	}
+	report, err := p.Engines.Report(r.Context(), &gypsum.Replica{ID: p.ID})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	models := make([]map[string]any, 0, len(report.Models))
+	for model, version := range report.Models {
+		models = append(models, map[string]any{"name": model, "version": version})
+	}
+	answer(w, http.StatusOK, map[string]any{
+		"stage": "both", "models": models, "busy": report.Busy, "seq": report.OrderSequence, "num_running": report.Running,
+	})
+}
+
+// order serves an order.
+func (p *Replica) order(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Op      string        `json:"op"`
+		Model   string        `json:"model"`
+		Version int64         `json:"version"`
+		Holder  string        `json:"holder"`
+		Fence   gypsum.Offset `json:"fence"`
+		Expect  int64         `json:"expect"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Holder == "" || body.Fence == 0 || p.Engines == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	said, err := p.Engines.Order(r.Context(), &gypsum.WeightOrder{
+		Replica: &gypsum.Replica{ID: p.ID}, Model: gypsum.EngineModel(body.Model), Version: gypsum.WeightVersion(body.Version),
+		Holder: gypsum.HostID(body.Holder), Fence: body.Fence, Expect: body.Expect,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(map[gypsum.OrderAnswer]int{
+		gypsum.OrderAccepted: http.StatusAccepted, gypsum.OrderHolds: http.StatusOK, gypsum.OrderConflict: http.StatusConflict,
+		gypsum.OrderFenced: http.StatusPreconditionFailed,
+	}[said])
+}
--- /dev/null
+++ b/mimic/store.go
@@ -0,0 +1,140 @@
+// Package mimic serves the users' platform over HTTP for tests and the soak: its
+// store, model engines and plain replicas, with the faults that they may show.
+package mimic
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+)
+
+// Store returns the handler of a store.
+func Store(store *fake.KeyedStore) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", func(w http.ResponseWriter, r *http.Request) { appendRecords(store, w, r) })
+	mux.HandleFunc("GET /log-read", func(w http.ResponseWriter, r *http.Request) { readRecords(store, w, r) })
+	mux.HandleFunc("GET /log-newest", func(w http.ResponseWriter, r *http.Request) { newestRecords(store, w, r) })
+	return mux
+}
+
+// number returns a parameter of a query, 0 if it is missing.
+func number(r *http.Request, name string) int64 {
+	value, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// answer writes a JSON answer.
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// fail answers a call of the store that failed: a refusal with its status, or a
+// connection that is closed without an answer.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, gypsum.ErrStoreFenced):
+		answer(w, http.StatusConflict, map[string]any{"why": "fenced"})
+	case errors.Is(err, gypsum.ErrStoreSequence):
+		answer(w, http.StatusConflict, map[string]any{"why": "seq", "expected": 0})
+	case errors.Is(err, gypsum.ErrTruncated):
+		answer(w, http.StatusGone, map[string]any{"first": 0})
+	case errors.Is(err, gypsum.ErrStoreRefused):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// appendRecords serves an append.
+func appendRecords(store *fake.KeyedStore, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	records, ok := decodeRecords(body)
+	if !ok {
+		http.Error(w, "records are not in the format", http.StatusBadRequest)
+		return
+	}
+	offset, err := store.Append(r.Context(), gypsum.KeyedAppend{
+		Topic: gypsum.Topic(r.URL.Query().Get("topic")), Part: gypsum.Partition(number(r, "part")), Records: records,
+		Producer: r.URL.Query().Get("producer"), Epoch: number(r, "epoch"), Sequence: number(r, "seq"),
+	})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"offset": offset, "end": offset + gypsum.Offset(len(records))})
+}
+
+// decodeRecords splits the body of an append.
+func decodeRecords(body []byte) ([]gypsum.KeyedRecord, bool) {
+	var records []gypsum.KeyedRecord
+	for len(body) > 0 {
+		if len(body) < 5 {
+			return nil, false
+		}
+		size := int(binary.BigEndian.Uint32(body))
+		if size < 1 || size > len(body)-4 || int(body[4]) > size-1 {
+			return nil, false
+		}
+		content, key := body[5:4+size], int(body[4])
+		records = append(records, gypsum.KeyedRecord{Key: string(content[:key]), Value: append([]byte(nil), content[key:]...)})
+		body = body[4+size:]
+	}
+	return records, true
+}
+
+// readRecords serves a read.
+func readRecords(store *fake.KeyedStore, w http.ResponseWriter, r *http.Request) {
+	page, err := store.Read(r.Context(), gypsum.KeyedRead{
+		Topic: gypsum.Topic(r.URL.Query().Get("topic")), Part: gypsum.Partition(number(r, "part")),
+		From: gypsum.Offset(number(r, "from")), Wait: time.Duration(number(r, "wait_ms")) * time.Millisecond,
+	})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(page.Next))
+	body = binary.BigEndian.AppendUint64(body, uint64(page.First))
+	for i := range page.Records {
+		record := &page.Records[i]
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(record.Key)+len(record.Value)))
+		body = append(body, byte(len(record.Key)))
+		body = append(append(body, record.Key...), record.Value...)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// newestRecords serves a read of the newest records.
+func newestRecords(store *fake.KeyedStore, w http.ResponseWriter, r *http.Request) {
+	page, err := store.Newest(r.Context(), gypsum.Topic(r.URL.Query().Get("topic")), gypsum.Partition(number(r, "part")),
+		r.URL.Query().Get("after"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	items := make([]map[string]any, 0, len(page.Records))
+	for i := range page.Records {
+		record := &page.Records[i]
+		items = append(items, map[string]any{
+			"key": record.Key, "value": base64.StdEncoding.EncodeToString(record.Value), "offset": record.Offset,
+		})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": page.More, "end": page.Next})
+}
