Hosts reach the store by way of each other while their own path is silent

Ruled out: longer waits alone, which do not help a cut host. Tests: detour, TestHolderCutWithDetour.

--- a/batch/book.go
+++ b/batch/book.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +23,7 @@
 	batches map[gypsum.BatchID]*entry
 	holders map[gypsum.ServiceName]*Holder
 	beats   map[gypsum.HostID]beat
+	hosts   map[gypsum.HostID]HostRecord
 	changed chan struct{}
 }
 
@@ -69,7 +72,8 @@
 func NewBook(logger *slog.Logger) *Book {
 	return &Book{
 		Logger: logger, folded: -1, batches: make(map[gypsum.BatchID]*entry),
-		holders: make(map[gypsum.ServiceName]*Holder), beats: make(map[gypsum.HostID]beat), changed: make(chan struct{}, 1),
+		holders: make(map[gypsum.ServiceName]*Holder), beats: make(map[gypsum.HostID]beat),
+		hosts: make(map[gypsum.HostID]HostRecord), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -101,9 +105,18 @@
 // fold folds one record. The caller holds mu.
 func (b *Book) fold(record *gypsum.KeyedRecord, now time.Time) error {
 	if len(record.Value) == 0 {
+		if kind, host, _ := strings.Cut(record.Key, "/"); kind == kindHost {
+			delete(b.hosts, gypsum.HostID(host))
+		}
 		return nil
 	}
 	switch kindOf(record.Key) {
+	case kindHost:
+		host, err := decode[HostRecord](record.Value)
+		if err != nil {
+			return err
+		}
+		b.hosts[host.Host] = host
 	case kindHeader:
 		header, err := decode[Header](record.Value)
 		if err != nil {
@@ -216,6 +229,13 @@
 	return *known, alive, true
 }
 
+// Hosts returns the daemons that have told where they are.
+func (b *Book) Hosts() []HostRecord {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return slices.Collect(maps.Values(b.hosts))
+}
+
 // Knows tells whether a batch was accepted.
 func (b *Book) Knows(id gypsum.BatchID) bool {
 	b.mu.RLock()
--- a/batch/desk.go
+++ b/batch/desk.go
@@ -435,3 +435,23 @@
 	}
 	return nil
 }
+
+// Announce tells other daemons where this one is, Withdraw that it is gone.
+func (d *Desk) Announce(ctx context.Context, address string, location gypsum.Location) error {
+	record, err := encode(HostRecord{Host: d.Host, Address: address, Location: location}, kindHost, string(d.Host))
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store address: %w", err)
+	}
+	return nil
+}
+
+// Withdraw removes what Announce has stored.
+func (d *Desk) Withdraw(ctx context.Context) error {
+	if _, err := d.State.Append(ctx, gypsum.KeyedRecord{Key: kindHost + "/" + string(d.Host)}); err != nil {
+		return fmt.Errorf("remove address: %w", err)
+	}
+	return nil
+}
--- a/batch/record.go
+++ b/batch/record.go
@@ -23,6 +23,7 @@
 	kindHeartbeat = "h"
 	kindPartial   = "p"
 	kindFailures  = "f"
+	kindHost      = "n"
 )
 
 // Header is the record of an accepted batch.
@@ -102,6 +103,13 @@
 	Beat int64              `cbor:"3,keyasint"`
 }
 
+// HostRecord is the record by which a daemon tells others where it is.
+type HostRecord struct {
+	Host     gypsum.HostID   `cbor:"1,keyasint"`
+	Address  string          `cbor:"2,keyasint"`
+	Location gypsum.Location `cbor:"3,keyasint"`
+}
+
 // errRecord is a record that cannot be read.
 var errRecord = errors.New("unreadable record")
 
--- /dev/null
+++ b/detour/choose.go
@@ -0,0 +1,34 @@
+package detour
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Nearest returns up to count of the peers to ask for help. Load: a part of the hosts
+// loses the store at the same moment, and each asks others for all its calls. Those of
+// the own data centre come first, since the bytes between regions are few and billed;
+// among equals the order is random for each seed, so that the help is spread.
+func Nearest(peers []Peer, home gypsum.Location, seed string, count int) []Peer {
+	order := slices.Clone(peers)
+	slices.SortFunc(order, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(distance(a.Location, home), distance(b.Location, home)),
+			cmp.Compare(gypsum.Rendezvous(seed, string(a.Host)), gypsum.Rendezvous(seed, string(b.Host))),
+		)
+	})
+	return order[:min(count, len(order))]
+}
+
+// distance returns 0 for the same data centre, 1 for the same region, 2 for others.
+func distance(a, b gypsum.Location) int {
+	switch {
+	case a.DataCentre == b.DataCentre:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/detour/detour_test.go
@@ -0,0 +1,140 @@
+package detour_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/detour"
+	"github.com/gypsumhook/gypsum/fake"
+)
+
+const topic = gypsum.Topic("keyed.test")
+
+// network is hosts that reach a store and each other.
+type network struct {
+	backing *fake.KeyedStore
+	paths   map[string]*fake.CutStore
+	hosts   map[string]*detour.Store
+}
+
+// Via is part of gypsum.StorePeers.
+func (n *network) Via(address string) gypsum.KeyedStore { return n.hosts[address].Served() }
+
+// newNetwork returns hosts with the given names, each in the data centre that its
+// name begins with.
+func newNetwork(t *testing.T, names ...string) *network {
+	made := &network{backing: fake.NewKeyedStore(), paths: make(map[string]*fake.CutStore), hosts: make(map[string]*detour.Store)}
+	var peers []detour.Peer
+	for _, name := range names {
+		location := gypsum.Location{DataCentre: gypsum.DataCentre(name[:1]), Region: "r"}
+		peers = append(peers, detour.Peer{Host: gypsum.HostID(name), Address: name, Location: location})
+		made.paths[name] = &fake.CutStore{KeyedStore: made.backing}
+		made.hosts[name] = &detour.Store{
+			Direct: made.paths[name], Peers: made, Others: func() []detour.Peer { return peers }, Home: location,
+			Self: gypsum.HostID(name), Probe: gypsum.KeyedRead{Topic: topic, Max: 1}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- made.hosts[name].Run(ctx) }()
+		t.Cleanup(func() { stop(); <-ended })
+	}
+	return made
+}
+
+// write appends one record within a time.
+func (n *network) write(t *testing.T, host, key string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	_, err := n.hosts[host].Append(ctx, gypsum.KeyedAppend{Topic: topic, Records: []gypsum.KeyedRecord{{Key: key, Value: []byte("v")}}})
+	return err
+}
+
+// A host that is cut from the store reaches it through another, and its own path again
+// once that is back.
+func TestCutHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, "a1", "a2", "b1")
+		is.NoErr(n.write(t, "a1", "first", time.Second))
+		is.Equal(n.hosts["a1"].Detours(), int64(0))
+		n.paths["a1"].SetCut(true)
+		is.True(errors.Is(n.write(t, "a1", "lost", 500*time.Millisecond), gypsum.ErrStoreUnknown)) // shows that the path is silent
+		is.NoErr(n.write(t, "a1", "second", 100*time.Millisecond))
+		page, err := n.hosts["a1"].Read(t.Context(), gypsum.KeyedRead{Topic: topic})
+		is.NoErr(err)
+		is.Equal(len(page.Records), 2)
+		is.True(n.hosts["a1"].Detours() >= 2)
+		is.Equal(n.hosts["a2"].Detours(), int64(0))
+		n.paths["a1"].SetCut(false)
+		time.Sleep(time.Second)
+		is.True(!n.hosts["a1"].Broken())
+	})
+}
+
+// While the store is out for all, a call is refused at once: no host sends another's
+// call on.
+func TestOutageForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, "a1", "a2", "b1")
+		n.backing.SetFault(fake.KeyedRefuse)
+		for _, host := range []string{"a1", "a2", "b1"} {
+			is.True(errors.Is(n.write(t, host, "x", time.Second), gypsum.ErrStoreRefused))
+		}
+		before := n.backing.Calls()
+		begun := time.Now()
+		is.True(errors.Is(n.write(t, "a1", "x", time.Second), gypsum.ErrStoreRefused))
+		is.True(time.Since(begun) < 50*time.Millisecond)
+		is.Equal(n.backing.Calls()-before, int64(1)) // by the own path only
+		n.backing.SetFault(0)
+		time.Sleep(time.Second)
+		is.NoErr(n.write(t, "a1", "y", time.Second))
+	})
+}
+
+// An error of the call itself is no reason for a detour.
+func TestErrorsOfCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, "a1", "a2")
+		is.NoErr(n.write(t, "a1", "x", time.Second))
+		n.backing.Forget()
+		_, err := n.hosts["a1"].Read(t.Context(), gypsum.KeyedRead{Topic: topic})
+		is.True(errors.Is(err, gypsum.ErrTruncated))
+		is.True(!n.hosts["a1"].Broken())
+	})
+}
+
+// Load pattern: a third of the hosts loses the store at once. Those of the own data
+// centre help, and the help is spread.
+func TestHelpIsSpread(t *testing.T) {
+	is := is.New(t)
+	var peers []detour.Peer
+	for i := range 12 {
+		centre := gypsum.DataCentre([]string{"a", "b", "c"}[i%3])
+		region := gypsum.Region([]string{"r", "r", "s"}[i%3])
+		peers = append(peers, detour.Peer{Host: gypsum.HostID(string(centre) + string(rune('0'+i/3))), Location: gypsum.Location{DataCentre: centre, Region: region}})
+	}
+	home := gypsum.Location{DataCentre: "a", Region: "r"}
+	asked := make(map[gypsum.HostID]int)
+	for seed := range 40 {
+		for _, peer := range detour.Nearest(peers, home, string(rune('0'+seed)), 2) {
+			is.Equal(peer.Location, home)
+			asked[peer.Host]++
+		}
+	}
+	for _, count := range asked {
+		is.True(count <= 30) // 20 each if all were alike
+	}
+	is.Equal(len(asked), 4)
+	far := detour.Nearest(peers[1:3], home, "x", 2)
+	is.Equal(far[0].Location.DataCentre, gypsum.DataCentre("b")) // the region before another
+}
--- a/host/host.go
+++ b/host/host.go
@@ -18,12 +18,14 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/daemon"
+	"github.com/gypsumhook/gypsum/detour"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/runner"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/store"
+	"github.com/gypsumhook/gypsum/wire"
 )
 
 // Times of the process.
@@ -54,7 +56,7 @@
 	Dropped func() int64
 
 	boot    gypsum.Incarnation
-	store   *platform.Store
+	store   *detour.Store
 	state   *state.Keeper
 	book    *batch.Book
 	desk    *batch.Desk
@@ -130,6 +132,9 @@
 	ctx, cancel := context.WithTimeout(ctx, balancerNotice)
 	defer cancel()
 	h.runner.Stop(ctx)
+	if err := h.desk.Withdraw(ctx); err != nil {
+		h.Logger.Warn("address not removed", "error", err)
+	}
 	<-noticed
 	return nil
 }
@@ -140,18 +145,22 @@
 	h.tasks.ended = make(chan error, 256)
 	client, closeStore := platform.NewStore(h.Settings.StoreAddr)
 	backends, closeBackends := platform.NewBackends()
-	h.store = client
+	peers, closePeers := wire.NewStorePeers()
 	h.state = state.NewKeeper(h.Logger)
 	h.book = batch.NewBook(h.Logger)
 	topics := batch.Topics{
 		State: platform.KeyedTopic("state"), Bodies: platform.KeyedTopic("body"), Texts: platform.KeyedTopic("text"),
 	}
+	h.store = &detour.Store{
+		Direct: client, Peers: peers, Others: h.others, Home: h.Settings.Location, Self: h.Settings.Host,
+		Probe: gypsum.KeyedRead{Topic: topics.State, Max: 1}, Logger: h.Logger,
+	}
 	h.makeWriters(topics)
 	following := h.follow(topics.State, h.book.Apply)
 	h.follow(platform.TopicOperator, h.takeOperator)
 	h.follow(platform.TopicReplicas, h.takeReplicas)
 	h.desk = &batch.Desk{
-		Host: h.Settings.Host, Boot: h.boot, Book: h.book, Follow: following, Store: client, Topics: topics,
+		Host: h.Settings.Host, Boot: h.boot, Book: h.book, Follow: following, Store: h.store, Topics: topics,
 		Parts: h.Settings.Parts, RecordSize: h.Settings.RecordSize, State: h.writers[writerKey{topic: topics.State}],
 		Write: func(topic gypsum.Topic, part gypsum.Partition) *store.Writer {
 			return h.writers[writerKey{topic, part}]
@@ -173,6 +182,7 @@
 	}
 	return func() {
 		closeBackends()
+		closePeers()
 		closeStore()
 	}, nil
 }
@@ -210,6 +220,42 @@
 	}
 	h.tasks.start(ctx, h.runner.Run)
 	h.tasks.start(ctx, h.watch)
+	h.tasks.start(ctx, h.store.Run)
+	h.tasks.start(ctx, h.announce)
+}
+
+// announce tells other daemons where this one is, until that is stored.
+func (h *Host) announce(ctx context.Context) error {
+	if h.Settings.Internal[0] == 0 {
+		return nil
+	}
+	for {
+		err := h.desk.Announce(ctx, h.internalAddress(), h.Settings.Location)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		h.Logger.Warn("address not stored", "error", err)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+// internalAddress is where other daemons reach this one.
+func (h *Host) internalAddress() string {
+	return net.JoinHostPort(h.Settings.IP, strconv.Itoa(h.Settings.Internal[0]))
+}
+
+// others returns the other daemons.
+func (h *Host) others() []detour.Peer {
+	records := h.book.Hosts()
+	peers := make([]detour.Peer, 0, len(records))
+	for _, record := range records {
+		peers = append(peers, detour.Peer{Host: record.Host, Address: record.Address, Location: record.Location})
+	}
+	return peers
 }
 
 // watch follows outages of the store.
@@ -306,7 +352,10 @@
 		newServer(h.Settings.Ready, check),
 	}
 	if h.Settings.Internal[0] > 0 {
-		servers = append(servers, newServer(net.JoinHostPort(h.Settings.IP, strconv.Itoa(h.Settings.Internal[0])), metrics))
+		inner := http.NewServeMux()
+		inner.Handle("/debug/vars", metrics)
+		inner.Handle(wire.StoreHandler(h.store.Served()))
+		servers = append(servers, newServer(h.internalAddress(), inner))
 	}
 	return servers
 }
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -23,6 +23,7 @@
 type metrics struct {
 	Revision     gypsum.Revision  `json:"revision"`
 	StoreAwayMS  int64            `json:"store_away_ms"`
+	Detours      int64            `json:"store_detours"`
 	Replicas     int              `json:"replicas"`
 	LogDropped   int64            `json:"log_lines_dropped"`
 	Live         map[string]int64 `json:"live_requests"`
@@ -59,7 +60,7 @@
 func (h *Host) metrics() metrics {
 	snapshot, relayed, ran := h.state.Now(), &h.relay.Stats, &h.runner.Stats
 	current := metrics{
-		StoreAwayMS: h.storeAway().Milliseconds(), Replicas: len(snapshot.Replicas), LogDropped: h.Dropped(),
+		StoreAwayMS: h.storeAway().Milliseconds(), Detours: h.store.Detours(), Replicas: len(snapshot.Replicas), LogDropped: h.Dropped(),
 		Live: h.front.Stats.Live.Snapshot(), Submit: h.front.Stats.Submit.Snapshot(), Read: h.front.Stats.Read.Snapshot(),
 		UnknownRoute: h.front.Stats.Unknown.Load(), BadInput: h.front.Stats.Bad.Load(),
 		Requests: relayed.Requests.Load(), Answers: relayed.Answers.Load(), Attempts: relayed.Attempts.Load(),
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/detour"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/runner"
 	"github.com/gypsumhook/gypsum/state"
@@ -32,6 +33,21 @@
 	store   *fake.KeyedStore
 	engines *fake.BatchEngines
 	hosts   []*testHost
+	// detours lets hosts reach the store by way of others.
+	detours bool
+	served  map[string]gypsum.KeyedStore
+}
+
+// Via is part of gypsum.StorePeers.
+func (d *deployment) Via(address string) gypsum.KeyedStore { return d.served[address] }
+
+// peers returns all hosts as others see them.
+func (d *deployment) peers() []detour.Peer {
+	var peers []detour.Peer
+	for name := range d.served {
+		peers = append(peers, detour.Peer{Host: gypsum.HostID(name), Address: name})
+	}
+	return peers
 }
 
 // testHost is one host.
@@ -48,7 +64,12 @@
 
 // newDeployment returns hosts with the given shares of a core in front of engines.
 func newDeployment(t *testing.T, engines *fake.BatchEngines, shares ...float64) *deployment {
-	made := &deployment{t: t, store: fake.NewKeyedStore(), engines: engines}
+	return startDeployment(&deployment{t: t, store: fake.NewKeyedStore(), engines: engines}, shares)
+}
+
+// startDeployment starts the hosts of a deployment.
+func startDeployment(made *deployment, shares []float64) *deployment {
+	made.served = make(map[string]gypsum.KeyedStore)
 	made.store.Delay = 5 * time.Millisecond
 	for i, share := range shares {
 		made.hosts = append(made.hosts, made.start(fmt.Sprintf("host-%d", i+1), share))
@@ -62,20 +83,28 @@
 	logger := slog.New(slog.NewTextHandler(logOutput, nil)).With("host", name)
 	ctx, kill := context.WithCancel(d.t.Context())
 	made := &testHost{path: &fake.CutStore{KeyedStore: d.store}, kill: kill, ended: make(chan error, 8), state: state.NewKeeper(logger)}
+	var reached gypsum.KeyedStore = made.path
+	if d.detours {
+		detoured := &detour.Store{
+			Direct: made.path, Peers: d, Others: d.peers, Self: gypsum.HostID(name), Probe: gypsum.KeyedRead{Topic: "keyed.state", Max: 1}, Logger: logger,
+		}
+		d.served[name], reached = detoured.Served(), detoured
+		made.run(ctx, detoured.Run)
+	}
 	boot := gypsum.Incarnation(time.Now().UnixNano())
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	writers := make(map[gypsum.Topic]*store.Writer)
 	for _, topic := range []gypsum.Topic{topics.State, topics.Bodies, topics.Texts} {
 		writers[topic] = &store.Writer{
-			Store: made.path, Topic: topic, Producer: fmt.Sprint(name, boot), CallSize: 1 << 20, Logger: logger,
+			Store: reached, Topic: topic, Producer: fmt.Sprint(name, boot), CallSize: 1 << 20, Logger: logger,
 		}
 		made.run(ctx, writers[topic].Run)
 	}
 	book := batch.NewBook(logger)
-	made.follow = &store.Follower{Store: made.path, Topic: topics.State, Handle: book.Apply, Logger: logger}
+	made.follow = &store.Follower{Store: reached, Topic: topics.State, Handle: book.Apply, Logger: logger}
 	made.run(ctx, made.follow.Run)
 	made.desk = &batch.Desk{
-		Host: gypsum.HostID(name), Boot: boot, Book: book, Follow: made.follow, Store: made.path, Topics: topics, Parts: 1,
+		Host: gypsum.HostID(name), Boot: boot, Book: book, Follow: made.follow, Store: reached, Topics: topics, Parts: 1,
 		RecordSize: 64 << 10, State: writers[topics.State], Logger: logger,
 		Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -120,6 +120,22 @@
 	})
 }
 
+// A holder that reaches the store by way of another host goes on: nothing runs twice.
+func TestHolderCutWithDetour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := startDeployment(&deployment{t: t, store: fake.NewKeyedStore(), engines: newEngines(8), detours: true}, []float64{0.8, 0.8, 0.8})
+		made := newBatch("bat", 1, lengths(30, 4)...)
+		d.submit(0, made)
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].path.SetCut(true)
+		_, took := d.await(1, made, 15*time.Second)
+		is.True(took < 5*time.Second)
+		is.Equal(d.holder(1), gypsum.HostID("host-1"))
+		is.Equal(len(d.engines.Runs()), 34)
+	})
+}
+
 // While the store is away the holder goes on, no other host claims, and what was
 // finished is stored once the store is back.
 func TestStoreAway(t *testing.T) {
--- a/store.go
+++ b/store.go
@@ -79,3 +79,9 @@
 	// ErrStoreSequence is an append whose sequence number does not follow the last.
 	ErrStoreSequence = errors.New("append out of sequence")
 )
+
+// StorePeers is the way to the store through other daemons.
+type StorePeers interface {
+	// Via returns the store as the daemon at an address reaches it.
+	Via(address string) KeyedStore
+}
