--- a/runner/runner.go
+++ b/runner/runner.go
@@ -265,6 +265,7 @@
 		delete(r.claims, service)
 		return
 	}
+	alive = r.heardSince(alive)
 	free := !known || holder.Released || (holder.Host == r.Host && holder.Boot != r.Boot)
 	if !free && now.Sub(alive) < silenceLimit {
 		delete(r.claims, service)
@@ -289,6 +290,15 @@
 	go r.claim(ctx, service, replaces, free)
 }
 
+// heardSince returns from when a holder's silence counts: its last sign of life, or the
+// return of the store if that came later, since no sign could be seen before.
+func (r *Runner) heardSince(alive time.Time) time.Time {
+	if back := r.Desk.Follow.Back(); back.After(alive) {
+		return back
+	}
+	return alive
+}
+
 // claimDelay returns how long this host waits for another to claim.
 func (r *Runner) claimDelay(service gypsum.ServiceName, open []batch.Header, holder *batch.Holder) time.Duration {
 	delay := time.Duration(0)
@@ -313,7 +323,7 @@
 	err := r.Desk.Follow.CatchUp(ctx)
 	if err == nil {
 		holder, alive, known := r.Desk.Book.Holder(service)
-		if (known && holder.Fence == replaces && (free || time.Since(alive) >= silenceLimit)) || (!known && replaces < 0) {
+		if (known && holder.Fence == replaces && (free || time.Since(r.heardSince(alive)) >= silenceLimit)) || (!known && replaces < 0) {
 			err = r.Desk.Claim(ctx, service, replaces, false)
 		}
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,23 +137,32 @@
 	})
 }
 
-// While the store is away the holder goes on, no other host claims, and what was
-// finished is stored once the store is back.
+// While the store is away the holder goes on, no other host claims, also right after
+// its return, and what was finished is stored once the store is back.
 func TestStoreAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8)
-		made := newBatch("bat", 1, lengths(30, 4)...)
-		d.submit(0, made)
-		time.Sleep(300 * time.Millisecond)
-		d.store.SetFault(fake.KeyedSilent)
-		time.Sleep(6 * time.Second)
-		d.store.SetFault(0)
-		_, took := d.await(1, made, 15*time.Second)
-		is.True(took < 7500*time.Millisecond) // as long as the outage, not longer
-		is.Equal(d.holder(1), gypsum.HostID("host-1"))
-		is.Equal(len(d.engines.Runs()), 34) // none ran twice
-	})
+	for name, fault := range map[string]fake.KeyedFault{"silent": fake.KeyedSilent, "refuses": fake.KeyedRefuse} {
+		for begin := range 10 {
+			t.Run(fmt.Sprint(name, begin), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					d := newDeployment(t, newEngines(8), 0.8, 0.8, 0.8, 0.8, 0.8, 0.8)
+					made := newBatch("bat", 1, lengths(30, 4)...)
+					d.submit(0, made)
+					other := newBatch("oth", 1, 110)
+					time.Sleep(300*time.Millisecond + time.Duration(begin)*37*time.Millisecond)
+					d.submit(1, other) // that host would claim first
+					d.store.SetFault(fault)
+					time.Sleep(6 * time.Second)
+					d.store.SetFault(0)
+					_, took := d.await(1, made, 15*time.Second)
+					is.True(took < 7500*time.Millisecond) // as long as the outage, not longer
+					is.Equal(d.holder(1), gypsum.HostID("host-1"))
+					d.await(1, other, 15*time.Second)
+					is.Equal(len(d.engines.Runs()), 35) // none ran twice
+				})
+			})
+		}
+	}
 }
 
 // After the loss of all hosts the store alone brings every batch back.
--- a/store/follower.go
+++ b/store/follower.go
@@ -53,6 +53,7 @@
 	position gypsum.Offset
 	loaded   bool
 	answered time.Time
+	back     time.Time
 	down     bool
 	moved    chan struct{}
 }
@@ -72,6 +73,13 @@
 	return f.answered, f.down
 }
 
+// Back returns when the store last began to answer again, zero if it always did.
+func (f *Follower) Back() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.back
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	reload := true
@@ -105,10 +113,13 @@
 	if failed != f.down {
 		f.Logger.Warn("store followed", "topic", f.Topic, "lost", failed, "last_answer", time.Since(f.answered), "error", err)
 	}
-	f.down = failed
 	if !failed {
 		f.answered = time.Now()
 	}
+	if f.down && !failed {
+		f.back = f.answered
+	}
+	f.down = failed
 }
 
 // pause waits after a failure.
