--- a/store/writer.go
+++ b/store/writer.go
@@ -19,8 +19,8 @@
 	// beyond which it refuses.
 	appendTimeout = 2500 * time.Millisecond
 	// appendAgain is the time after which a call without an answer is made once more
-	// beside the first: above the answer of a slow store in the other region.
-	appendAgain = 500 * time.Millisecond
+	// beside the first: several times an answer from the other region.
+	appendAgain = 250 * time.Millisecond
 	// appendPause is the wait after a call that failed, so that an outage costs
 	// each host ten calls a second at most.
 	appendPause = 100 * time.Millisecond
