--- a/batch.go
+++ b/batch.go
@@ -122,4 +122,5 @@
 	RunItem(ctx context.Context, run *ItemRun, sink func(StreamEvent) error) error
 	Order(ctx context.Context, order *WeightOrder) (OrderAnswer, error)
 	Report(ctx context.Context, replica *Replica) (*EngineReport, error)
+	Prober
 }
--- a/batch/book.go
+++ b/batch/book.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	holders map[gypsum.ServiceName]*Holder
 	beats   map[gypsum.HostID]beat
 	hosts   map[gypsum.HostID]HostRecord
+	claims  map[gypsum.ServiceName][]claimKey
+	crashes map[gypsum.Fingerprint][]crashSeen
 	changed chan struct{}
 }
 
@@ -36,14 +39,18 @@
 	failures map[gypsum.ItemID]Failures
 	ended    bool
 	changed  chan struct{}
+	// keys are those of the batch's records of state, texts the values in the topic of texts.
+	keys  []string
+	texts []Stored
 }
 
 // Holder is the host that runs the batches of a service.
 type Holder struct {
 	Host gypsum.HostID
 	Boot gypsum.Incarnation
-	// Fence is the offset of the claim that made it the holder.
+	// Fence is the offset of the claim that made it the holder, Term its number.
 	Fence gypsum.Offset
+	Term  int64
 	// Released means that the host has given up the service.
 	Released bool
 	// Prior is the host that held the service before, empty for none.
@@ -52,6 +59,18 @@
 	Since time.Time
 }
 
+// claimKey is a claim's record.
+type claimKey struct {
+	key    string
+	offset gypsum.Offset
+}
+
+// crashSeen is the record of a replica that died while it ran a request.
+type crashSeen struct {
+	key string
+	at  time.Time
+}
+
 // beat is the newest sign of life of a host.
 type beat struct {
 	boot   gypsum.Incarnation
@@ -73,7 +92,8 @@
 	return &Book{
 		Logger: logger, folded: -1, batches: make(map[gypsum.BatchID]*entry),
 		holders: make(map[gypsum.ServiceName]*Holder), beats: make(map[gypsum.HostID]beat),
-		hosts: make(map[gypsum.HostID]HostRecord), changed: make(chan struct{}, 1),
+		hosts: make(map[gypsum.HostID]HostRecord), claims: make(map[gypsum.ServiceName][]claimKey),
+		crashes: make(map[gypsum.Fingerprint][]crashSeen), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -105,9 +125,7 @@
 // fold folds one record. The caller holds mu.
 func (b *Book) fold(record *gypsum.KeyedRecord, now time.Time) error {
 	if len(record.Value) == 0 {
-		if kind, host, _ := strings.Cut(record.Key, "/"); kind == kindHost {
-			delete(b.hosts, gypsum.HostID(host))
-		}
+		b.foldRemoval(record.Key)
 		return nil
 	}
 	switch kindOf(record.Key) {
@@ -122,21 +140,24 @@
 		if err != nil {
 			return err
 		}
-		b.foldHeader(header)
+		b.foldHeader(header, record.Key)
 	case kindResult:
 		result, err := decode[Result](record.Value)
 		if err != nil {
 			return err
 		}
-		b.foldResult(result)
+		b.foldResult(result, record.Key)
 	case kindEnd:
 		end, err := decode[End](record.Value)
 		if err != nil {
 			return err
 		}
-		if known, ok := b.batches[end.Batch]; ok && !known.ended {
-			known.ended = true
-			known.signal()
+		if known, ok := b.batches[end.Batch]; ok {
+			known.keys = append(known.keys, record.Key)
+			if !known.ended {
+				known.ended = true
+				known.signal()
+			}
 		}
 	case kindPartial:
 		partial, err := decode[Partial](record.Value)
@@ -144,6 +165,7 @@
 			return err
 		}
 		if known, ok := b.batches[partial.Batch]; ok {
+			known.keys, known.texts = append(known.keys, record.Key), append(known.texts, partial.Text)
 			known.partials[partial.Item] = partial
 		}
 	case kindFailures:
@@ -152,6 +174,7 @@
 			return err
 		}
 		if known, ok := b.batches[failures.Batch]; ok {
+			known.keys = append(known.keys, record.Key)
 			known.failures[failures.Item] = failures
 		}
 	case kindClaim:
@@ -159,7 +182,13 @@
 		if err != nil {
 			return err
 		}
-		b.foldClaim(claim, record.Offset, now)
+		b.foldClaim(claim, record, now)
+	case kindCrash:
+		crash, err := decode[Crash](record.Value)
+		if err != nil {
+			return err
+		}
+		b.crashes[crash.Fingerprint] = append(b.crashes[crash.Fingerprint], crashSeen{key: record.Key, at: time.UnixMilli(crash.At)})
 	case kindHeartbeat:
 		sign, err := decode[Heartbeat](record.Value)
 		if err != nil {
@@ -170,22 +199,48 @@
 	return nil
 }
 
+// foldRemoval takes in the removal of a key.
+func (b *Book) foldRemoval(key string) {
+	parts := strings.Split(key, "/")
+	if len(parts) < 2 {
+		return
+	}
+	switch parts[0] {
+	case kindHost:
+		delete(b.hosts, gypsum.HostID(parts[1]))
+	case kindHeader:
+		delete(b.batches, gypsum.BatchID(parts[1]))
+	case kindClaim:
+		service := gypsum.ServiceName(parts[1])
+		b.claims[service] = slices.DeleteFunc(b.claims[service], func(claim claimKey) bool { return claim.key == key })
+	case kindCrash:
+		if number, err := strconv.ParseUint(parts[1], 16, 64); err == nil {
+			delete(b.crashes, gypsum.Fingerprint(number))
+		}
+	}
+}
+
 // foldHeader takes in a batch. The first record of an id wins.
-func (b *Book) foldHeader(header Header) {
-	if _, ok := b.batches[header.ID]; ok {
+func (b *Book) foldHeader(header Header, key string) {
+	if known, ok := b.batches[header.ID]; ok {
+		known.keys = append(known.keys, key)
 		return
 	}
 	b.batches[header.ID] = &entry{
 		header: header, listed: make(map[gypsum.ItemID]bool), partials: make(map[gypsum.ItemID]Partial),
-		failures: make(map[gypsum.ItemID]Failures), changed: make(chan struct{}),
+		failures: make(map[gypsum.ItemID]Failures), changed: make(chan struct{}), keys: []string{key},
 	}
 }
 
 // foldResult takes in a result. The first record of an item wins, and its position
 // is the number of results before it.
-func (b *Book) foldResult(result Result) {
+func (b *Book) foldResult(result Result, key string) {
 	known, ok := b.batches[result.Batch]
-	if !ok || known.listed[result.Item] {
+	if !ok {
+		return
+	}
+	known.keys, known.texts = append(known.keys, key), append(known.texts, result.Text)
+	if known.listed[result.Item] {
 		return
 	}
 	known.listed[result.Item] = true
@@ -194,18 +249,21 @@
 	known.signal()
 }
 
-// foldClaim takes in a claim. The first one that replaces the present one wins.
-func (b *Book) foldClaim(claim Claim, offset gypsum.Offset, now time.Time) {
+// foldClaim takes in a claim. The first one of the highest term wins.
+func (b *Book) foldClaim(claim Claim, record *gypsum.KeyedRecord, now time.Time) {
+	b.claims[claim.Service] = append(b.claims[claim.Service], claimKey{key: record.Key, offset: record.Offset})
 	present, ok := b.holders[claim.Service]
-	if (ok && claim.Replaces != present.Fence) || (!ok && claim.Replaces >= 0) {
+	if ok && claim.Term <= present.Term {
 		return
 	}
-	holder := &Holder{Host: claim.Host, Boot: claim.Boot, Fence: offset, Released: claim.Released, Since: now}
+	holder := &Holder{
+		Host: claim.Host, Boot: claim.Boot, Fence: record.Offset, Term: claim.Term, Released: claim.Released, Since: now,
+	}
 	if ok {
 		holder.Prior = present.Host
 	}
 	b.holders[claim.Service] = holder
-	b.Logger.Info("holder changed", "service", claim.Service, "holder", claim.Host, "fence", offset, "released", claim.Released)
+	b.Logger.Info("holder changed", "service", claim.Service, "holder", claim.Host, "fence", record.Offset, "released", claim.Released)
 }
 
 // signal wakes the readers that wait for a change. The caller holds the book's mu.
@@ -229,6 +287,19 @@
 	return *known, alive, true
 }
 
+// Crashes returns how many replicas have lately died while they ran a request.
+func (b *Book) Crashes(fingerprint gypsum.Fingerprint) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	count := 0
+	for _, crash := range b.crashes[fingerprint] {
+		if time.Since(crash.at) < crashesFor {
+			count++
+		}
+	}
+	return count
+}
+
 // Hosts returns the daemons that have told where they are.
 func (b *Book) Hosts() []HostRecord {
 	b.mu.RLock()
--- /dev/null
+++ b/batch/book_test.go
@@ -0,0 +1,225 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// topics are the topics of all tests.
+var topics = batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
+
+// startDesk starts a host's desk on a store until the test ends.
+func startDesk(t *testing.T, backing gypsum.KeyedStore, name string) *batch.Desk {
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 4)
+	writers := make(map[gypsum.Topic]*store.Writer)
+	for _, topic := range []gypsum.Topic{topics.State, topics.Bodies, topics.Texts} {
+		writers[topic] = &store.Writer{Store: backing, Topic: topic, Producer: name, CallSize: 1 << 20, Logger: logger}
+		go func() { ended <- writers[topic].Run(ctx) }()
+	}
+	book := batch.NewBook(logger)
+	follow := &store.Follower{Store: backing, Topic: topics.State, Handle: book.Apply, Logger: logger}
+	go func() { ended <- follow.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		for range cap(ended) {
+			<-ended
+		}
+	})
+	desk := &batch.Desk{
+		Host: gypsum.HostID(name), Boot: 1, Book: book, Follow: follow, Store: backing, Topics: topics, Parts: 1, RecordSize: 8 << 10,
+		State: writers[topics.State], Logger: logger, Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
+	}
+	if err := desk.Start(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Millisecond)
+	return desk
+}
+
+// newBatch returns a batch of items with bodies of a size.
+func newBatch(id string, items, size int) *gypsum.Batch {
+	now := time.Now()
+	made := &gypsum.Batch{ID: gypsum.BatchID(id), Service: "motif", Submitted: now, Due: now.Add(7 * time.Second), GiveUp: now.Add(40 * time.Second)}
+	for i := range items {
+		made.Items = append(made.Items, gypsum.BatchItem{ID: gypsum.ItemID(fmt.Sprint("item-", i)), Path: "/x", Body: make([]byte, size)})
+	}
+	return made
+}
+
+// finish stores a result with a text of its own.
+func finish(t *testing.T, desk *batch.Desk, id gypsum.BatchID, item int, text string) {
+	t.Helper()
+	err := desk.Finish(t.Context(), id, &gypsum.BatchResult{Item: gypsum.ItemID(fmt.Sprint("item-", item)), State: gypsum.ItemCompleted, Text: text})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Two hosts that both run a batch, one of them late, leave one result for each item,
+// at positions on which all hosts agree, also one that reads the store much later.
+func TestFirstResultWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		is.NoErr(a.Accept(t.Context(), newBatch("one", 4, 3000))) // several records of bodies
+		time.Sleep(time.Millisecond)
+		is.NoErr(b.Accept(t.Context(), newBatch("one", 4, 3000))) // a repeat
+		finish(t, a, "one", 2, "from a")
+		finish(t, b, "one", 2, "from b")
+		finish(t, b, "one", 0, "also b")
+		finish(t, a, "one", 0, "late a")
+		time.Sleep(time.Millisecond)
+		backing.Forget()
+		late := startDesk(t, backing, "c")
+		for _, desk := range []*batch.Desk{a, b, late} {
+			total, results, err := desk.Read(t.Context(), "one", 0, 0)
+			is.NoErr(err)
+			is.Equal(total, 4)
+			is.Equal(len(results), 2)
+			is.Equal([]string{results[0].Text, results[1].Text}, []string{"from a", "also b"})
+			body, err := desk.Body(t.Context(), "one", "item-3")
+			is.NoErr(err)
+			is.Equal(len(body), 3000)
+		}
+	})
+}
+
+// Only a read of the whole store shows that there is no batch; without one there is
+// no such answer.
+func TestUnknownBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		_, _, err := a.Read(t.Context(), "none", 0, 0)
+		is.True(errors.Is(err, batch.ErrNoBatch))
+		is.NoErr(b.Accept(t.Context(), newBatch("one", 1, 10)))
+		_, _, err = a.Read(t.Context(), "one", 0, 0) // accepted by another host just now
+		is.NoErr(err)
+		backing.SetFault(fake.KeyedRefuse)
+		_, _, err = a.Read(t.Context(), "none", 0, 0)
+		is.True(err != nil && !errors.Is(err, batch.ErrNoBatch))
+	})
+}
+
+// A batch that the store refused is refused, one of which nobody knows is neither
+// refused nor accepted, and neither runs later.
+func TestRefusedBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		desk := startDesk(t, backing, "a")
+		for _, fault := range []fake.KeyedFault{fake.KeyedRefuse, fake.KeyedSilent} {
+			backing.SetFault(fault)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			err := desk.Accept(ctx, newBatch("one", 1, 10))
+			cancel()
+			is.True(errors.Is(err, gypsum.ErrStoreRefused)) // its items have no header, so that nothing can run
+			backing.SetFault(0)
+			time.Sleep(10 * time.Second)
+			is.True(!desk.Book.Knows("one"))
+		}
+		// The items are in, and the answer to the header is lost.
+		store := &headerLost{KeyedStore: backing}
+		desk = startDesk(t, store, "b")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := desk.Accept(ctx, newBatch("two", 1, 10))
+		is.True(errors.Is(err, gypsum.ErrStoreUnknown))
+	})
+}
+
+// headerLost is a store that loses the answers of appends to the state.
+type headerLost struct{ gypsum.KeyedStore }
+
+// Append is part of gypsum.KeyedStore.
+func (h *headerLost) Append(ctx context.Context, add gypsum.KeyedAppend) (gypsum.Offset, error) {
+	offset, err := h.KeyedStore.Append(ctx, add)
+	if add.Topic == topics.State {
+		return 0, gypsum.ErrStoreUnknown
+	}
+	return offset, err
+}
+
+// The first claim of a term wins, for those who saw all claims and for those who see
+// what a clean-up has left.
+func TestClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		is.NoErr(a.Claim(t.Context(), "motif", 1, false))
+		is.NoErr(b.Claim(t.Context(), "motif", 1, false)) // too late
+		is.NoErr(b.Claim(t.Context(), "motif", 2, false))
+		is.NoErr(a.Claim(t.Context(), "motif", 2, false)) // too late
+		time.Sleep(time.Millisecond)
+		is.NoErr(b.Clean(t.Context(), time.Minute))
+		time.Sleep(time.Millisecond)
+		backing.Forget()
+		for _, desk := range []*batch.Desk{a, b, startDesk(t, backing, "c")} {
+			holder, _, ok := desk.Book.Holder("motif")
+			is.True(ok)
+			is.Equal([]any{holder.Host, holder.Term, holder.Fence}, []any{gypsum.HostID("b"), int64(2), gypsum.Offset(2)})
+		}
+		newest, err := backing.Newest(t.Context(), topics.State, 0, "")
+		is.NoErr(err)
+		is.Equal(len(newest.Records), 2) // the claims of the present term
+	})
+}
+
+// A batch stays as long as it may be asked for, and then leaves nothing in the store.
+func TestClean(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		for _, id := range []string{"ended", "whole", "open"} {
+			is.NoErr(a.Accept(t.Context(), newBatch(id, 1, 10)))
+			if id != "open" {
+				is.NoErr(a.Checkpoint(t.Context(), gypsum.BatchID(id), "item-0", 1, nil, "some"))
+				finish(t, a, gypsum.BatchID(id), 0, "text")
+			}
+		}
+		time.Sleep(time.Millisecond)
+		is.NoErr(a.End(t.Context(), "ended"))
+		is.NoErr(a.NoteCrash(t.Context(), 7, "r"))
+		time.Sleep(time.Millisecond)
+		is.Equal(b.Book.Crashes(7), 1)
+		const keep = 2 * time.Minute
+		time.Sleep(keep - time.Second)
+		is.NoErr(b.Clean(t.Context(), keep))
+		_, results, err := b.Read(t.Context(), "ended", 0, 0)
+		is.NoErr(err)
+		is.Equal(results[0].Text, "text")
+		time.Sleep(10 * time.Minute)
+		is.NoErr(b.Clean(t.Context(), keep))
+		time.Sleep(time.Millisecond)
+		for _, desk := range []*batch.Desk{a, b} {
+			is.True(!desk.Book.Knows("ended"))
+			is.True(!desk.Book.Knows("whole"))
+			is.True(desk.Book.Knows("open")) // as long as it is open
+			is.Equal(desk.Book.Crashes(7), 0)
+		}
+		for topic, left := range map[gypsum.Topic]int{topics.State: 1, topics.Bodies: 1, topics.Texts: 0} {
+			newest, err := backing.Newest(t.Context(), topic, 0, "")
+			is.NoErr(err)
+			is.Equal(len(newest.Records), left)
+		}
+	})
+}
--- a/batch/desk.go
+++ b/batch/desk.go
@@ -409,10 +409,10 @@
 	return nil
 }
 
-// Claim asks for a service on behalf of this host, or gives it up. The record's
-// place among others decides; Book tells who won.
-func (d *Desk) Claim(ctx context.Context, service gypsum.ServiceName, replaces gypsum.Offset, released bool) error {
-	record, err := encode(Claim{Service: service, Host: d.Host, Boot: d.Boot, Replaces: replaces, Released: released},
+// Claim asks for a service on behalf of this host in a term, or gives it up. The
+// record's place among others decides; Book tells who won.
+func (d *Desk) Claim(ctx context.Context, service gypsum.ServiceName, term int64, released bool) error {
+	record, err := encode(Claim{Service: service, Host: d.Host, Boot: d.Boot, Term: term, Released: released},
 		kindClaim, string(service), d.unique())
 	if err != nil {
 		return err
@@ -436,6 +436,22 @@
 	return nil
 }
 
+// NoteCrash is part of gypsum.CrashBook: it stores that a replica died.
+func (d *Desk) NoteCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica gypsum.BackendID) error {
+	record, err := encode(Crash{Fingerprint: fingerprint, Replica: replica, At: time.Now().UnixMilli()},
+		kindCrash, strconv.FormatUint(uint64(fingerprint), 16), d.unique())
+	if err != nil {
+		return err
+	}
+	if _, err := d.State.Append(ctx, record); err != nil {
+		return fmt.Errorf("store crash: %w", err)
+	}
+	return nil
+}
+
+// Crashes is part of gypsum.CrashBook.
+func (d *Desk) Crashes(fingerprint gypsum.Fingerprint) int { return d.Book.Crashes(fingerprint) }
+
 // Announce tells other daemons where this one is, Withdraw that it is gone.
 func (d *Desk) Announce(ctx context.Context, address string, location gypsum.Location) error {
 	record, err := encode(HostRecord{Host: d.Host, Address: address, Location: location}, kindHost, string(d.Host))
--- a/batch/record.go
+++ b/batch/record.go
@@ -24,6 +24,7 @@
 	kindPartial   = "p"
 	kindFailures  = "f"
 	kindHost      = "n"
+	kindCrash     = "x"
 )
 
 // Header is the record of an accepted batch.
@@ -90,8 +91,9 @@
 	Service gypsum.ServiceName `cbor:"1,keyasint"`
 	Host    gypsum.HostID      `cbor:"2,keyasint"`
 	Boot    gypsum.Incarnation `cbor:"3,keyasint"`
-	// Replaces is the offset of the claim that this one follows, -1 for the first.
-	Replaces gypsum.Offset `cbor:"4,keyasint"`
+	// Term is one more than that of the claim that this one replaces. The first record
+	// of the highest term wins, so that older ones may be removed.
+	Term int64 `cbor:"4,keyasint"`
 	// Released means that the host gives up the service.
 	Released bool `cbor:"5,keyasint,omitempty"`
 }
@@ -110,6 +112,13 @@
 	Location gypsum.Location `cbor:"3,keyasint"`
 }
 
+// Crash is the record of a replica that died while it ran a request.
+type Crash struct {
+	Fingerprint gypsum.Fingerprint `cbor:"1,keyasint"`
+	Replica     gypsum.BackendID   `cbor:"2,keyasint"`
+	At          int64              `cbor:"3,keyasint"`
+}
+
 // errRecord is a record that cannot be read.
 var errRecord = errors.New("unreadable record")
 
--- a/fake/batch.go
+++ b/fake/batch.go
@@ -255,3 +255,11 @@
 	}
 	return report, nil
 }
+
+// Listens is part of gypsum.Prober.
+func (b *BatchEngines) Listens(_ context.Context, replica *gypsum.Replica) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.engines[replica.ID]
+	return engine != nil && !engine.down
+}
--- a/host/host.go
+++ b/host/host.go
@@ -170,10 +170,12 @@
 		return nil, err
 	}
 	h.relay = relay.New()
+	h.relay.Crashes = h.desk
 	h.relay.Replicas, h.relay.State, h.relay.Home, h.relay.Logger = backends, h.state, h.Settings.Location, h.Logger
 	h.runner = runner.New()
 	h.runner.Host, h.runner.Boot, h.runner.Desk, h.runner.Engines = h.Settings.Host, h.boot, h.desk, backends
-	h.runner.State, h.runner.Lease, h.runner.Logger = h.state, h.Settings.Lease, h.Logger
+	h.runner.State, h.runner.Logger = h.state, h.Logger
+	h.runner.Lease, h.runner.Status = h.Settings.Lease, h.Settings.Status
 	h.runner.Near, h.runner.Share = true, h.Settings.CPUShare
 	h.runner.StoreAway = func() bool { return h.storeAway() > 0 }
 	h.front = &front.Front{
@@ -219,6 +221,7 @@
 		h.tasks.start(ctx, writer.Run)
 	}
 	h.tasks.start(ctx, h.runner.Run)
+	h.tasks.start(ctx, h.relay.Run)
 	h.tasks.start(ctx, h.watch)
 	h.tasks.start(ctx, h.store.Run)
 	h.tasks.start(ctx, h.announce)
--- a/live.go
+++ b/live.go
@@ -43,4 +43,17 @@
 	Exchange(ctx context.Context, replica *Replica, request *LiveRequest, budget time.Duration) (*LiveAnswer, error)
 	// Stream begins an answer behind the event with the number after, 0 for none.
 	Stream(ctx context.Context, replica *Replica, request *LiveRequest, budget time.Duration, after int64) (LiveStream, error)
+	Prober
+}
+
+// Prober tells a replica that died from one that lost an answer.
+type Prober interface {
+	// Listens tells whether something accepts connections at the replica's address.
+	Listens(ctx context.Context, replica *Replica) bool
+}
+
+// CrashBook keeps how many replicas have died while they ran a request, for all daemons.
+type CrashBook interface {
+	NoteCrash(ctx context.Context, fingerprint Fingerprint, replica BackendID) error
+	Crashes(fingerprint Fingerprint) int
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,14 +18,16 @@
 // Relay serves live requests. Set the exported fields before use.
 type Relay struct {
 	Replicas gypsum.Replicas
-	State    *state.Keeper
-	Home     gypsum.Location
-	Logger   *slog.Logger
-	Stats    Stats
-
-	mu      sync.Mutex
-	known   map[gypsum.BackendID]*tracked
-	crashes map[gypsum.Fingerprint]*crashed
+	// Crashes tells which requests crash replicas.
+	Crashes gypsum.CrashBook
+	State   *state.Keeper
+	Home    gypsum.Location
+	Logger  *slog.Logger
+	Stats   Stats
+
+	mu     sync.Mutex
+	known  map[gypsum.BackendID]*tracked
+	probes chan probe
 }
 
 // Stats counts what a relay did.
@@ -46,12 +48,6 @@
 	shunned  time.Time
 }
 
-// crashed counts the replicas that broke off a request without an answer.
-type crashed struct {
-	count int
-	at    time.Time
-}
-
 // Bounds of what is remembered of replicas and requests.
 const (
 	// latencyWeight is the weight of the newest answer time.
@@ -62,16 +58,11 @@
 	longestShun = 3 * time.Second
 	// crashLimit is how many replicas a request may crash, from the users' pages.
 	crashLimit = 3
-	// crashWindow is how long crashes are remembered: a replica is back after some
-	// seconds, and the request may come again then.
-	crashWindow = 2 * time.Minute
-	// crashesKept bounds the requests of which crashes are remembered.
-	crashesKept = 1024
 )
 
 // New returns a relay; its exported fields are set before use.
 func New() *Relay {
-	return &Relay{known: make(map[gypsum.BackendID]*tracked), crashes: make(map[gypsum.Fingerprint]*crashed)}
+	return &Relay{known: make(map[gypsum.BackendID]*tracked), probes: make(chan probe, probesQueued)}
 }
 
 // Request is a live request on its way.
@@ -152,27 +143,52 @@
 	}
 }
 
-// poison tells whether a request has crashed as many replicas as it may.
-func (r *Relay) poison(fingerprint gypsum.Fingerprint) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.crashes[fingerprint]
-	return known != nil && known.count >= crashLimit && time.Since(known.at) < crashWindow
+// Bounds of looks at replicas that broke off requests.
+const (
+	crashProbe = time.Second
+	// probesQueued is how many may wait: one for each replica of a large service.
+	probesQueued = 64
+)
+
+// probe is a replica that broke off a request without an answer.
+type probe struct {
+	request     gypsum.RequestID
+	fingerprint gypsum.Fingerprint
+	replica     *gypsum.Replica
 }
 
-// noteCrash counts a replica that broke off a request without an answer.
-func (r *Relay) noteCrash(fingerprint gypsum.Fingerprint) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.crashes[fingerprint]
-	if known == nil {
-		if len(r.crashes) >= crashesKept {
-			clear(r.crashes)
+// noteBroken lets Run look whether a replica that broke off a request has died.
+func (r *Relay) noteBroken(request *Request, replica *gypsum.Replica) {
+	select {
+	case r.probes <- probe{request: request.ID, fingerprint: request.fingerprint, replica: replica}:
+	default:
+		r.Logger.Warn("replica not probed, too many wait", "request", request.ID, "replica", replica.ID)
+	}
+}
+
+// Run looks at replicas that broke off requests, and tells all hosts of those that
+// died, until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case broken := <-r.probes:
+			r.look(ctx, broken)
 		}
-		known = &crashed{}
-		r.crashes[fingerprint] = known
 	}
-	known.count, known.at = known.count+1, time.Now()
+}
+
+// look looks at one replica.
+func (r *Relay) look(ctx context.Context, broken probe) {
+	ctx, cancel := context.WithTimeout(ctx, crashProbe)
+	defer cancel()
+	if r.Replicas.Listens(ctx, broken.replica) || ctx.Err() != nil {
+		return
+	}
+	err := r.Crashes.NoteCrash(ctx, broken.fingerprint, broken.replica.ID)
+	r.Logger.Warn("replica died while it ran a request", "request", broken.request, "fingerprint", broken.fingerprint,
+		"replica", broken.replica.ID, "error", err)
 }
 
 // prepare fills in what the relay keeps of a request, and refuses what is hopeless.
@@ -183,7 +199,7 @@
 	switch {
 	case !time.Now().Before(request.Deadline):
 		return r.refuse(request, gypsum.ReasonDeadlinePast, 0, "no time is left")
-	case r.poison(request.fingerprint):
+	case r.Crashes.Crashes(request.fingerprint) >= crashLimit:
 		return r.refuse(request, gypsum.ReasonPoison, 0, "the request crashes replicas")
 	}
 	return nil
@@ -291,12 +307,12 @@
 	r.Logger.Info("attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "attempt", request.handed+1,
 		"open", target.Open, "latency_ms", target.Latency.Milliseconds(), "patience_ms", patience.Milliseconds(),
 		"took_ms", took.Milliseconds(), "status", status, "error", err)
-	r.note(request, err)
+	r.note(request, replica, err)
 	return answer, err
 }
 
 // note keeps what an attempt means for the request's final answer.
-func (r *Relay) note(request *Request, err error) {
+func (r *Relay) note(request *Request, replica *gypsum.Replica, err error) {
 	switch {
 	case errors.Is(err, gypsum.ErrNotHanded):
 		request.last = gypsum.ReasonNoBackend
@@ -310,7 +326,7 @@
 		broke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
 			!errors.Is(err, gypsum.ErrCrossed) && !errors.Is(err, gypsum.ErrBroken)
 		if broke {
-			r.noteCrash(request.fingerprint)
+			r.noteBroken(request, replica)
 		}
 	}
 }
@@ -364,7 +380,7 @@
 	r.begin(replica.ID)
 	err := r.passEvents(ctx, request, replica, sink, begun, last)
 	r.end(replica.ID, time.Since(started), err != nil)
-	r.note(request, err)
+	r.note(request, replica, err)
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
 		"attempt", request.handed, "last_event", *last, "took_ms", time.Since(started).Milliseconds(), "error", err)
 	return err
--- a/runner/hold.go
+++ b/runner/hold.go
@@ -46,6 +46,7 @@
 	stop    context.CancelFunc
 	service gypsum.ServiceName
 	fence   gypsum.Offset
+	term    int64
 	// ordersFrom is when orders may be given: the holder before may have given one
 	// just before its end.
 	ordersFrom time.Time
@@ -59,11 +60,11 @@
 }
 
 // newHold returns a service that is held from now on.
-func newHold(ctx context.Context, r *Runner, service gypsum.ServiceName, fence gypsum.Offset) *hold {
+func newHold(ctx context.Context, r *Runner, service gypsum.ServiceName, holder *batch.Holder) *hold {
 	process := ctx
 	ctx, stop := context.WithCancel(ctx)
 	return &hold{
-		runner: r, ctx: ctx, process: process, stop: stop, service: service, fence: fence,
+		runner: r, ctx: ctx, process: process, stop: stop, service: service, fence: holder.Fence, term: holder.Term,
 		engines: make(map[gypsum.BackendID]*engine), jobs: make(map[gypsum.BatchID]*job),
 		shares: make(map[gypsum.BackendID]gypsum.EngineModel), demand: make(map[gypsum.EngineModel]float64),
 		finished: make(map[gypsum.ItemID]*finished),
@@ -419,17 +420,28 @@
 	}
 }
 
-// broken follows a run that was broken off by the engine.
+// broken follows a run that was broken off by the engine. An engine that no longer
+// listens has died: a count that keeps an item from crashing one after the other.
 func (h *hold) broken(task *task, on *engine, fresh bool, now time.Time) {
 	h.runner.Stats.Broken.Add(1)
 	on.failed(now)
 	if fresh {
-		task.crashed = 0
 		return
 	}
-	// A request that crashes its engine does so before its first event.
-	task.crashed++
-	h.noteFailures(task)
+	replica := on.replica
+	go func() {
+		ctx, cancel := context.WithTimeout(h.ctx, itemsTimeout)
+		defer cancel()
+		if h.runner.Engines.Listens(ctx, replica) || ctx.Err() != nil {
+			return
+		}
+		h.runner.post(h.ctx, func() {
+			task.crashed++
+			h.noteFailures(task)
+			h.runner.Logger.Warn("engine died while it ran an item", "batch", task.job.header.ID, "item", task.item.ID,
+				"replica", replica.ID, "crashed", task.crashed)
+		})
+	}()
 }
 
 // noteFailures stores how often an item has failed, for the holders to come.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -33,6 +33,8 @@
 	// ordersLimit is how old a holder's own sign of life may be before it stops to
 	// give orders: another host may have taken over.
 	ordersLimit = silenceLimit - beatInterval
+	// cleanInterval is how often a holder removes from the store what is no longer needed.
+	cleanInterval = 10 * time.Second
 	// idleHold is how long a holder without open batches stays one: some steps.
 	idleHold = 30 * time.Second
 	// weakDelay lets strong hosts claim first, strongShare is the part of a core from
@@ -56,8 +58,10 @@
 	// Near tells whether the host stands in the store's region.
 	Near bool
 	// Share is the part of a core that the host has.
-	Share  float64
-	Lease  time.Duration
+	Share float64
+	Lease time.Duration
+	// Status is how long the results of a batch stay readable after its submission.
+	Status time.Duration
 	Logger *slog.Logger
 	Stats  Stats
 
@@ -67,6 +71,8 @@
 	beating  bool
 	beat     int64
 	beaten   time.Time
+	cleaning bool
+	cleaned  time.Time
 	stopping bool
 	stop     chan chan struct{}
 	done     chan struct{}
@@ -167,7 +173,7 @@
 	defer cancel()
 	for service, held := range r.held {
 		held.checkpointAll(ctx)
-		if err := r.Desk.Claim(ctx, service, held.fence, true); err != nil {
+		if err := r.Desk.Claim(ctx, service, held.term+1, true); err != nil {
 			r.Logger.Warn("service not released", "service", service, "error", err)
 		}
 		held.end()
@@ -214,6 +220,7 @@
 		held.decide(snapshot, jobs[service], now)
 	}
 	r.keepBeating(ctx, now)
+	r.keepClean(ctx, now)
 }
 
 // followClaims begins and ends to hold services as the records say, and claims
@@ -247,7 +254,7 @@
 
 // begin begins to hold a service.
 func (r *Runner) begin(ctx context.Context, service gypsum.ServiceName, holder *batch.Holder) {
-	held := newHold(ctx, r, service, holder.Fence)
+	held := newHold(ctx, r, service, holder)
 	if holder.Prior != "" && holder.Prior != r.Host {
 		held.ordersFrom = time.Now().Add(r.Lease)
 		r.Stats.Takeovers.Add(1)
@@ -280,14 +287,10 @@
 		return
 	}
 	claim.running = true
-	replaces := gypsum.Offset(-1)
-	if known {
-		replaces = holder.Fence
-	}
-	r.Logger.Info("service claimed", "service", service, "replaces", replaces, "holder", holder.Host,
+	r.Logger.Info("service claimed", "service", service, "term", holder.Term+1, "holder", holder.Host,
 		"released", holder.Released, "silent_ms", now.Sub(alive).Milliseconds(), "open_batches", len(open))
 	r.Stats.Claims.Add(1)
-	go r.claim(ctx, service, replaces, free)
+	go r.claim(ctx, service, holder.Term, free)
 }
 
 // heardSince returns from when a holder's silence counts: its last sign of life, or the
@@ -317,18 +320,18 @@
 }
 
 // claim makes sure that the holder is still silent, and claims.
-func (r *Runner) claim(ctx context.Context, service gypsum.ServiceName, replaces gypsum.Offset, free bool) {
+func (r *Runner) claim(ctx context.Context, service gypsum.ServiceName, term int64, free bool) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	err := r.Desk.Follow.CatchUp(ctx)
 	if err == nil {
-		holder, alive, known := r.Desk.Book.Holder(service)
-		if (known && holder.Fence == replaces && (free || time.Since(r.heardSince(alive)) >= silenceLimit)) || (!known && replaces < 0) {
-			err = r.Desk.Claim(ctx, service, replaces, false)
+		holder, alive, _ := r.Desk.Book.Holder(service)
+		if holder.Term == term && (free || time.Since(r.heardSince(alive)) >= silenceLimit) {
+			err = r.Desk.Claim(ctx, service, term+1, false)
 		}
 	}
 	if err != nil {
-		r.Logger.Warn("claim failed", "service", service, "replaces", replaces, "error", err)
+		r.Logger.Warn("claim failed", "service", service, "term", term+1, "error", err)
 	}
 	r.post(ctx, func() { delete(r.claims, service) })
 }
@@ -361,5 +364,21 @@
 	}()
 }
 
+// keepClean removes from the store what is no longer needed while the host holds a service.
+func (r *Runner) keepClean(ctx context.Context, now time.Time) {
+	if len(r.held) == 0 || r.cleaning || now.Sub(r.cleaned) < cleanInterval {
+		return
+	}
+	r.cleaning, r.cleaned = true, now
+	go func() {
+		cleanCtx, cancel := context.WithTimeout(ctx, cleanInterval)
+		defer cancel()
+		if err := r.Desk.Clean(cleanCtx, r.Status); err != nil {
+			r.Logger.Warn("store not cleaned", "error", err)
+		}
+		r.post(ctx, func() { r.cleaning = false })
+	}()
+}
+
 // mayOrder tells whether the host's own signs of life are new enough to give orders.
 func (r *Runner) mayOrder(now time.Time) bool { return now.Sub(r.beaten) < ordersLimit }
--- a/store/fetch.go
+++ b/store/fetch.go
@@ -44,6 +44,15 @@
 	return records
 }
 
+// Keys returns the keys of a value that is cut into a number of records.
+func Keys(key string, count int) []string {
+	keys := make([]string, 0, count)
+	for number := range count {
+		keys = append(keys, keyOf(key, number))
+	}
+	return keys
+}
+
 // Fetch returns the values at places of one partition, by their keys: by their
 // offsets, and by the keys once the offsets have expired. All keys begin with the
 // prefix. Values that stand together are read in one call.
