--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,321 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/front"
+	"github.com/gypsumhook/gypsum/mimic"
+	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/relay"
+	"github.com/gypsumhook/gypsum/state"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// site is a host in front of plain replicas, reached over loopback.
+type site struct {
+	t        *testing.T
+	url      string
+	front    *front.Front
+	state    *state.Keeper
+	backing  *fake.KeyedStore
+	replicas []*mimic.Replica
+}
+
+// newSite returns a host in front of a number of replicas.
+func newSite(t *testing.T, count int) *site {
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	made := &site{t: t, backing: fake.NewKeyedStore(), state: state.NewKeeper(logger)}
+	backends, closeBackends := platform.NewBackends()
+	t.Cleanup(closeBackends)
+	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	start := func(run func(context.Context) error) {
+		running.Go(func() { _ = run(ctx) })
+	}
+	t.Cleanup(func() { stop(); running.Wait() })
+	writers := make(map[gypsum.Topic]*store.Writer)
+	for _, topic := range []gypsum.Topic{topics.State, topics.Bodies, topics.Texts} {
+		writers[topic] = &store.Writer{Store: made.backing, Topic: topic, Producer: "p", CallSize: 1 << 20, Logger: logger}
+		start(writers[topic].Run)
+	}
+	book := batch.NewBook(logger)
+	follow := &store.Follower{Store: made.backing, Topic: topics.State, Handle: book.Apply, Logger: logger}
+	start(follow.Run)
+	desk := &batch.Desk{
+		Host: "host-1", Boot: 1, Book: book, Follow: follow, Store: made.backing, Topics: topics, Parts: 1, RecordSize: 64 << 10,
+		State: writers[topics.State], Logger: logger, Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
+	}
+	if err := desk.Start(); err != nil {
+		t.Fatal(err)
+	}
+	routed := relay.New()
+	routed.Replicas, routed.Crashes, routed.State, routed.Logger = backends, desk, made.state, logger
+	start(routed.Run)
+	made.front = &front.Front{
+		State: made.state, Relay: routed, Desk: desk, BodyMemory: 1 << 20, Logger: logger,
+		StoreAway: func() time.Duration {
+			if at, down := follow.Answered(); down {
+				return time.Since(at)
+			}
+			return 0
+		},
+	}
+	server := httptest.NewServer(made.front.Handler())
+	t.Cleanup(server.Close)
+	made.url = server.URL
+	for i := range count {
+		replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("r-", i+1)), Work: time.Millisecond}
+		backend := httptest.NewServer(replica.Handler())
+		t.Cleanup(backend.Close)
+		made.replicas = append(made.replicas, replica)
+		made.state.TakeReplica(&gypsum.Replica{
+			ID: replica.ID, Service: "desk", Address: strings.TrimPrefix(backend.URL, "http://"), State: gypsum.ReplicaReady, Slots: 4,
+		})
+	}
+	return made
+}
+
+// configure puts the usual configuration in force.
+func (s *site) configure() {
+	desk := []gypsum.WeightedService{{Service: "desk", Weight: 1}}
+	route := func(prefix string, kind gypsum.RouteKind) gypsum.Route {
+		return gypsum.Route{
+			Name: prefix, HostName: "a.example", PathPrefix: prefix, Kind: kind, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
+			MaxAttempts: 2, Services: desk, Retention: time.Minute, ResultDue: 5 * time.Second,
+		}
+	}
+	s.state.TakeManifest(&gypsum.Manifest{
+		Revision: 1, Limits: gypsum.ClientLimits{MaxBody: 64 << 10}, Services: map[gypsum.ServiceName]gypsum.ServiceRule{"desk": {Name: "desk"}},
+		Routes: []gypsum.Route{
+			route("/i/", gypsum.RouteIdempotent), route("/n/", gypsum.RouteNonIdempotent), route("/i/stream/", gypsum.RouteStreaming),
+			route("/t/", gypsum.RouteRollout),
+		},
+	})
+}
+
+// call sends a request to the host.
+func (s *site) call(method, target, id, body string) (int, http.Header, string) {
+	s.t.Helper()
+	request, err := http.NewRequestWithContext(s.t.Context(), method, s.url+target, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = "a.example:81"
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Deadline-Ms", "1500")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return response.StatusCode, response.Header, string(content)
+}
+
+// ran returns how often a request has run on all replicas.
+func (s *site) ran(id string) int {
+	count := 0
+	for _, replica := range s.replicas {
+		for _, ran := range replica.Ran() {
+			if ran == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestRoutes(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	status, header, _ := s.call("POST", "/i/a", "q0", "x")
+	is.Equal(status, http.StatusServiceUnavailable) // no configuration: never 404
+	is.True(header.Get("Retry-After") != "")
+	s.configure()
+	status, header, body := s.call("POST", "/i/a%2Fb//c/?q=%20", "q1", "x")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, mimic.PlainBody("q1", "/i/a%2Fb//c/?q=%20", []byte("x"))) // the target as it was sent
+	is.True(header.Get("Server-Stamp") != "")
+	is.Equal(header.Get("Attempt-Id"), "q1")
+	status, _, _ = s.call("GET", "/else", "q2", "")
+	is.Equal(status, http.StatusNotFound)
+	status, _, _ = s.call("POST", "/i/large", "q3", strings.Repeat("x", 65<<10))
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+}
+
+// Each fault of a replica, for requests that may run again and for those that may not.
+func TestReplicaFaults(t *testing.T) {
+	for _, row := range []struct {
+		fault mimic.Fault
+		// all means that all replicas have the fault.
+		all        bool
+		idempotent int
+		once       int
+	}{
+		{mimic.FaultReset, false, 200, 502},
+		{mimic.FaultReset, true, 502, 502},
+		{mimic.FaultCut, false, 200, 502},
+		{mimic.FaultCrossed, false, 200, 502},
+		{mimic.FaultUnsigned, false, 200, 502},
+		{mimic.FaultError, false, 200, 500},
+		{mimic.FaultError, true, 500, 500},
+		{mimic.FaultBusy, false, 200, 200},
+		{mimic.FaultBusy, true, 503, 503},
+		{mimic.FaultOther, false, 200, 200},
+		{mimic.FaultSilent, false, 200, 504},
+	} {
+		t.Run(fmt.Sprint(row.fault, row.all), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 2)
+			s.configure()
+			s.replicas[0].SetFault(row.fault)
+			if row.all {
+				s.replicas[1].SetFault(row.fault)
+			} else {
+				s.preferFirst()
+			}
+			status, header, _ := s.call("POST", "/i/a", "i1", "x")
+			is.Equal(status, row.idempotent)
+			is.True(status != http.StatusServiceUnavailable || (header.Get("Retry-After") != "" && s.ran("i1") == 0))
+			if !row.all {
+				s = newSite(t, 2)
+				s.configure()
+				s.replicas[0].SetFault(row.fault)
+				s.preferFirst()
+			}
+			status, _, _ = s.call("POST", "/n/a", "n1", "x")
+			is.Equal(status, row.once)
+			is.True(s.ran("n1") <= 1) // never twice
+			is.True(status != http.StatusServiceUnavailable || s.ran("n1") == 0)
+		})
+	}
+}
+
+// preferFirst makes the second replica look far, so that the first is asked first.
+func (s *site) preferFirst() {
+	for _, replica := range s.state.Now().Services["desk"] {
+		if replica.ID == s.replicas[1].ID {
+			far := *replica
+			far.Location = gypsum.Location{DataCentre: "far", Region: "far"}
+			s.state.TakeReplica(&far)
+		}
+	}
+}
+
+// A request whose client has left ends at its replica.
+func TestClientLeaves(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.configure()
+	s.replicas[0].SetFault(mimic.FaultSilent)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, "POST", s.url+"/i/a", strings.NewReader("x"))
+	is.NoErr(err)
+	request.Host = "a.example"
+	request.Header.Set("Attempt-Id", "q1")
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultTransport.RoundTrip(request)
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	is.True(<-ended != nil)
+	deadline := time.Now().Add(time.Second)
+	for s.front.Relay.Open() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.front.Relay.Open(), 0)
+}
+
+func TestStream(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	s.configure()
+	status, header, body := s.call("POST", "/i/stream/a", "q1", "x")
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get("Content-Type"), "text/event-stream")
+	is.True(strings.HasSuffix(body, "id: 10\ndata: q1:10\n\n"))
+	for _, replica := range s.replicas {
+		replica.SetFault(mimic.FaultCut)
+	}
+	status, _, body = s.call("POST", "/i/stream/a", "q2", "x")
+	is.Equal(status, 0) // it may not be resumed, and must not look complete
+	is.True(strings.Contains(body, "EOF"))
+}
+
+func TestBatchCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.configure()
+	submitted := `{"step":1,"model":"m","items":[{"id":"e1","path":"/t/1","body":"q83v","group":"g"}]}`
+	status, _, _ := s.call("POST", "/t/b1", "b1", submitted)
+	is.Equal(status, http.StatusAccepted)
+	status, _, _ = s.call("POST", "/t/b1", "b1", submitted)
+	is.Equal(status, http.StatusAccepted) // a repeat
+	status, _, _ = s.call("POST", "/t/b2", "b2", "{")
+	is.Equal(status, http.StatusBadRequest)
+	status, _, body := s.call("GET", "/items/b1?id=e1", "c1", "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "\xab\xcd\xef")
+	status, _, _ = s.call("GET", "/items/b1?id=e2", "c1", "")
+	is.Equal(status, http.StatusNotFound)
+	is.NoErr(s.front.Desk.Finish(t.Context(), "b1", &gypsum.BatchResult{Item: "e1", State: gypsum.ItemCompleted, Text: "t", Versions: []gypsum.WeightVersion{1}}))
+	status, _, body = s.call("GET", "/lots/b1?after=0", "c2", "")
+	is.Equal(status, http.StatusOK)
+	var read map[string]any
+	is.NoErr(json.Unmarshal([]byte(body), &read))
+	is.Equal(read["total"], 1.0)
+	is.Equal(len(read["results"].([]any)), 1)
+	for range 2 {
+		status, _, _ = s.call("DELETE", "/lots/b1", "c3", "")
+		is.Equal(status, http.StatusOK)
+	}
+	status, _, _ = s.call("GET", "/lots/none", "c4", "")
+	is.Equal(status, http.StatusNotFound)
+	s.backing.SetFault(fake.KeyedRefuse)
+	begun := time.Now()
+	status, header, _ := s.call("GET", "/lots/none", "c5", "")
+	is.Equal(status, http.StatusServiceUnavailable) // nobody can be sure now
+	is.True(header.Get("Retry-After") != "")
+	status, header, _ = s.call("POST", "/t/b3", "b3", submitted)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+	is.True(time.Since(begun) < 3*time.Second)
+	status, _, _ = s.call("GET", "/lots/b1?after=0", "c6", "") // known before
+	is.Equal(status, http.StatusOK)
+}
+
+// A connection that is closed in the middle of a request's body reaches no replica.
+func TestHalfRequest(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.configure()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "POST /i/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: q1\r\nContent-Length: 100\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(s.ran("q1"), 0)
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,52 @@
+package logs_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum/logs"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	released chan struct{}
+	got      bytes.Buffer
+}
+
+// Write is part of io.Writer.
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.released
+	return s.got.Write(p)
+}
+
+// Who logs is never blocked by an output that takes nothing; what was dropped is
+// counted and said.
+func TestNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{released: make(chan struct{})}
+		logger, writer := logs.New(out, slog.LevelInfo)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- writer.Run(ctx) }()
+		for i := range 10000 {
+			logger.Info("line", "number", i)
+		}
+		is.True(writer.Dropped() > 5000)
+		close(out.released)
+		time.Sleep(time.Second)
+		logger.Info("last")
+		stop()
+		<-ended
+		is.True(strings.Contains(out.got.String(), `"number":0}`))
+		is.True(strings.Contains(out.got.String(), "log lines dropped"))
+		is.True(strings.Contains(out.got.String(), `"msg":"last"`))
+	})
+}
--- a/mimic/replica.go
+++ b/mimic/replica.go
@@ -77,11 +77,17 @@
 
 // Handler returns the replica's handler.
 func (p *Replica) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", p.report)
-	mux.HandleFunc("POST /order", p.order)
-	mux.HandleFunc("/", p.request)
-	return mux
+	// Without a mux, which would clean paths and redirect.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/report":
+			p.report(w, r)
+		case r.URL.Path == "/order":
+			p.order(w, r)
+		default:
+			p.request(w, r)
+		}
+	})
 }
 
 // Receipt is the receipt of an answer by a replica.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,17 @@
 	seen.latency += time.Duration(latencyWeight * float64(latency-seen.latency))
 }
 
+// Open returns the number of requests that are at replicas now.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open := 0
+	for _, seen := range r.known {
+		open += seen.open
+	}
+	return open
+}
+
 // Keep forgets replicas that are no longer registered.
 func (r *Relay) Keep(snapshot *state.Snapshot) {
 	r.mu.Lock()
--- /dev/null
+++ b/state/state_test.go
@@ -0,0 +1,73 @@
+package state_test
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/state"
+)
+
+// newKeeper returns a keeper that knows the replicas of one service.
+func newKeeper(ids ...gypsum.BackendID) *state.Keeper {
+	keeper := state.NewKeeper(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, id := range ids {
+		keeper.TakeReplica(replica(id, 1))
+	}
+	return keeper
+}
+
+// replica returns a registration of a replica that started at a time.
+func replica(id gypsum.BackendID, born gypsum.Incarnation) *gypsum.Replica {
+	return &gypsum.Replica{ID: id, Service: "desk", Address: "a", State: gypsum.ReplicaReady, Born: born}
+}
+
+// A configuration and a named version never go back.
+func TestNeverBack(t *testing.T) {
+	is := is.New(t)
+	keeper := newKeeper()
+	for _, revision := range []gypsum.Revision{3, 7, 5} {
+		keeper.TakeManifest(&gypsum.Manifest{Revision: revision})
+	}
+	is.Equal(keeper.Now().Manifest.Revision, gypsum.Revision(7))
+	for _, version := range []gypsum.WeightVersion{2, 4, 3} {
+		keeper.TakeVersion("m", version)
+	}
+	is.Equal(keeper.Now().Versions["m"], gypsum.WeightVersion(4))
+	keeper.TakeReplica(replica("r", 5))
+	keeper.TakeReplica(replica("r", 4)) // an earlier start under the same id
+	is.Equal(keeper.Now().Replicas["r"].Born, gypsum.Incarnation(5))
+}
+
+// A registration that ends is gone at once; one that lapsed while the store was away
+// is kept until it had the time to come back.
+func TestLapsedRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		keeper := newKeeper("left", "lapsed", "dead")
+		time.Sleep(time.Minute)
+		keeper.Tick(false, time.Now())
+		keeper.DropReplica("left")
+		is.Equal(len(keeper.Now().Replicas), 2)
+		keeper.Tick(true, time.Now())
+		time.Sleep(5 * time.Second)
+		keeper.Tick(false, time.Now())
+		keeper.KeepOnly(nil) // a new look at the store finds none
+		is.Equal(len(keeper.Now().Services["desk"]), 2)
+		time.Sleep(time.Second)
+		keeper.TakeReplica(replica("lapsed", 1))
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			keeper.Tick(false, time.Now())
+		}
+		is.Equal(len(keeper.Now().Replicas), 1)
+		is.True(keeper.Now().Replicas["lapsed"] != nil)
+		keeper.DropReplica("lapsed")
+		is.Equal(len(keeper.Now().Replicas), 0)
+	})
+}
