--- a/batch/desk.go
+++ b/batch/desk.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
@@ -84,11 +83,6 @@
 	return string(d.Host) + "." + strconv.FormatInt(int64(d.Boot), 36) + "." + strconv.FormatInt(d.serial.Add(1), 36)
 }
 
-// part returns the partition of a batch's bodies and texts.
-func (d *Desk) part(id gypsum.BatchID) gypsum.Partition {
-	return gypsum.Partition(gypsum.Hash64(string(id)) % uint64(d.Parts))
-}
-
 // Accept stores a batch. It returns nil once the batch is known to be in the store,
 // gypsum.ErrStoreRefused if no part of it is and none will be, and
 // gypsum.ErrStoreUnknown otherwise.
@@ -121,95 +115,6 @@
 	return nil
 }
 
-// storeItems stores a batch's items and tells where.
-func (d *Desk) storeItems(ctx context.Context, batch *gypsum.Batch) (Stored, error) {
-	var values [][]byte
-	size := 0
-	budget := int(d.RecordSize) - fetchSlack
-	for begin := 0; begin < len(batch.Items); {
-		end, weight := begin, 0
-		for end < len(batch.Items) {
-			weight += itemSize(&batch.Items[end])
-			if end > begin && weight > budget {
-				break
-			}
-			end++
-		}
-		value, err := cbor.Marshal(batch.Items[begin:end])
-		if err != nil {
-			return Stored{}, fmt.Errorf("encode items: %w", err)
-		}
-		values, size, begin = append(values, value), size+len(value), end
-	}
-	key := string(batch.ID) + "/" + d.unique()
-	return d.storeValues(ctx, d.Topics.Bodies, batch.ID, key, values, size)
-}
-
-// storeValues stores the parts of a value and tells where.
-func (d *Desk) storeValues(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, key string, values [][]byte, size int) (Stored, error) {
-	offset, err := d.Write(topic, d.part(id)).Append(ctx, store.Cut(key, values)...)
-	if err != nil {
-		return Stored{}, fmt.Errorf("append to %s: %w", topic, err)
-	}
-	return Stored{Offset: offset, Key: key, Count: len(values), Size: size}, nil
-}
-
-// itemSize returns about what an item takes in a record.
-func itemSize(item *gypsum.BatchItem) int {
-	size := len(item.ID) + len(item.Path) + len(item.Body) + len(item.Group) + 64
-	for name, value := range item.Header {
-		size += len(name) + len(value) + 8
-	}
-	return size
-}
-
-// fetch returns stored values by their keys.
-func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, values ...Stored) (map[string][]byte, error) {
-	places := make([]store.Place, 0, len(values))
-	for _, stored := range values {
-		places = append(places, store.Place{Offset: stored.Offset, Key: stored.Key, Count: stored.Count, Size: stored.Size})
-	}
-	found, err := store.Fetch(ctx, d.Store, topic, d.part(id), string(id)+"/", places)
-	if err != nil {
-		return nil, fmt.Errorf("batch %s: %w", id, err)
-	}
-	return found, nil
-}
-
-// Items returns the items of an accepted batch.
-func (d *Desk) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
-	if items, ok := d.bodies.Get(header.ID); ok {
-		return items, nil
-	}
-	values, err := d.fetch(ctx, d.Topics.Bodies, header.ID, header.Bodies)
-	if err != nil {
-		return nil, err
-	}
-	items, err := decodeItems(values[header.Bodies.Key], header.Total)
-	if err != nil {
-		return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
-	}
-	d.bodies.Add(header.ID, items)
-	return items, nil
-}
-
-// decodeItems decodes lists of items that follow each other.
-func decodeItems(content []byte, total int) ([]gypsum.BatchItem, error) {
-	items := make([]gypsum.BatchItem, 0, total)
-	for len(content) > 0 {
-		var part []gypsum.BatchItem
-		rest, err := cbor.UnmarshalFirst(content, &part)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", errRecord, err)
-		}
-		items, content = append(items, part...), rest
-	}
-	return items, nil
-}
-
-// Forget drops the kept items of a batch.
-func (d *Desk) Forget(id gypsum.BatchID) { d.bodies.Remove(id) }
-
 // find makes sure that a batch is known, or that there is none: then ErrNoBatch.
 func (d *Desk) find(ctx context.Context, id gypsum.BatchID) error {
 	if d.Book.Knows(id) {
@@ -309,51 +214,6 @@
 	return read, nil
 }
 
-// readStored returns the texts of results by their keys: those kept, and the others
-// from the store.
-func (d *Desk) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
-	texts := make(map[string]string, len(results))
-	var missing []Stored
-	for i := range results {
-		stored := results[i].Text
-		if stored.Count == 0 {
-			continue
-		}
-		if text, ok := d.texts.Get(stored.Key); ok {
-			texts[stored.Key] = text
-		} else {
-			missing = append(missing, stored)
-		}
-	}
-	values, err := d.fetch(ctx, d.Topics.Texts, id, missing...)
-	if err != nil {
-		return nil, err
-	}
-	for key, value := range values {
-		texts[key] = string(value)
-	}
-	return texts, nil
-}
-
-// storeText stores a text and tells where. It is kept for readers if keep is set.
-func (d *Desk) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
-	if text == "" {
-		return Stored{}, nil
-	}
-	budget := int(d.RecordSize) - fetchSlack
-	var values [][]byte
-	for rest := text; rest != ""; {
-		cut := min(budget, len(rest))
-		values, rest = append(values, []byte(rest[:cut])), rest[cut:]
-	}
-	key := string(id) + "/" + string(item) + "/" + d.unique()
-	stored, err := d.storeValues(ctx, d.Topics.Texts, id, key, values, len(text))
-	if err == nil && keep && len(text) <= textSizeKept {
-		d.texts.Add(key, text)
-	}
-	return stored, err
-}
-
 // Finish stores the result of an item. The first one stored counts.
 func (d *Desk) Finish(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
 	stored, err := d.storeText(ctx, id, result.Item, result.Text, true)
@@ -387,87 +247,3 @@
 	}
 	return nil
 }
-
-// PartialTexts returns the texts of a batch's checkpoints by their keys.
-func (d *Desk) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
-	stored := make([]Stored, 0, len(partials))
-	for item := range partials {
-		stored = append(stored, partials[item].Text)
-	}
-	return d.fetch(ctx, d.Topics.Texts, id, stored...)
-}
-
-// NoteFailures stores how often an item's runs have failed.
-func (d *Desk) NoteFailures(ctx context.Context, failures Failures) error {
-	record, err := encode(failures, kindFailures, string(failures.Batch), string(failures.Item))
-	if err != nil {
-		return err
-	}
-	if _, err := d.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store failures: %w", err)
-	}
-	return nil
-}
-
-// Claim asks for a service on behalf of this host in a term, or gives it up. The
-// record's place among others decides; Book tells who won.
-func (d *Desk) Claim(ctx context.Context, service gypsum.ServiceName, term int64, released bool) error {
-	record, err := encode(Claim{Service: service, Host: d.Host, Boot: d.Boot, Term: term, Released: released},
-		kindClaim, string(service), d.unique())
-	if err != nil {
-		return err
-	}
-	offset, err := d.State.Append(ctx, record)
-	if err != nil {
-		return fmt.Errorf("store claim: %w", err)
-	}
-	return d.Follow.Reach(ctx, offset+1)
-}
-
-// Beat stores a sign of life.
-func (d *Desk) Beat(ctx context.Context, number int64) error {
-	record, err := encode(Heartbeat{Host: d.Host, Boot: d.Boot, Beat: number}, kindHeartbeat, string(d.Host))
-	if err != nil {
-		return err
-	}
-	if _, err := d.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store heartbeat: %w", err)
-	}
-	return nil
-}
-
-// NoteCrash is part of gypsum.CrashBook: it stores that a replica died.
-func (d *Desk) NoteCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica gypsum.BackendID) error {
-	record, err := encode(Crash{Fingerprint: fingerprint, Replica: replica, At: time.Now().UnixMilli()},
-		kindCrash, strconv.FormatUint(uint64(fingerprint), 16), d.unique())
-	if err != nil {
-		return err
-	}
-	if _, err := d.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store crash: %w", err)
-	}
-	return nil
-}
-
-// Crashes is part of gypsum.CrashBook.
-func (d *Desk) Crashes(fingerprint gypsum.Fingerprint) int { return d.Book.Crashes(fingerprint) }
-
-// Announce tells other daemons where this one is, Withdraw that it is gone.
-func (d *Desk) Announce(ctx context.Context, address string, location gypsum.Location) error {
-	record, err := encode(HostRecord{Host: d.Host, Address: address, Location: location}, kindHost, string(d.Host))
-	if err != nil {
-		return err
-	}
-	if _, err := d.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store address: %w", err)
-	}
-	return nil
-}
-
-// Withdraw removes what Announce has stored.
-func (d *Desk) Withdraw(ctx context.Context) error {
-	if _, err := d.State.Append(ctx, gypsum.KeyedRecord{Key: kindHost + "/" + string(d.Host)}); err != nil {
-		return fmt.Errorf("remove address: %w", err)
-	}
-	return nil
-}
--- /dev/null
+++ b/batch/value.go
@@ -0,0 +1,159 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// fetch returns stored values by their keys.
+func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, values ...Stored) (map[string][]byte, error) {
+	places := make([]store.Place, 0, len(values))
+	for _, stored := range values {
+		places = append(places, store.Place{Offset: stored.Offset, Key: stored.Key, Count: stored.Count, Size: stored.Size})
+	}
+	found, err := store.Fetch(ctx, d.Store, topic, d.part(id), string(id)+"/", places)
+	if err != nil {
+		return nil, fmt.Errorf("batch %s: %w", id, err)
+	}
+	return found, nil
+}
+
+// storeValues stores the parts of a value and tells where.
+func (d *Desk) storeValues(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, key string, values [][]byte, size int) (Stored, error) {
+	offset, err := d.Write(topic, d.part(id)).Append(ctx, store.Cut(key, values)...)
+	if err != nil {
+		return Stored{}, fmt.Errorf("append to %s: %w", topic, err)
+	}
+	return Stored{Offset: offset, Key: key, Count: len(values), Size: size}, nil
+}
+
+// storeText stores a text and tells where. It is kept for readers if keep is set.
+func (d *Desk) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
+	if text == "" {
+		return Stored{}, nil
+	}
+	budget := int(d.RecordSize) - fetchSlack
+	var values [][]byte
+	for rest := text; rest != ""; {
+		cut := min(budget, len(rest))
+		values, rest = append(values, []byte(rest[:cut])), rest[cut:]
+	}
+	key := string(id) + "/" + string(item) + "/" + d.unique()
+	stored, err := d.storeValues(ctx, d.Topics.Texts, id, key, values, len(text))
+	if err == nil && keep && len(text) <= textSizeKept {
+		d.texts.Add(key, text)
+	}
+	return stored, err
+}
+
+// itemSize returns about what an item takes in a record.
+func itemSize(item *gypsum.BatchItem) int {
+	size := len(item.ID) + len(item.Path) + len(item.Body) + len(item.Group) + 64
+	for name, value := range item.Header {
+		size += len(name) + len(value) + 8
+	}
+	return size
+}
+
+// storeItems stores a batch's items and tells where.
+func (d *Desk) storeItems(ctx context.Context, batch *gypsum.Batch) (Stored, error) {
+	var values [][]byte
+	size := 0
+	budget := int(d.RecordSize) - fetchSlack
+	for begin := 0; begin < len(batch.Items); {
+		end, weight := begin, 0
+		for end < len(batch.Items) {
+			weight += itemSize(&batch.Items[end])
+			if end > begin && weight > budget {
+				break
+			}
+			end++
+		}
+		value, err := cbor.Marshal(batch.Items[begin:end])
+		if err != nil {
+			return Stored{}, fmt.Errorf("encode items: %w", err)
+		}
+		values, size, begin = append(values, value), size+len(value), end
+	}
+	key := string(batch.ID) + "/" + d.unique()
+	return d.storeValues(ctx, d.Topics.Bodies, batch.ID, key, values, size)
+}
+
+// decodeItems decodes lists of items that follow each other.
+func decodeItems(content []byte, total int) ([]gypsum.BatchItem, error) {
+	items := make([]gypsum.BatchItem, 0, total)
+	for len(content) > 0 {
+		var part []gypsum.BatchItem
+		rest, err := cbor.UnmarshalFirst(content, &part)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errRecord, err)
+		}
+		items, content = append(items, part...), rest
+	}
+	return items, nil
+}
+
+// Items returns the items of an accepted batch.
+func (d *Desk) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
+	if items, ok := d.bodies.Get(header.ID); ok {
+		return items, nil
+	}
+	values, err := d.fetch(ctx, d.Topics.Bodies, header.ID, header.Bodies)
+	if err != nil {
+		return nil, err
+	}
+	items, err := decodeItems(values[header.Bodies.Key], header.Total)
+	if err != nil {
+		return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
+	}
+	d.bodies.Add(header.ID, items)
+	return items, nil
+}
+
+// Forget drops the kept items of a batch.
+func (d *Desk) Forget(id gypsum.BatchID) { d.bodies.Remove(id) }
+
+// readStored returns the texts of results by their keys: those kept, and the others
+// from the store.
+func (d *Desk) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
+	texts := make(map[string]string, len(results))
+	var missing []Stored
+	for i := range results {
+		stored := results[i].Text
+		if stored.Count == 0 {
+			continue
+		}
+		if text, ok := d.texts.Get(stored.Key); ok {
+			texts[stored.Key] = text
+		} else {
+			missing = append(missing, stored)
+		}
+	}
+	values, err := d.fetch(ctx, d.Topics.Texts, id, missing...)
+	if err != nil {
+		return nil, err
+	}
+	for key, value := range values {
+		texts[key] = string(value)
+	}
+	return texts, nil
+}
+
+// PartialTexts returns the texts of a batch's checkpoints by their keys.
+func (d *Desk) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
+	stored := make([]Stored, 0, len(partials))
+	for item := range partials {
+		stored = append(stored, partials[item].Text)
+	}
+	return d.fetch(ctx, d.Topics.Texts, id, stored...)
+}
+
+// part returns the partition of a batch's bodies and texts.
+func (d *Desk) part(id gypsum.BatchID) gypsum.Partition {
+	return gypsum.Partition(gypsum.Hash64(string(id)) % uint64(d.Parts))
+}
--- /dev/null
+++ b/host/follow.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/store"
+)
+
+// watch follows outages of the store.
+func (h *Host) watch(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			h.state.Tick(h.storeAway() > 0, now)
+			h.relay.Keep(h.state.Now())
+		}
+	}
+}
+
+// storeAway returns for how long the store has not answered, zero if it does.
+func (h *Host) storeAway() time.Duration {
+	var longest time.Duration
+	for _, follower := range h.follows {
+		if at, down := follower.Answered(); down && !at.IsZero() {
+			longest = max(longest, time.Since(at))
+		}
+	}
+	return longest
+}
+
+// takeOperator takes records of operators and trainers.
+func (h *Host) takeOperator(update store.Update) {
+	for i := range update.Records {
+		record, err := platform.DecodeOperator(&update.Records[i])
+		switch {
+		case err != nil:
+			h.Logger.Warn("operator's record passed over", "key", update.Records[i].Key, "offset", update.Records[i].Offset, "error", err)
+		case record.Manifest != nil:
+			h.state.TakeManifest(record.Manifest)
+		default:
+			h.state.TakeVersion(record.Version.Model, record.Version.Version)
+		}
+	}
+}
+
+// takeReplicas takes registrations.
+func (h *Host) takeReplicas(update store.Update) {
+	named := make(map[gypsum.BackendID]bool)
+	for i := range update.Records {
+		record := &update.Records[i]
+		if len(record.Value) == 0 {
+			h.state.DropReplica(gypsum.BackendID(record.Key))
+			continue
+		}
+		replica, err := platform.DecodeReplica(record, h.Settings.Regions)
+		if err != nil {
+			h.Logger.Warn("registration passed over", "key", record.Key, "offset", record.Offset, "error", err)
+			h.state.DropReplica(gypsum.BackendID(record.Key))
+			continue
+		}
+		named[replica.ID] = true
+		h.state.TakeReplica(replica)
+	}
+	if update.Whole {
+		h.state.KeepOnly(named)
+	}
+}
+
+// follow makes a follower of a topic.
+func (h *Host) follow(topic gypsum.Topic, handle func(store.Update)) *store.Follower {
+	follower := &store.Follower{Store: h.store, Topic: topic, Handle: handle, Logger: h.Logger}
+	h.follows = append(h.follows, follower)
+	return follower
+}
--- a/host/host.go
+++ b/host/host.go
@@ -3,17 +3,13 @@
 
 import (
 	"context"
-	"expvar"
 	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
@@ -205,13 +201,6 @@
 	}
 }
 
-// follow makes a follower of a topic.
-func (h *Host) follow(topic gypsum.Topic, handle func(store.Update)) *store.Follower {
-	follower := &store.Follower{Store: h.store, Topic: topic, Handle: handle, Logger: h.Logger}
-	h.follows = append(h.follows, follower)
-	return follower
-}
-
 // startTasks starts the daemon's goroutines.
 func (h *Host) startTasks(ctx context.Context) {
 	for _, follower := range h.follows {
@@ -227,152 +216,5 @@
 	h.tasks.start(ctx, h.announce)
 }
 
-// announce tells other daemons where this one is, until that is stored.
-func (h *Host) announce(ctx context.Context) error {
-	if h.Settings.Internal[0] == 0 {
-		return nil
-	}
-	for {
-		err := h.desk.Announce(ctx, h.internalAddress(), h.Settings.Location)
-		if err == nil || ctx.Err() != nil {
-			return ctx.Err()
-		}
-		h.Logger.Warn("address not stored", "error", err)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(watchInterval):
-		}
-	}
-}
-
-// internalAddress is where other daemons reach this one.
-func (h *Host) internalAddress() string {
-	return net.JoinHostPort(h.Settings.IP, strconv.Itoa(h.Settings.Internal[0]))
-}
-
-// others returns the other daemons.
-func (h *Host) others() []detour.Peer {
-	records := h.book.Hosts()
-	peers := make([]detour.Peer, 0, len(records))
-	for _, record := range records {
-		peers = append(peers, detour.Peer{Host: record.Host, Address: record.Address, Location: record.Location})
-	}
-	return peers
-}
-
-// watch follows outages of the store.
-func (h *Host) watch(ctx context.Context) error {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			h.state.Tick(h.storeAway() > 0, now)
-			h.relay.Keep(h.state.Now())
-		}
-	}
-}
-
-// storeAway returns for how long the store has not answered, zero if it does.
-func (h *Host) storeAway() time.Duration {
-	var longest time.Duration
-	for _, follower := range h.follows {
-		if at, down := follower.Answered(); down && !at.IsZero() {
-			longest = max(longest, time.Since(at))
-		}
-	}
-	return longest
-}
-
-// takeOperator takes records of operators and trainers.
-func (h *Host) takeOperator(update store.Update) {
-	for i := range update.Records {
-		record, err := platform.DecodeOperator(&update.Records[i])
-		switch {
-		case err != nil:
-			h.Logger.Warn("operator's record passed over", "key", update.Records[i].Key, "offset", update.Records[i].Offset, "error", err)
-		case record.Manifest != nil:
-			h.state.TakeManifest(record.Manifest)
-		default:
-			h.state.TakeVersion(record.Version.Model, record.Version.Version)
-		}
-	}
-}
-
-// takeReplicas takes registrations.
-func (h *Host) takeReplicas(update store.Update) {
-	named := make(map[gypsum.BackendID]bool)
-	for i := range update.Records {
-		record := &update.Records[i]
-		if len(record.Value) == 0 {
-			h.state.DropReplica(gypsum.BackendID(record.Key))
-			continue
-		}
-		replica, err := platform.DecodeReplica(record, h.Settings.Regions)
-		if err != nil {
-			h.Logger.Warn("registration passed over", "key", record.Key, "offset", record.Offset, "error", err)
-			h.state.DropReplica(gypsum.BackendID(record.Key))
-			continue
-		}
-		named[replica.ID] = true
-		h.state.TakeReplica(replica)
-	}
-	if update.Whole {
-		h.state.KeepOnly(named)
-	}
-}
-
-// ready returns nil if the host can serve.
-func (h *Host) ready() error {
-	switch {
-	case h.front.Stopping.Load():
-		return errStopping
-	case h.state.Now().Manifest == nil:
-		return errNoConfiguration
-	case !h.desk.Follow.Loaded():
-		return errNoState
-	}
-	return nil
-}
-
-// servers returns the servers of the process.
-func (h *Host) servers() []serverOf {
-	metrics := expvar.Handler()
-	check := http.NewServeMux()
-	check.Handle("/debug/vars", metrics)
-	check.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if err := h.ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	servers := []serverOf{
-		newServer(h.Settings.Clients, h.front.Handler()),
-		newServer(h.Settings.Ready, check),
-	}
-	if h.Settings.Internal[0] > 0 {
-		inner := http.NewServeMux()
-		inner.Handle("/debug/vars", metrics)
-		inner.Handle(wire.StoreHandler(h.store.Served()))
-		servers = append(servers, newServer(h.internalAddress(), inner))
-	}
-	return servers
-}
-
-// newServer returns a server for one handler.
-func newServer(address string, handler http.Handler) *khttp.Server {
-	server := khttp.NewServer(khttp.Network("tcp"), khttp.Address(address), khttp.Timeout(0))
-	// Without the router, which would clean paths and redirect.
-	server.Handler = handler
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = maxHeader
-	return server
-}
-
 // publishOnce guards the process-wide registry of metrics.
 var publishOnce sync.Once
--- /dev/null
+++ b/runner/claims.go
@@ -0,0 +1,161 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+)
+
+// claiming is a claim that is being considered or made.
+type claiming struct {
+	at      time.Time
+	running bool
+}
+
+// followClaims begins and ends to hold services as the records say, and claims
+// those that need it.
+func (r *Runner) followClaims(ctx context.Context, jobs map[gypsum.ServiceName][]batch.Header, now time.Time) {
+	for service, held := range r.held {
+		holder, _, _ := r.Desk.Book.Holder(service)
+		if !r.mine(&holder) || holder.Fence != held.fence {
+			r.Logger.Warn("service lost", "service", service, "fence", held.fence, "holder", holder.Host, "new_fence", holder.Fence)
+			held.end()
+			delete(r.held, service)
+		}
+	}
+	for service, open := range jobs {
+		holder, alive, known := r.Desk.Book.Holder(service)
+		if known && r.mine(&holder) {
+			if r.held[service] == nil {
+				r.begin(ctx, service, &holder)
+			}
+			delete(r.claims, service)
+			continue
+		}
+		r.consider(ctx, service, open, &holder, alive, known, now)
+	}
+}
+
+// mine tells whether this process holds a service.
+func (r *Runner) mine(holder *batch.Holder) bool {
+	return holder.Host == r.Host && holder.Boot == r.Boot && !holder.Released
+}
+
+// begin begins to hold a service.
+func (r *Runner) begin(ctx context.Context, service gypsum.ServiceName, holder *batch.Holder) {
+	held := newHold(ctx, r, service, holder)
+	if holder.Prior != "" && holder.Prior != r.Host {
+		held.ordersFrom = time.Now().Add(r.Lease)
+		r.Stats.Takeovers.Add(1)
+	}
+	held.active = time.Now()
+	r.held[service] = held
+	r.beaten = time.Now()
+	r.Logger.Info("service held", "service", service, "fence", holder.Fence, "prior", holder.Prior)
+}
+
+// consider claims a service whose batches nobody runs, after a wait that differs
+// between hosts.
+func (r *Runner) consider(ctx context.Context, service gypsum.ServiceName, open []batch.Header, holder *batch.Holder, alive time.Time, known bool, now time.Time) {
+	if r.StoreAway() {
+		delete(r.claims, service)
+		return
+	}
+	alive = r.heardSince(alive)
+	free := !known || holder.Released || (holder.Host == r.Host && holder.Boot != r.Boot)
+	if !free && now.Sub(alive) < silenceLimit {
+		delete(r.claims, service)
+		return
+	}
+	claim := r.claims[service]
+	if claim == nil {
+		claim = &claiming{at: now.Add(r.claimDelay(service, open, holder))}
+		r.claims[service] = claim
+	}
+	if claim.running || now.Before(claim.at) {
+		return
+	}
+	claim.running = true
+	r.Logger.Info("service claimed", "service", service, "term", holder.Term+1, "holder", holder.Host,
+		"released", holder.Released, "silent_ms", now.Sub(alive).Milliseconds(), "open_batches", len(open))
+	r.Stats.Claims.Add(1)
+	go r.claim(ctx, service, holder.Term, free)
+}
+
+// heardSince returns from when a holder's silence counts: its last sign of life, or the
+// return of the store if that came later, since no sign could be seen before.
+func (r *Runner) heardSince(alive time.Time) time.Time {
+	if back := r.Desk.Follow.Back(); back.After(alive) {
+		return back
+	}
+	return alive
+}
+
+// claimDelay returns how long this host waits for another to claim.
+func (r *Runner) claimDelay(service gypsum.ServiceName, open []batch.Header, holder *batch.Holder) time.Duration {
+	delay := time.Duration(0)
+	if r.Share < strongShare {
+		delay = weakDelay
+	}
+	if slices.ContainsFunc(open, func(header batch.Header) bool { return header.Origin == r.Host }) {
+		return delay
+	}
+	rank := gypsum.Rendezvous(string(service)+"/"+fmt.Sprint(holder.Fence), string(r.Host))
+	delay += tickInterval + time.Duration(rank%uint64(claimSpread))
+	if !r.Near {
+		delay += farDelay
+	}
+	return delay
+}
+
+// claim makes sure that the holder is still silent, and claims.
+func (r *Runner) claim(ctx context.Context, service gypsum.ServiceName, term int64, free bool) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := r.Desk.Follow.CatchUp(ctx)
+	if err == nil {
+		holder, alive, _ := r.Desk.Book.Holder(service)
+		if holder.Term == term && (free || time.Since(r.heardSince(alive)) >= silenceLimit) {
+			err = r.Desk.Claim(ctx, service, term+1, false)
+		}
+	}
+	if err != nil {
+		r.Logger.Warn("claim failed", "service", service, "term", term+1, "error", err)
+	}
+	r.post(ctx, func() { delete(r.claims, service) })
+}
+
+// keepBeating gives signs of life while the host holds a service.
+func (r *Runner) keepBeating(ctx context.Context, now time.Time) {
+	active := false
+	for _, held := range r.held {
+		active = active || now.Sub(held.active) < idleHold
+	}
+	if !active || r.beating || now.Sub(r.beaten) < beatInterval {
+		return
+	}
+	r.beating = true
+	r.beat++
+	number := r.beat
+	go func() {
+		beatCtx, cancel := context.WithTimeout(ctx, silenceLimit)
+		defer cancel()
+		err := r.Desk.Beat(beatCtx, number)
+		if err != nil {
+			r.Logger.Warn("no sign of life stored", "error", err)
+		}
+		r.post(ctx, func() {
+			r.beating = false
+			if err == nil {
+				r.beaten = now
+			}
+		})
+	}()
+}
+
+// mayOrder tells whether the host's own signs of life are new enough to give orders.
+func (r *Runner) mayOrder(now time.Time) bool { return now.Sub(r.beaten) < ordersLimit }
