--- a/fake/batch.go
+++ b/fake/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -56,6 +57,7 @@
 	engines map[gypsum.BackendID]*BatchEngine
 	runs    []BatchRun
 	orders  []BatchOrder
+	made    map[gypsum.ItemID]map[gypsum.WeightVersion]bool
 }
 
 // slowdownPerRun is how much one more run slows an engine.
@@ -65,6 +67,7 @@
 func NewBatchEngines(count, slots int, pace time.Duration, models ...gypsum.EngineModel) *BatchEngines {
 	made := &BatchEngines{
 		LoadTime: 900 * time.Millisecond, engines: make(map[gypsum.BackendID]*BatchEngine),
+		made: make(map[gypsum.ItemID]map[gypsum.WeightVersion]bool),
 	}
 	for i := range count {
 		engine := &BatchEngine{
@@ -205,6 +208,7 @@
 			return errReset
 		case <-time.After(step):
 		}
+		b.note(run.Item.ID, version)
 		if err := sink(gypsum.StreamEvent{Number: number, Data: EventData(run.Item.ID, number), Version: version}); err != nil {
 			return err
 		}
@@ -212,6 +216,23 @@
 	return nil
 }
 
+// note keeps that a version made an event of an item.
+func (b *BatchEngines) note(item gypsum.ItemID, version gypsum.WeightVersion) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.made[item] == nil {
+		b.made[item] = make(map[gypsum.WeightVersion]bool)
+	}
+	b.made[item][version] = true
+}
+
+// Versions returns the versions that made events of an item, in all its runs.
+func (b *BatchEngines) Versions(item gypsum.ItemID) map[gypsum.WeightVersion]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.made[item])
+}
+
 // Order is part of gypsum.Engines.
 func (b *BatchEngines) Order(_ context.Context, order *gypsum.WeightOrder) (gypsum.OrderAnswer, error) {
 	b.mu.Lock()
--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -167,6 +167,11 @@
 	return first, nil
 }
 
+// Put adds a record as another writer does, past all faults.
+func (s *KeyedStore) Put(topic gypsum.Topic, record gypsum.KeyedRecord) {
+	_, _ = s.append(gypsum.KeyedAppend{Topic: topic, Records: []gypsum.KeyedRecord{record}})
+}
+
 // admit checks the producer of an append; done means that it is a repeat.
 func (l *keyedLog) admit(add *gypsum.KeyedAppend) (offset gypsum.Offset, done bool, err error) {
 	known := l.producers[add.Producer]
