--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,35 +78,42 @@
 // refuse returns the final answer to a request that has not run and will not.
 func (r *Relay) refuse(request *Request, reason gypsum.Reason, retryAfter time.Duration, detail string) *gypsum.Refusal {
 	if request.ran {
-		return r.fail(request, reason, http.StatusBadGateway, detail)
+		return r.fail(reason, http.StatusBadGateway, detail)
 	}
-	r.Stats.Refused.Add(1)
-	r.Logger.Info("request refused", "request", request.ID, "service", request.Service, "reason", reason, "outcome", gypsum.OutcomeNotRun,
-		"handed", request.handed, "retry_after_ms", retryAfter.Milliseconds(), "after_ms", time.Since(request.Arrived).Milliseconds())
 	return gypsum.NotRun(reason, http.StatusServiceUnavailable, retryAfter, detail)
 }
 
 // fail returns the final answer to a request that may have run.
-func (r *Relay) fail(request *Request, reason gypsum.Reason, status int, detail string) *gypsum.Refusal {
-	r.Stats.Failed.Add(1)
-	r.Logger.Warn("request failed", "request", request.ID, "service", request.Service, "reason", reason, "outcome", gypsum.OutcomeUnknown,
-		"handed", request.handed, "after_ms", time.Since(request.Arrived).Milliseconds())
+func (r *Relay) fail(reason gypsum.Reason, status int, detail string) *gypsum.Refusal {
 	return gypsum.Unknown(reason, status, 0, detail)
 }
 
+// conclude counts and logs the final answer to a request that got none from a replica.
+func (r *Relay) conclude(request *Request, refusal *gypsum.Refusal) *gypsum.Refusal {
+	counter := &r.Stats.Failed
+	if refusal.Outcome == gypsum.OutcomeNotRun {
+		counter = &r.Stats.Refused
+	}
+	counter.Add(1)
+	r.Logger.Warn("request refused or failed", "request", request.ID, "service", request.Service, "reason", refusal.Reason,
+		"outcome", refusal.Outcome, "status", refusal.Status, "handed", request.handed,
+		"retry_after_ms", refusal.RetryAfter.Milliseconds(), "after_ms", time.Since(request.Arrived).Milliseconds())
+	return refusal
+}
+
 // next chooses the replica of the next attempt, or says why there is none.
 func (r *Relay) next(request *Request) (*Target, *gypsum.Refusal) {
 	now := time.Now()
 	left := request.Deadline.Sub(now)
 	switch {
 	case left <= 0 && request.ran:
-		return nil, r.fail(request, gypsum.ReasonTimeout, http.StatusGatewayTimeout, "no answer in time")
+		return nil, r.fail(gypsum.ReasonTimeout, http.StatusGatewayTimeout, "no answer in time")
 	case left <= 0:
 		return nil, r.refuse(request, gypsum.ReasonDeadlinePast, 0, "no replica was free in time")
 	case request.handed >= request.Route.MaxAttempts:
 		return nil, r.giveUp(request)
 	case request.ran && !request.Route.Repeatable():
-		return nil, r.fail(request, gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
+		return nil, r.fail(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
 	}
 	target := Choose(r.targets(request, now), r.Home)
 	if target == nil {
@@ -124,7 +131,7 @@
 // refused or failed.
 func (r *Relay) giveUp(request *Request) *gypsum.Refusal {
 	if request.ran {
-		return r.fail(request, request.last, http.StatusBadGateway, "replicas failed")
+		return r.fail(request.last, http.StatusBadGateway, "replicas failed")
 	}
 	return r.refuse(request, gypsum.ReasonOverloaded, ReturnAfter(time.Since(request.Arrived)), "replicas are busy or out of reach")
 }
@@ -132,21 +139,22 @@
 // Serve takes a request to a replica and returns the whole answer.
 func (r *Relay) Serve(ctx context.Context, request *Request) (*gypsum.LiveAnswer, *gypsum.Refusal) {
 	if refusal := r.prepare(request); refusal != nil {
-		return nil, refusal
+		return nil, r.conclude(request, refusal)
 	}
 	var failure *gypsum.LiveAnswer
 	for {
 		target, refusal := r.next(request)
 		if refusal != nil {
 			if failure != nil {
+				r.Stats.Answers.Add(1)
 				return failure, nil
 			}
-			return nil, refusal
+			return nil, r.conclude(request, refusal)
 		}
 		answer, err := r.attempt(ctx, request, target)
 		switch {
 		case ctx.Err() != nil:
-			return nil, r.fail(request, gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left")
+			return nil, r.conclude(request, r.fail(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left"))
 		case err != nil:
 			continue
 		case answer.Status >= http.StatusInternalServerError && request.Route.Repeatable():
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,12 +27,13 @@
 // if the answer has not begun, ErrBrokenOff if it has.
 func (r *Relay) Stream(ctx context.Context, request *Request, sink Sink) error {
 	if refusal := r.prepare(request); refusal != nil {
-		return refusal
+		return r.conclude(request, refusal)
 	}
 	begun, last := false, int64(0)
 	for {
 		target, refusal := r.next(request)
 		if refusal != nil {
+			r.conclude(request, refusal)
 			if begun {
 				return ErrBrokenOff
 			}
