--- a/store/writer_test.go
+++ b/store/writer_test.go
@@ -91,9 +91,11 @@
 				time.Sleep(time.Minute)
 				_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: "last", Value: []byte("1")})
 				is.NoErr(err)
-				for _, key := range keysOf(t, backing) {
+				keys := keysOf(t, backing)
+				for _, key := range keys {
 					is.True(!refused[key]) // told as refused, but in the store
 				}
+				is.Equal(keys[len(keys)-1], "last") // told as stored, and not answered for an earlier append
 			})
 		})
 	}
