--- a/front/front.go
+++ b/front/front.go
@@ -62,7 +62,7 @@
 	}
 	manifest := f.State.Now().Manifest
 	if manifest == nil {
-		refuse(w, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
+		f.refuseOwn(w, r, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
 	route := FindRoute(manifest.Routes, hostName(r), r.URL.EscapedPath())
@@ -88,7 +88,7 @@
 	case call != nil:
 		f.serveBatchCall(w, r, call)
 	case f.StoreAway() > configurationAge:
-		refuse(w, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, goneReturn,
+		f.refuseOwn(w, r, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, goneReturn,
 			"no route is known, and the configuration may have changed"))
 	default:
 		f.Stats.Unknown.Add(1)
@@ -190,7 +190,7 @@
 	expected := max(0, r.ContentLength)
 	if f.bodies.Add(expected) > int64(f.BodyMemory) {
 		f.bodies.Add(-expected)
-		refuse(w, gypsum.NotRun(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "too many large bodies at one time"))
+		f.refuseOwn(w, r, gypsum.NotRun(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "too many large bodies at one time"))
 		return nil, release, false
 	}
 	release = func() { f.bodies.Add(-expected) }
@@ -203,7 +203,7 @@
 		if errors.As(err, &tooLarge) {
 			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
 		} else {
-			refuse(w, gypsum.NotRun(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
+			f.refuseOwn(w, r, gypsum.NotRun(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
 		}
 		return nil, func() {}, false
 	}
@@ -232,6 +232,14 @@
 	}
 }
 
+// refuseOwn answers with a refusal of the front's own, and logs it.
+func (f *Front) refuseOwn(w http.ResponseWriter, r *http.Request, refusal *gypsum.Refusal) {
+	f.Logger.Warn("request refused or failed", "request", r.Header.Get(platform.HeaderRequestID), "method", r.Method,
+		"path", r.URL.EscapedPath(), "reason", refusal.Reason, "outcome", refusal.Outcome, "status", refusal.Status,
+		"detail", refusal.Detail, "retry_after_ms", refusal.RetryAfter.Milliseconds(), "store_away_ms", f.StoreAway().Milliseconds())
+	refuse(w, refusal)
+}
+
 // refuse answers with a refusal.
 func refuse(w http.ResponseWriter, refusal *gypsum.Refusal) {
 	if refusal.RetryAfter > 0 {
--- a/store/follower.go
+++ b/store/follower.go
@@ -111,7 +111,7 @@
 	defer f.mu.Unlock()
 	failed := err != nil && !errors.Is(err, gypsum.ErrTruncated)
 	if failed != f.down {
-		f.Logger.Warn("store followed", "topic", f.Topic, "lost", failed, "last_answer", time.Since(f.answered), "error", err)
+		f.Logger.Warn("store followed", "topic", f.Topic, "lost", failed, "last_answer_ms", time.Since(f.answered).Milliseconds(), "error", err)
 	}
 	if !failed {
 		f.answered = time.Now()
--- a/store/writer.go
+++ b/store/writer.go
@@ -45,6 +45,9 @@
 	begin    sync.Once
 	epoch    int64
 	sequence int64
+	// failing is when the present row of failures began, said when one was last logged.
+	failing time.Time
+	said    time.Time
 }
 
 // pending is a caller's records.
@@ -156,12 +159,12 @@
 		Topic: w.Topic, Part: w.Part, Records: records, Producer: w.Producer, Epoch: w.epoch, Sequence: w.sequence,
 	}
 	offset, uncertain, err := w.call(ctx, add, group)
+	w.note(len(records), uncertain, err)
 	if err == nil {
 		w.sequence++
 		w.succeed(group, offset)
 		return nil
 	}
-	w.Logger.Warn("append failed", "topic", w.Topic, "part", w.Part, "records", len(records), "uncertain", uncertain, "error", err)
 	if uncertain || errors.Is(err, gypsum.ErrStoreFenced) || errors.Is(err, gypsum.ErrStoreSequence) {
 		// A higher epoch keeps the call from taking effect behind a later one.
 		w.nextEpoch()
@@ -174,6 +177,23 @@
 	return w.pause(ctx)
 }
 
+// note logs the first failure of a row, one each second of it, and its end.
+func (w *Writer) note(records int, uncertain bool, err error) {
+	now := time.Now()
+	switch {
+	case err == nil && !w.failing.IsZero():
+		w.Logger.Info("appends work again", "topic", w.Topic, "part", w.Part, "failed_for_ms", now.Sub(w.failing).Milliseconds())
+		w.failing, w.said = time.Time{}, time.Time{}
+	case err != nil && now.Sub(w.said) >= time.Second:
+		if w.failing.IsZero() {
+			w.failing = now
+		}
+		w.said = now
+		w.Logger.Warn("append failed", "topic", w.Topic, "part", w.Part, "records", records, "uncertain", uncertain,
+			"failing_for_ms", now.Sub(w.failing).Milliseconds(), "error", err)
+	}
+}
+
 // call makes a call, and makes it again beside the first while there is no answer:
 // all are one append to the store. Uncertain means that it may have been carried out
 // although err is set.
