--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 REVIVE := github.com/mgechev/revive@v1.17.0
 
-.PHONY: build demo test lint bench soak breaks policies generate
+.PHONY: build demo test lint bench soak soak50 breaks policies generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,6 +24,10 @@
 soak:
 	go test ./fleet -run TestSoak -count=1 -v -args -soak 60s
 
+# Real processes with faults from outside; -seed 0 draws fresh seeds.
+soak50:
+	go test ./soak -run TestSoak -count=1 -timeout 60m -v -args -seeds 50 -for 20s
+
 # Breaks each mechanism in a copy of the tree; its test must turn red.
 breaks:
 	go run ./scripts/breaks
