--- a/cmd/gypsumhook/edge.go
+++ b/cmd/gypsumhook/edge.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,6 +21,10 @@
 // without a signal.
 const settingsInterval = 2 * time.Second
 
+// memoryShare is the part of the host's memory that the collector keeps to, as long as
+// it can: the rest is for buffers of the network and for what it does not count.
+const memoryShare = 0.65
+
 // edgeCommand returns the command that runs a daemon on the users' platform.
 func edgeCommand() *cli.Command {
 	return &cli.Command{
@@ -37,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+	}
 	logger, writer := logs.New(os.Stdout, slog.LevelInfo)
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 2)
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -157,5 +157,8 @@
 	}()
 }
 
-// mayOrder tells whether the host's own signs of life are new enough to give orders.
-func (r *Runner) mayOrder(now time.Time) bool { return now.Sub(r.beaten) < ordersLimit }
+// mayOrder tells whether the host's own signs of life are new enough to give orders:
+// by the steady clock, and by the time of day, which counts a time of suspension.
+func (r *Runner) mayOrder(now time.Time) bool {
+	return now.Sub(r.beaten) < ordersLimit && now.Round(0).Sub(r.beaten.Round(0)).Abs() < ordersLimit
+}
