--- a/batch/duty.go
+++ b/batch/duty.go
@@ -52,9 +52,9 @@
 // Crashes is part of gypsum.CrashBook.
 func (d *Desk) Crashes(fingerprint gypsum.Fingerprint) int { return d.Book.Crashes(fingerprint) }
 
-// Announce tells other daemons where this one is, Withdraw that it is gone.
-func (d *Desk) Announce(ctx context.Context, address string, location gypsum.Location) error {
-	record, err := encode(HostRecord{Host: d.Host, Address: address, Location: location}, kindHost, string(d.Host))
+// Announce tells other daemons where this one is and what part of a core it has.
+func (d *Desk) Announce(ctx context.Context, address string, location gypsum.Location, share float64) error {
+	record, err := encode(HostRecord{Host: d.Host, Address: address, Location: location, Share: share}, kindHost, string(d.Host))
 	if err != nil {
 		return err
 	}
--- a/batch/record.go
+++ b/batch/record.go
@@ -110,6 +110,8 @@
 	Host     gypsum.HostID   `cbor:"1,keyasint"`
 	Address  string          `cbor:"2,keyasint"`
 	Location gypsum.Location `cbor:"3,keyasint"`
+	// Share is the part of a core that the host has.
+	Share float64 `cbor:"4,keyasint"`
 }
 
 // Crash is the record of a replica that died while it ran a request.
--- a/host/servers.go
+++ b/host/servers.go
@@ -74,7 +74,7 @@
 		return nil
 	}
 	for {
-		err := h.desk.Announce(ctx, h.internalAddress(), h.Settings.Location)
+		err := h.desk.Announce(ctx, h.internalAddress(), h.Settings.Location, h.Settings.CPUShare)
 		if err == nil || ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -52,7 +52,7 @@
 		held.ordersFrom = time.Now().Add(r.Lease)
 		r.Stats.Takeovers.Add(1)
 	}
-	held.active = time.Now()
+	held.active, held.begun = time.Now(), time.Now()
 	r.held[service] = held
 	r.beaten = time.Now()
 	r.Logger.Info("service held", "service", service, "fence", holder.Fence, "prior", holder.Prior)
@@ -129,6 +129,26 @@
 	r.post(ctx, func() { delete(r.claims, service) })
 }
 
+// yield releases services that a weak host holds although strong ones are known, which
+// then claim first. While none takes over, the offers become rare.
+func (r *Runner) yield(ctx context.Context, now time.Time) {
+	if r.Share >= strongShare {
+		return
+	}
+	strong := slices.ContainsFunc(r.Desk.Book.Hosts(), func(host batch.HostRecord) bool {
+		return host.Host != r.Host && host.Share >= strongShare
+	})
+	for service, held := range r.held {
+		wait := max(firstYield, r.yields[service])
+		if !strong || r.StoreAway() || now.Sub(held.begun) < wait {
+			continue
+		}
+		r.yields[service] = 2 * wait
+		r.Logger.Info("service offered to stronger hosts", "service", service, "held_for_ms", now.Sub(held.begun).Milliseconds())
+		r.handOver(ctx, service, held)
+	}
+}
+
 // keepBeating gives signs of life while the host holds a service.
 func (r *Runner) keepBeating(ctx context.Context, now time.Time) {
 	active := false
--- a/runner/hold.go
+++ b/runner/hold.go
@@ -48,6 +48,7 @@
 	// just before its end.
 	ordersFrom time.Time
 	active     time.Time
+	begun      time.Time
 
 	engines  map[gypsum.BackendID]*engine
 	jobs     map[gypsum.BatchID]*job
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -40,6 +40,9 @@
 	// several times that while a step begins.
 	weakDelay   = 500 * time.Millisecond
 	strongShare = 0.5
+	// firstYield is how long a weak host holds a service before it offers it to strong
+	// ones; the time doubles while none takes it.
+	firstYield = 5 * time.Second
 	// checkpointTimeout bounds what a stopping holder stores.
 	checkpointTimeout = 2 * time.Second
 )
@@ -69,6 +72,7 @@
 	beating  bool
 	beat     int64
 	beaten   time.Time
+	yields   map[gypsum.ServiceName]time.Duration
 	cleaning bool
 	cleaned  time.Time
 	stopping bool
@@ -97,7 +101,7 @@
 func New() *Runner {
 	return &Runner{
 		events: make(chan func(), eventsQueued), held: make(map[gypsum.ServiceName]*hold),
-		claims: make(map[gypsum.ServiceName]*claiming), stop: make(chan chan struct{}), done: make(chan struct{}),
+		claims: make(map[gypsum.ServiceName]*claiming), yields: make(map[gypsum.ServiceName]time.Duration), stop: make(chan chan struct{}), done: make(chan struct{}),
 	}
 }
 
@@ -161,16 +165,21 @@
 // release gives up all services.
 func (r *Runner) release(ctx context.Context) {
 	r.stopping = true
+	for service, held := range r.held {
+		r.handOver(ctx, service, held)
+	}
+}
+
+// handOver stores what the runs of a service have given, and releases it.
+func (r *Runner) handOver(ctx context.Context, service gypsum.ServiceName, held *hold) {
 	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
-	for service, held := range r.held {
-		held.checkpointAll(ctx)
-		if err := r.Desk.Claim(ctx, service, held.term+1, true); err != nil {
-			r.Logger.Warn("service not released", "service", service, "error", err)
-		}
-		held.end()
-		delete(r.held, service)
+	held.checkpointAll(ctx)
+	if err := r.Desk.Claim(ctx, service, held.term+1, true); err != nil {
+		r.Logger.Warn("service not released", "service", service, "error", err)
 	}
+	held.end()
+	delete(r.held, service)
 }
 
 // jobsOf returns the open batches, by the service that their route now names.
@@ -211,6 +220,7 @@
 		}
 		held.decide(snapshot, jobs[service], now)
 	}
+	r.yield(ctx, now)
 	r.keepBeating(ctx, now)
 	r.keepClean(ctx, now)
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -108,6 +108,38 @@
 	})
 }
 
+// A weak host that holds a service hands it to a strong one that has come, once; it
+// keeps what no strong host takes.
+func TestWeakHostYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.19, 0.19)
+		is.NoErr(d.hosts[0].desk.Announce(t.Context(), "a", gypsum.Location{}, 0.19))
+		made := newBatch("bat", 1, lengths(20, 4)...)
+		d.submit(0, made)
+		time.Sleep(time.Second)
+		weak := d.holder(0)
+		is.True(weak != "")
+		strong := d.start("host-3", 0.8)
+		d.hosts = append(d.hosts, strong)
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(strong.desk.Announce(t.Context(), "c", gypsum.Location{}, 0.8))
+		next := newBatch("nex", 1, lengths(20, 4)...)
+		time.Sleep(3 * time.Second)
+		next.Submitted = time.Now()
+		d.submit(0, next)
+		d.await(0, made, 20*time.Second)
+		_, took := d.await(1, next, 20*time.Second)
+		is.True(took < 6*time.Second)
+		is.Equal(d.holder(0), gypsum.HostID("host-3"))
+		strong.stop()
+		last := newBatch("las", 1, lengths(20, 4)...)
+		d.submit(0, last)
+		_, took = d.await(0, last, 20*time.Second)
+		is.True(took < 12*time.Second)
+	})
+}
+
 // A holder that cannot reach the store is replaced; once it is back it gives way,
 // and both hosts' work leaves one result for each item.
 func TestHolderCutFromStore(t *testing.T) {
