--- a/front/front_test.go
+++ b/front/front_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -319,3 +320,39 @@
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(s.ran("q1"), 0)
 }
+
+// A request that crashes each replica that runs it reaches no more than three, however
+// often it comes again; others are still served.
+func TestPoison(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	s.configure()
+	const count = 5
+	var died atomic.Int64
+	for i := range count {
+		replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("r-", i+1))}
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/i/poison") {
+				replica.Handler().ServeHTTP(w, r)
+				return
+			}
+			died.Add(1)
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(server.Close)
+		s.state.TakeReplica(&gypsum.Replica{
+			ID: replica.ID, Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), State: gypsum.ReplicaReady, Slots: 4,
+		})
+	}
+	last := 0
+	for i := range 6 {
+		last, _, _ = s.call("POST", "/i/poison", fmt.Sprint("p", i), "same")
+		time.Sleep(100 * time.Millisecond) // a client comes again after a while
+	}
+	is.Equal(last, http.StatusServiceUnavailable)
+	is.True(died.Load() >= 3 && died.Load() <= 4) // two may run at once before both are known
+	status, _, _ := s.call("POST", "/i/other", "q1", "x")
+	is.Equal(status, http.StatusOK)
+}
