--- a/batch/book.go
+++ b/batch/book.go
@@ -71,7 +71,7 @@
 	at  time.Time
 }
 
-// beat is the newest sign of life of a host.
+// beat is the newest heartbeat of a host.
 type beat struct {
 	boot   gypsum.Incarnation
 	number int64
@@ -272,7 +272,7 @@
 	e.changed = make(chan struct{})
 }
 
-// Holder returns the holder of a service and its newest sign of life.
+// Holder returns the holder of a service and its newest heartbeat.
 func (b *Book) Holder(service gypsum.ServiceName) (holder Holder, alive time.Time, ok bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/batch/book_test.go
+++ b/batch/book_test.go
@@ -21,8 +21,8 @@
 // topics are the topics of all tests.
 var topics = batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 
-// startDesk starts a host's desk on a store until the test ends.
-func startDesk(t *testing.T, backing gypsum.KeyedStore, name string) *batch.Desk {
+// startManager starts a host's manager on a store until the test ends.
+func startManager(t *testing.T, backing gypsum.KeyedStore, name string) *batch.Manager {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 4)
@@ -40,15 +40,15 @@
 			<-ended
 		}
 	})
-	desk := &batch.Desk{
+	manager := &batch.Manager{
 		Host: gypsum.HostID(name), Boot: 1, Book: book, Follow: follow, Store: backing, Topics: topics, Parts: 1, RecordSize: 8 << 10,
 		State: writers[topics.State], Logger: logger, Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
 	}
-	if err := desk.Start(); err != nil {
+	if err := manager.Start(); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(time.Millisecond)
-	return desk
+	return manager
 }
 
 // newBatch returns a batch of items with bodies of a size.
@@ -62,9 +62,9 @@
 }
 
 // finish stores a result with a text of its own.
-func finish(t *testing.T, desk *batch.Desk, id gypsum.BatchID, item int, text string) {
+func finish(t *testing.T, manager *batch.Manager, id gypsum.BatchID, item int, text string) {
 	t.Helper()
-	err := desk.Finish(t.Context(), id, &gypsum.BatchResult{Item: gypsum.ItemID(fmt.Sprint("item-", item)), State: gypsum.ItemCompleted, Text: text})
+	err := manager.Finish(t.Context(), id, &gypsum.BatchResult{Item: gypsum.ItemID(fmt.Sprint("item-", item)), State: gypsum.ItemCompleted, Text: text})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		backing := fake.NewKeyedStore()
-		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
 		is.NoErr(a.Accept(t.Context(), newBatch("one", 4, 3000))) // several records of bodies
 		time.Sleep(time.Millisecond)
 		is.NoErr(b.Accept(t.Context(), newBatch("one", 4, 3000))) // a repeat
@@ -86,14 +86,14 @@
 		finish(t, a, "one", 0, "late a")
 		time.Sleep(time.Millisecond)
 		backing.Forget()
-		late := startDesk(t, backing, "c")
-		for _, desk := range []*batch.Desk{a, b, late} {
-			total, results, err := desk.Read(t.Context(), "one", 0, 0)
+		late := startManager(t, backing, "c")
+		for _, manager := range []*batch.Manager{a, b, late} {
+			total, results, err := manager.Read(t.Context(), "one", 0, 0)
 			is.NoErr(err)
 			is.Equal(total, 4)
 			is.Equal(len(results), 2)
 			is.Equal([]string{results[0].Text, results[1].Text}, []string{"from a", "also b"})
-			body, err := desk.Body(t.Context(), "one", "item-3")
+			body, err := manager.Body(t.Context(), "one", "item-3")
 			is.NoErr(err)
 			is.Equal(len(body), 3000)
 		}
@@ -106,7 +106,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		backing := fake.NewKeyedStore()
-		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
 		_, _, err := a.Read(t.Context(), "none", 0, 0)
 		is.True(errors.Is(err, batch.ErrNoBatch))
 		is.NoErr(b.Accept(t.Context(), newBatch("one", 1, 10)))
@@ -124,23 +124,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		backing := fake.NewKeyedStore()
-		desk := startDesk(t, backing, "a")
+		manager := startManager(t, backing, "a")
 		for _, fault := range []fake.KeyedFault{fake.KeyedRefuse, fake.KeyedSilent} {
 			backing.SetFault(fault)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			err := desk.Accept(ctx, newBatch("one", 1, 10))
+			err := manager.Accept(ctx, newBatch("one", 1, 10))
 			cancel()
 			is.True(errors.Is(err, gypsum.ErrStoreRefused)) // its items have no header, so that nothing can run
 			backing.SetFault(0)
 			time.Sleep(10 * time.Second)
-			is.True(!desk.Book.Knows("one"))
+			is.True(!manager.Book.Knows("one"))
 		}
 		// The items are in, and the answer to the header is lost.
 		store := &headerLost{KeyedStore: backing}
-		desk = startDesk(t, store, "b")
+		manager = startManager(t, store, "b")
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		err := desk.Accept(ctx, newBatch("two", 1, 10))
+		err := manager.Accept(ctx, newBatch("two", 1, 10))
 		is.True(errors.Is(err, gypsum.ErrStoreUnknown))
 	})
 }
@@ -163,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		backing := fake.NewKeyedStore()
-		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
 		is.NoErr(a.Claim(t.Context(), "motif", 1, false))
 		is.NoErr(b.Claim(t.Context(), "motif", 1, false)) // too late
 		is.NoErr(b.Claim(t.Context(), "motif", 2, false))
@@ -172,8 +172,8 @@
 		is.NoErr(b.Clean(t.Context(), time.Minute))
 		time.Sleep(time.Millisecond)
 		backing.Forget()
-		for _, desk := range []*batch.Desk{a, b, startDesk(t, backing, "c")} {
-			holder, _, ok := desk.Book.Holder("motif")
+		for _, manager := range []*batch.Manager{a, b, startManager(t, backing, "c")} {
+			holder, _, ok := manager.Book.Holder("motif")
 			is.True(ok)
 			is.Equal([]any{holder.Host, holder.Term, holder.Fence}, []any{gypsum.HostID("b"), int64(2), gypsum.Offset(2)})
 		}
@@ -188,7 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		backing := fake.NewKeyedStore()
-		a, b := startDesk(t, backing, "a"), startDesk(t, backing, "b")
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
 		for _, id := range []string{"ended", "whole", "open"} {
 			is.NoErr(a.Accept(t.Context(), newBatch(id, 1, 10)))
 			if id != "open" {
@@ -210,11 +210,11 @@
 		time.Sleep(10 * time.Minute)
 		is.NoErr(b.Clean(t.Context(), keep))
 		time.Sleep(time.Millisecond)
-		for _, desk := range []*batch.Desk{a, b} {
-			is.True(!desk.Book.Knows("ended"))
-			is.True(!desk.Book.Knows("whole"))
-			is.True(desk.Book.Knows("open")) // as long as it is open
-			is.Equal(desk.Book.Crashes(7), 0)
+		for _, manager := range []*batch.Manager{a, b} {
+			is.True(!manager.Book.Knows("ended"))
+			is.True(!manager.Book.Knows("whole"))
+			is.True(manager.Book.Knows("open")) // as long as it is open
+			is.Equal(manager.Book.Crashes(7), 0)
 		}
 		for topic, left := range map[gypsum.Topic]int{topics.State: 1, topics.Bodies: 1, topics.Texts: 0} {
 			newest, err := backing.Newest(t.Context(), topic, 0, "")
--- a/batch/clean.go
+++ b/batch/clean.go
@@ -71,38 +71,38 @@
 // Clean removes from the store what is no longer needed: batches submitted longer ago
 // than keep that are closed, claims that others have replaced, and old crashes. Values go before
 // the records that name them, so that a clean-up that is cut short is done again.
-func (d *Desk) Clean(ctx context.Context, keep time.Duration) error {
+func (m *Manager) Clean(ctx context.Context, keep time.Duration) error {
 	now := time.Now()
-	batches := d.Book.expired(keep, now)
+	batches := m.Book.expired(keep, now)
 	for i := range batches {
-		if err := d.remove(ctx, &batches[i]); err != nil {
+		if err := m.remove(ctx, &batches[i]); err != nil {
 			return fmt.Errorf("remove batch %s: %w", batches[i].id, err)
 		}
 	}
-	old := d.Book.replaced(now)
-	if err := removeKeys(ctx, d.State, old); err != nil {
+	old := m.Book.replaced(now)
+	if err := removeKeys(ctx, m.State, old); err != nil {
 		return fmt.Errorf("remove old claims and crashes: %w", err)
 	}
 	if len(batches)+len(old) > 0 {
-		d.Logger.Info("store cleaned", "batches", len(batches), "claims_and_crashes", len(old))
+		m.Logger.Info("store cleaned", "batches", len(batches), "claims_and_crashes", len(old))
 	}
 	return nil
 }
 
 // remove removes a batch.
-func (d *Desk) remove(ctx context.Context, done *doneWith) error {
+func (m *Manager) remove(ctx context.Context, done *doneWith) error {
 	var texts []string
 	for _, stored := range done.texts {
 		texts = append(texts, store.Keys(stored.Key, stored.Count)...)
 	}
-	if err := removeKeys(ctx, d.Write(d.Topics.Texts, d.part(done.id)), texts); err != nil {
+	if err := removeKeys(ctx, m.Write(m.Topics.Texts, m.part(done.id)), texts); err != nil {
 		return err
 	}
 	bodies := store.Keys(done.bodies.Key, done.bodies.Count)
-	if err := removeKeys(ctx, d.Write(d.Topics.Bodies, d.part(done.id)), bodies); err != nil {
+	if err := removeKeys(ctx, m.Write(m.Topics.Bodies, m.part(done.id)), bodies); err != nil {
 		return err
 	}
-	return removeKeys(ctx, d.State, done.keys)
+	return removeKeys(ctx, m.State, done.keys)
 }
 
 // removeKeys removes keys of a partition.
--- a/batch/desk.go
+++ b/batch/manager.go
@@ -30,7 +30,7 @@
 	ErrNoItem = errors.New("no such item")
 )
 
-// Sizes of what a desk keeps and returns.
+// Sizes of what a manager keeps and returns.
 const (
 	// maxAnswer bounds the texts of one answer, below the pages' 1 MB with room for
 	// the encoding.
@@ -45,8 +45,8 @@
 	fetchSlack = 4 << 10
 )
 
-// Desk accepts, reads and ends batches. Set the exported fields before use.
-type Desk struct {
+// Manager accepts, reads and ends batches. Set the exported fields before use.
+type Manager struct {
 	Host   gypsum.HostID
 	Boot   gypsum.Incarnation
 	Book   *Book
@@ -66,31 +66,31 @@
 	bodies *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
 }
 
-// Start prepares the desk for use.
-func (d *Desk) Start() error {
+// Start prepares the manager for use.
+func (m *Manager) Start() error {
 	var err error
-	if d.texts, err = lru.New[string, string](textsKept); err != nil {
+	if m.texts, err = lru.New[string, string](textsKept); err != nil {
 		return fmt.Errorf("make cache of texts: %w", err)
 	}
-	if d.bodies, err = lru.New[gypsum.BatchID, []gypsum.BatchItem](bodiesKept); err != nil {
+	if m.bodies, err = lru.New[gypsum.BatchID, []gypsum.BatchItem](bodiesKept); err != nil {
 		return fmt.Errorf("make cache of items: %w", err)
 	}
 	return nil
 }
 
 // unique returns a key part that no other record has.
-func (d *Desk) unique() string {
-	return string(d.Host) + "." + strconv.FormatInt(int64(d.Boot), 36) + "." + strconv.FormatInt(d.serial.Add(1), 36)
+func (m *Manager) unique() string {
+	return string(m.Host) + "." + strconv.FormatInt(int64(m.Boot), 36) + "." + strconv.FormatInt(m.serial.Add(1), 36)
 }
 
 // Accept stores a batch. It returns nil once the batch is known to be in the store,
 // gypsum.ErrStoreRefused if no part of it is and none will be, and
 // gypsum.ErrStoreUnknown otherwise.
-func (d *Desk) Accept(ctx context.Context, batch *gypsum.Batch) error {
-	if d.Book.Knows(batch.ID) {
+func (m *Manager) Accept(ctx context.Context, batch *gypsum.Batch) error {
+	if m.Book.Knows(batch.ID) {
 		return nil
 	}
-	bodies, err := d.storeItems(ctx, batch)
+	bodies, err := m.storeItems(ctx, batch)
 	if err != nil {
 		// Items without a header are no batch: nothing of it will run.
 		return fmt.Errorf("store items: %w: %w", gypsum.ErrStoreRefused, err)
@@ -99,31 +99,31 @@
 		ID: batch.ID, Route: batch.Route, HostName: batch.HostName, Service: batch.Service, Model: batch.Model,
 		MinVersion: batch.MinVersion, Total: len(batch.Items), Single: batch.Single, MaxAttempts: batch.MaxAttempts,
 		Submitted: batch.Submitted.UnixMilli(), Due: batch.Due.UnixMilli(), GiveUp: batch.GiveUp.UnixMilli(),
-		Bodies: bodies, Origin: d.Host, Step: batch.Step,
+		Bodies: bodies, Origin: m.Host, Step: batch.Step,
 	}
-	record, err := encode(header, kindHeader, string(batch.ID), d.unique())
+	record, err := encode(header, kindHeader, string(batch.ID), m.unique())
 	if err != nil {
 		return fmt.Errorf("%w: %w", gypsum.ErrStoreRefused, err)
 	}
-	d.bodies.Add(batch.ID, batch.Items)
-	offset, err := d.State.Append(ctx, record)
+	m.bodies.Add(batch.ID, batch.Items)
+	offset, err := m.State.Append(ctx, record)
 	if err != nil {
 		return fmt.Errorf("store header: %w", err)
 	}
-	d.Logger.Info("batch stored", "batch", batch.ID, "items", len(batch.Items), "model", batch.Model, "step", batch.Step,
+	m.Logger.Info("batch stored", "batch", batch.ID, "items", len(batch.Items), "model", batch.Model, "step", batch.Step,
 		"min_version", batch.MinVersion, "offset", offset)
 	return nil
 }
 
 // find makes sure that a batch is known, or that there is none: then ErrNoBatch.
-func (d *Desk) find(ctx context.Context, id gypsum.BatchID) error {
-	if d.Book.Knows(id) {
+func (m *Manager) find(ctx context.Context, id gypsum.BatchID) error {
+	if m.Book.Knows(id) {
 		return nil
 	}
-	if err := d.Follow.CatchUp(ctx); err != nil {
+	if err := m.Follow.CatchUp(ctx); err != nil {
 		return err
 	}
-	if !d.Book.Knows(id) {
+	if !m.Book.Knows(id) {
 		return fmt.Errorf("batch %s: %w", id, ErrNoBatch)
 	}
 	return nil
@@ -131,12 +131,12 @@
 
 // Body returns the body of an item. It returns ErrNoBatch or ErrNoItem only if
 // that is certain.
-func (d *Desk) Body(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID) ([]byte, error) {
-	if err := d.find(ctx, id); err != nil {
+func (m *Manager) Body(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID) ([]byte, error) {
+	if err := m.find(ctx, id); err != nil {
 		return nil, err
 	}
-	_, header, _, _ := d.Book.Results(id, 0)
-	items, err := d.Items(ctx, &header)
+	_, header, _, _ := m.Book.Results(id, 0)
+	items, err := m.Items(ctx, &header)
 	if err != nil {
 		return nil, err
 	}
@@ -149,38 +149,38 @@
 }
 
 // End ends a batch. It returns nil once the end is known to be in the store.
-func (d *Desk) End(ctx context.Context, id gypsum.BatchID) error {
-	if err := d.find(ctx, id); err != nil {
+func (m *Manager) End(ctx context.Context, id gypsum.BatchID) error {
+	if err := m.find(ctx, id); err != nil {
 		return err
 	}
 	ended := false
-	d.Book.Progress(id, func(_ map[gypsum.ItemID]bool, done bool) { ended = done })
+	m.Book.Progress(id, func(_ map[gypsum.ItemID]bool, done bool) { ended = done })
 	if ended {
 		return nil
 	}
-	record, err := encode(End{Batch: id}, kindEnd, string(id), d.unique())
+	record, err := encode(End{Batch: id}, kindEnd, string(id), m.unique())
 	if err != nil {
 		return err
 	}
-	if _, err := d.State.Append(ctx, record); err != nil {
+	if _, err := m.State.Append(ctx, record); err != nil {
 		return fmt.Errorf("store end: %w", err)
 	}
-	d.Logger.Info("batch ended", "batch", id)
+	m.Logger.Info("batch ended", "batch", id)
 	return nil
 }
 
 // Read returns the number of items of a batch and its results from a position on.
 // It waits for the first one up to wait.
-func (d *Desk) Read(ctx context.Context, id gypsum.BatchID, from int, wait time.Duration) (int, []gypsum.BatchResult, error) {
-	if err := d.find(ctx, id); err != nil {
+func (m *Manager) Read(ctx context.Context, id gypsum.BatchID, from int, wait time.Duration) (int, []gypsum.BatchResult, error) {
+	if err := m.find(ctx, id); err != nil {
 		return 0, nil, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		results, header, changed, _ := d.Book.Results(id, from)
+		results, header, changed, _ := m.Book.Results(id, from)
 		if len(results) > 0 || from >= header.Total {
-			read, err := d.readTexts(ctx, id, results)
+			read, err := m.readTexts(ctx, id, results)
 			return header.Total, read, err
 		}
 		select {
@@ -194,13 +194,13 @@
 }
 
 // readTexts returns results with their texts, as many as one answer holds.
-func (d *Desk) readTexts(ctx context.Context, id gypsum.BatchID, results []Result) ([]gypsum.BatchResult, error) {
+func (m *Manager) readTexts(ctx context.Context, id gypsum.BatchID, results []Result) ([]gypsum.BatchResult, error) {
 	size, count := 0, 0
 	for count < len(results) && (count == 0 || size+results[count].Text.Size <= maxAnswer) {
 		size += results[count].Text.Size
 		count++
 	}
-	texts, err := d.readStored(ctx, id, results[:count])
+	texts, err := m.readStored(ctx, id, results[:count])
 	if err != nil {
 		return nil, err
 	}
@@ -215,25 +215,25 @@
 }
 
 // Finish stores the result of an item. The first one stored counts.
-func (d *Desk) Finish(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
-	stored, err := d.storeText(ctx, id, result.Item, result.Text, true)
+func (m *Manager) Finish(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
+	stored, err := m.storeText(ctx, id, result.Item, result.Text, true)
 	if err != nil {
 		return err
 	}
 	record, err := encode(Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: stored},
-		kindResult, string(id), string(result.Item), d.unique())
+		kindResult, string(id), string(result.Item), m.unique())
 	if err != nil {
 		return err
 	}
-	if _, err := d.State.Append(ctx, record); err != nil {
+	if _, err := m.State.Append(ctx, record); err != nil {
 		return fmt.Errorf("store result: %w", err)
 	}
 	return nil
 }
 
 // Checkpoint stores the events that an item's run has given so far.
-func (d *Desk) Checkpoint(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, last int64, versions []gypsum.WeightVersion, text string) error {
-	stored, err := d.storeText(ctx, id, item, text, false)
+func (m *Manager) Checkpoint(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, last int64, versions []gypsum.WeightVersion, text string) error {
+	stored, err := m.storeText(ctx, id, item, text, false)
 	if err != nil {
 		return err
 	}
@@ -242,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.State.Append(ctx, record); err != nil {
+	if _, err := m.State.Append(ctx, record); err != nil {
 		return fmt.Errorf("store checkpoint: %w", err)
 	}
 	return nil
--- a/batch/value.go
+++ b/batch/value.go
@@ -11,12 +11,12 @@
 )
 
 // fetch returns stored values by their keys.
-func (d *Desk) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, values ...Stored) (map[string][]byte, error) {
+func (m *Manager) fetch(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, values ...Stored) (map[string][]byte, error) {
 	places := make([]store.Place, 0, len(values))
 	for _, stored := range values {
 		places = append(places, store.Place{Offset: stored.Offset, Key: stored.Key, Count: stored.Count, Size: stored.Size})
 	}
-	found, err := store.Fetch(ctx, d.Store, topic, d.part(id), string(id)+"/", places)
+	found, err := store.Fetch(ctx, m.Store, topic, m.part(id), string(id)+"/", places)
 	if err != nil {
 		return nil, fmt.Errorf("batch %s: %w", id, err)
 	}
@@ -24,8 +24,8 @@
 }
 
 // storeValues stores the parts of a value and tells where.
-func (d *Desk) storeValues(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, key string, values [][]byte, size int) (Stored, error) {
-	offset, err := d.Write(topic, d.part(id)).Append(ctx, store.Cut(key, values)...)
+func (m *Manager) storeValues(ctx context.Context, topic gypsum.Topic, id gypsum.BatchID, key string, values [][]byte, size int) (Stored, error) {
+	offset, err := m.Write(topic, m.part(id)).Append(ctx, store.Cut(key, values)...)
 	if err != nil {
 		return Stored{}, fmt.Errorf("append to %s: %w", topic, err)
 	}
@@ -33,20 +33,20 @@
 }
 
 // storeText stores a text and tells where. It is kept for readers if keep is set.
-func (d *Desk) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
+func (m *Manager) storeText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string, keep bool) (Stored, error) {
 	if text == "" {
 		return Stored{}, nil
 	}
-	budget := int(d.RecordSize) - fetchSlack
+	budget := int(m.RecordSize) - fetchSlack
 	var values [][]byte
 	for rest := text; rest != ""; {
 		cut := min(budget, len(rest))
 		values, rest = append(values, []byte(rest[:cut])), rest[cut:]
 	}
-	key := string(id) + "/" + string(item) + "/" + d.unique()
-	stored, err := d.storeValues(ctx, d.Topics.Texts, id, key, values, len(text))
+	key := string(id) + "/" + string(item) + "/" + m.unique()
+	stored, err := m.storeValues(ctx, m.Topics.Texts, id, key, values, len(text))
 	if err == nil && keep && len(text) <= textSizeKept {
-		d.texts.Add(key, text)
+		m.texts.Add(key, text)
 	}
 	return stored, err
 }
@@ -61,10 +61,10 @@
 }
 
 // storeItems stores a batch's items and tells where.
-func (d *Desk) storeItems(ctx context.Context, batch *gypsum.Batch) (Stored, error) {
+func (m *Manager) storeItems(ctx context.Context, batch *gypsum.Batch) (Stored, error) {
 	var values [][]byte
 	size := 0
-	budget := int(d.RecordSize) - fetchSlack
+	budget := int(m.RecordSize) - fetchSlack
 	for begin := 0; begin < len(batch.Items); {
 		end, weight := begin, 0
 		for end < len(batch.Items) {
@@ -80,8 +80,8 @@
 		}
 		values, size, begin = append(values, value), size+len(value), end
 	}
-	key := string(batch.ID) + "/" + d.unique()
-	return d.storeValues(ctx, d.Topics.Bodies, batch.ID, key, values, size)
+	key := string(batch.ID) + "/" + m.unique()
+	return m.storeValues(ctx, m.Topics.Bodies, batch.ID, key, values, size)
 }
 
 // decodeItems decodes lists of items that follow each other.
@@ -99,11 +99,11 @@
 }
 
 // Items returns the items of an accepted batch.
-func (d *Desk) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
-	if items, ok := d.bodies.Get(header.ID); ok {
+func (m *Manager) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
+	if items, ok := m.bodies.Get(header.ID); ok {
 		return items, nil
 	}
-	values, err := d.fetch(ctx, d.Topics.Bodies, header.ID, header.Bodies)
+	values, err := m.fetch(ctx, m.Topics.Bodies, header.ID, header.Bodies)
 	if err != nil {
 		return nil, err
 	}
@@ -111,16 +111,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("items of batch %s: %w", header.ID, err)
 	}
-	d.bodies.Add(header.ID, items)
+	m.bodies.Add(header.ID, items)
 	return items, nil
 }
 
 // Forget drops the kept items of a batch.
-func (d *Desk) Forget(id gypsum.BatchID) { d.bodies.Remove(id) }
+func (m *Manager) Forget(id gypsum.BatchID) { m.bodies.Remove(id) }
 
 // readStored returns the texts of results by their keys: those kept, and the others
 // from the store.
-func (d *Desk) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
+func (m *Manager) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
 	texts := make(map[string]string, len(results))
 	var missing []Stored
 	for i := range results {
@@ -128,13 +128,13 @@
 		if stored.Count == 0 {
 			continue
 		}
-		if text, ok := d.texts.Get(stored.Key); ok {
+		if text, ok := m.texts.Get(stored.Key); ok {
 			texts[stored.Key] = text
 		} else {
 			missing = append(missing, stored)
 		}
 	}
-	values, err := d.fetch(ctx, d.Topics.Texts, id, missing...)
+	values, err := m.fetch(ctx, m.Topics.Texts, id, missing...)
 	if err != nil {
 		return nil, err
 	}
@@ -145,15 +145,15 @@
 }
 
 // PartialTexts returns the texts of a batch's checkpoints by their keys.
-func (d *Desk) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
+func (m *Manager) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
 	stored := make([]Stored, 0, len(partials))
 	for item := range partials {
 		stored = append(stored, partials[item].Text)
 	}
-	return d.fetch(ctx, d.Topics.Texts, id, stored...)
+	return m.fetch(ctx, m.Topics.Texts, id, stored...)
 }
 
 // part returns the partition of a batch's bodies and texts.
-func (d *Desk) part(id gypsum.BatchID) gypsum.Partition {
-	return gypsum.Partition(gypsum.Hash64(string(id)) % uint64(d.Parts))
+func (m *Manager) part(id gypsum.BatchID) gypsum.Partition {
+	return gypsum.Partition(gypsum.Hash64(string(id)) % uint64(m.Parts))
 }
--- a/front/batch.go
+++ b/front/batch.go
@@ -46,7 +46,7 @@
 	made.Due, made.GiveUp = made.Submitted.Add(route.ResultDue), made.Submitted.Add(route.Retention)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), min(submitPatience, timeLeft(r, route)))
 	defer cancel()
-	err = f.Desk.Accept(ctx, made)
+	err = f.Batches.Accept(ctx, made)
 	f.Logger.Info("batch submitted", "batch", id, "route", route.Name, "items", len(made.Items), "step", made.Step,
 		"store_away_ms", f.StoreAway().Milliseconds(), "took_ms", time.Since(arrived).Milliseconds(), "error", err)
 	switch {
@@ -94,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait+callPatience)
 	defer cancel()
-	total, results, err := f.Desk.Read(ctx, call.ID, call.After, wait)
+	total, results, err := f.Batches.Read(ctx, call.ID, call.After, wait)
 	if err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 func (f *Front) readBodyOf(w http.ResponseWriter, r *http.Request, call *platform.BatchCall) error {
 	ctx, cancel := context.WithTimeout(r.Context(), callPatience)
 	defer cancel()
-	body, err := f.Desk.Body(ctx, call.ID, call.Item)
+	body, err := f.Batches.Body(ctx, call.ID, call.Item)
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 func (f *Front) endBatch(w http.ResponseWriter, r *http.Request, id gypsum.BatchID) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitPatience)
 	defer cancel()
-	if err := f.Desk.End(ctx, id); err != nil {
+	if err := f.Batches.End(ctx, id); err != nil {
 		return err
 	}
 	writeJSON(w, []byte("{}"))
--- a/front/front.go
+++ b/front/front.go
@@ -23,9 +23,9 @@
 
 // Front is the handler of clients' requests. Set the exported fields before use.
 type Front struct {
-	State *state.Keeper
-	Relay *relay.Relay
-	Desk  *batch.Desk
+	State   *state.Keeper
+	Relay   *relay.Relay
+	Batches *batch.Manager
 	// StoreAway tells for how long the store has not answered, zero if it does.
 	StoreAway func() time.Duration
 	// Stopping is set once the process is to end.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -59,18 +59,18 @@
 	book := batch.NewBook(logger)
 	follow := &store.Follower{Store: made.backing, Topic: topics.State, Handle: book.Apply, Logger: logger}
 	start(follow.Run)
-	desk := &batch.Desk{
+	manager := &batch.Manager{
 		Host: "host-1", Boot: 1, Book: book, Follow: follow, Store: made.backing, Topics: topics, Parts: 1, RecordSize: 64 << 10,
 		State: writers[topics.State], Logger: logger, Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
 	}
-	if err := desk.Start(); err != nil {
+	if err := manager.Start(); err != nil {
 		t.Fatal(err)
 	}
 	routed := relay.New()
-	routed.Replicas, routed.Crashes, routed.State, routed.Logger = backends, desk, made.state, logger
+	routed.Replicas, routed.Crashes, routed.State, routed.Logger = backends, manager, made.state, logger
 	start(routed.Run)
 	made.front = &front.Front{
-		State: made.state, Relay: routed, Desk: desk, BodyMemory: 1 << 20, Logger: logger,
+		State: made.state, Relay: routed, Batches: manager, BodyMemory: 1 << 20, Logger: logger,
 		StoreAway: func() time.Duration {
 			if at, down := follow.Answered(); down {
 				return time.Since(at)
@@ -281,7 +281,7 @@
 	is.Equal(body, "\xab\xcd\xef")
 	status, _, _ = s.call("GET", "/items/b1?id=e2", "c1", "")
 	is.Equal(status, http.StatusNotFound)
-	is.NoErr(s.front.Desk.Finish(t.Context(), "b1", &gypsum.BatchResult{Item: "e1", State: gypsum.ItemCompleted, Text: "t", Versions: []gypsum.WeightVersion{1}}))
+	is.NoErr(s.front.Batches.Finish(t.Context(), "b1", &gypsum.BatchResult{Item: "e1", State: gypsum.ItemCompleted, Text: "t", Versions: []gypsum.WeightVersion{1}}))
 	status, _, body = s.call("GET", "/lots/b1?after=0", "c2", "")
 	is.Equal(status, http.StatusOK)
 	var read map[string]any
--- a/host/host.go
+++ b/host/host.go
@@ -55,7 +55,7 @@
 	store   *detour.Store
 	state   *state.Keeper
 	book    *batch.Book
-	desk    *batch.Desk
+	batches *batch.Manager
 	relay   *relay.Relay
 	runner  *runner.Runner
 	front   *front.Front
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(ctx, balancerNotice)
 	defer cancel()
 	h.runner.Stop(ctx)
-	if err := h.desk.Withdraw(ctx); err != nil {
+	if err := h.batches.Withdraw(ctx); err != nil {
 		h.Logger.Warn("address not removed", "error", err)
 	}
 	<-noticed
@@ -155,27 +155,27 @@
 	following := h.follow(topics.State, h.book.Apply)
 	h.follow(platform.TopicOperator, h.takeOperator)
 	h.follow(platform.TopicReplicas, h.takeReplicas)
-	h.desk = &batch.Desk{
+	h.batches = &batch.Manager{
 		Host: h.Settings.Host, Boot: h.boot, Book: h.book, Follow: following, Store: h.store, Topics: topics,
 		Parts: h.Settings.Parts, RecordSize: h.Settings.RecordSize, State: h.writers[writerKey{topic: topics.State}],
 		Write: func(topic gypsum.Topic, part gypsum.Partition) *store.Writer {
 			return h.writers[writerKey{topic, part}]
 		}, Logger: h.Logger,
 	}
-	if err := h.desk.Start(); err != nil {
+	if err := h.batches.Start(); err != nil {
 		return nil, err
 	}
 	h.relay = relay.New()
-	h.relay.Crashes = h.desk
+	h.relay.Crashes = h.batches
 	h.relay.Replicas, h.relay.State, h.relay.Home, h.relay.Logger = backends, h.state, h.Settings.Location, h.Logger
 	h.runner = runner.New()
-	h.runner.Host, h.runner.Boot, h.runner.Desk, h.runner.Engines = h.Settings.Host, h.boot, h.desk, backends
+	h.runner.Host, h.runner.Boot, h.runner.Batches, h.runner.Engines = h.Settings.Host, h.boot, h.batches, backends
 	h.runner.State, h.runner.Logger = h.state, h.Logger
 	h.runner.Lease, h.runner.Status = h.Settings.Lease, h.Settings.Status
 	h.runner.Near, h.runner.Share = true, h.Settings.CPUShare
 	h.runner.StoreAway = func() bool { return h.storeAway() > 0 }
 	h.front = &front.Front{
-		State: h.state, Relay: h.relay, Desk: h.desk, StoreAway: h.storeAway,
+		State: h.state, Relay: h.relay, Batches: h.batches, StoreAway: h.storeAway,
 		BodyMemory: h.Settings.Memory / bodyShare, Logger: h.Logger,
 	}
 	return func() {
--- a/host/servers.go
+++ b/host/servers.go
@@ -21,7 +21,7 @@
 		return errStopping
 	case h.state.Now().Manifest == nil:
 		return errNoConfiguration
-	case !h.desk.Follow.Loaded():
+	case !h.batches.Follow.Loaded():
 		return errNoState
 	}
 	return nil
@@ -74,7 +74,7 @@
 		return nil
 	}
 	for {
-		err := h.desk.Announce(ctx, h.internalAddress(), h.Settings.Location, h.Settings.CPUShare)
+		err := h.batches.Announce(ctx, h.internalAddress(), h.Settings.Location, h.Settings.CPUShare)
 		if err == nil || ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -25,8 +25,8 @@
 	// answers, zero if none was seen.
 	Open    int
 	Latency time.Duration
-	// Shunned means that it failed lately and may fail again.
-	Shunned bool
+	// Ejected means that it failed lately and may fail again.
+	Ejected bool
 	// Tried means that it was handed this request before.
 	Tried bool
 }
@@ -34,7 +34,7 @@
 // Choose returns the replica that is expected to answer first, nil if there is
 // none. Load: replicas of one service differ in speed, some are several times
 // slower for a while, and each host sees a small share of the requests, so that the
-// counts of others are unknown. The answer time seen here stands for them. A shunned
+// counts of others are unknown. The answer time seen here stands for them. A ejected
 // replica is taken only if all are; one that was tried only if all were.
 func Choose(targets []Target, home gypsum.Location) *Target {
 	var best *Target
@@ -51,8 +51,8 @@
 	if a.Tried != b.Tried {
 		return !a.Tried
 	}
-	if a.Shunned != b.Shunned {
-		return !a.Shunned
+	if a.Ejected != b.Ejected {
+		return !a.Ejected
 	}
 	return a.expected(home) < b.expected(home)
 }
--- a/relay/choose_test.go
+++ b/relay/choose_test.go
@@ -29,15 +29,15 @@
 	full := near
 	full.Open, full.Latency = 6, 30*time.Millisecond
 	is.Equal(choose(far, next, full), gypsum.BackendID("next")) // its next free slot is a wave away
-	shunned := near
-	shunned.Shunned = true
-	is.Equal(choose(shunned, far), gypsum.BackendID("far"))
-	is.Equal(choose(shunned), gypsum.BackendID("near"))
+	ejected := near
+	ejected.Ejected = true
+	is.Equal(choose(ejected, far), gypsum.BackendID("far"))
+	is.Equal(choose(ejected), gypsum.BackendID("near"))
 	tried := near
 	tried.Tried = true
-	alsoShunned := far
-	alsoShunned.Shunned = true
-	is.Equal(choose(tried, alsoShunned), gypsum.BackendID("far")) // one that failed lately before the same again
+	alsoEjected := far
+	alsoEjected.Ejected = true
+	is.Equal(choose(tried, alsoEjected), gypsum.BackendID("far")) // one that failed lately before the same again
 	is.True(relay.Choose(nil, home) == nil)
 }
 
--- a/relay/seen.go
+++ b/relay/seen.go
@@ -13,17 +13,17 @@
 	open     int
 	latency  time.Duration
 	failures int
-	shunned  time.Time
+	ejected  time.Time
 }
 
 // Bounds of what is remembered of replicas and requests.
 const (
 	// latencyWeight is the weight of the newest answer time.
 	latencyWeight = 0.25
-	// firstShun and longestShun bound the time for which a replica that failed is
+	// firstEjection and longestEjection bound the time for which a replica that failed is
 	// taken only if all are.
-	firstShun   = 200 * time.Millisecond
-	longestShun = 3 * time.Second
+	firstEjection   = 200 * time.Millisecond
+	longestEjection = 3 * time.Second
 	// crashLimit is how many replicas a request may crash, from the users' pages.
 	crashLimit = 3
 )
@@ -40,7 +40,7 @@
 		}
 		target := Target{Replica: replica, Tried: request.tried[replica.ID]}
 		if seen := r.known[replica.ID]; seen != nil {
-			target.Open, target.Latency, target.Shunned = seen.open, seen.latency, now.Before(seen.shunned)
+			target.Open, target.Latency, target.Ejected = seen.open, seen.latency, now.Before(seen.ejected)
 		}
 		targets = append(targets, target)
 	}
@@ -66,7 +66,7 @@
 	seen := r.known[id]
 	seen.open--
 	if failed {
-		seen.shunned = time.Now().Add(min(longestShun, firstShun<<min(seen.failures, 6)))
+		seen.ejected = time.Now().Add(min(longestEjection, firstEjection<<min(seen.failures, 6)))
 		seen.failures++
 		return
 	}
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -20,7 +20,7 @@
 // those that need it.
 func (r *Runner) followClaims(ctx context.Context, jobs map[gypsum.ServiceName][]batch.Header, now time.Time) {
 	for service, held := range r.held {
-		holder, _, _ := r.Desk.Book.Holder(service)
+		holder, _, _ := r.Batches.Book.Holder(service)
 		if !r.mine(&holder) || holder.Fence != held.fence {
 			r.Logger.Warn("service lost", "service", service, "fence", held.fence, "holder", holder.Host, "new_fence", holder.Fence)
 			held.end()
@@ -28,7 +28,7 @@
 		}
 	}
 	for service, open := range jobs {
-		holder, alive, known := r.Desk.Book.Holder(service)
+		holder, alive, known := r.Batches.Book.Holder(service)
 		if known && r.mine(&holder) {
 			if r.held[service] == nil {
 				r.begin(ctx, service, &holder)
@@ -86,10 +86,10 @@
 	go r.claim(ctx, service, holder.Term, free)
 }
 
-// heardSince returns from when a holder's silence counts: its last sign of life, or the
+// heardSince returns from when a holder's silence counts: its last heartbeat, or the
 // return of the store if that came later, since no sign could be seen before.
 func (r *Runner) heardSince(alive time.Time) time.Time {
-	if back := r.Desk.Follow.Back(); back.After(alive) {
+	if back := r.Batches.Follow.Back(); back.After(alive) {
 		return back
 	}
 	return alive
@@ -116,11 +116,11 @@
 func (r *Runner) claim(ctx context.Context, service gypsum.ServiceName, term int64, free bool) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	err := r.Desk.Follow.CatchUp(ctx)
+	err := r.Batches.Follow.CatchUp(ctx)
 	if err == nil {
-		holder, alive, _ := r.Desk.Book.Holder(service)
+		holder, alive, _ := r.Batches.Book.Holder(service)
 		if holder.Term == term && (free || time.Since(r.heardSince(alive)) >= silenceLimit) {
-			err = r.Desk.Claim(ctx, service, term+1, false)
+			err = r.Batches.Claim(ctx, service, term+1, false)
 		}
 	}
 	if err != nil {
@@ -135,7 +135,7 @@
 	if r.Share >= strongShare {
 		return
 	}
-	strong := slices.ContainsFunc(r.Desk.Book.Hosts(), func(host batch.HostRecord) bool {
+	strong := slices.ContainsFunc(r.Batches.Book.Hosts(), func(host batch.HostRecord) bool {
 		return host.Host != r.Host && host.Share >= strongShare
 	})
 	for service, held := range r.held {
@@ -149,7 +149,7 @@
 	}
 }
 
-// keepBeating gives signs of life while the host holds a service.
+// keepBeating gives heartbeats while the host holds a service.
 func (r *Runner) keepBeating(ctx context.Context, now time.Time) {
 	active := false
 	for _, held := range r.held {
@@ -164,9 +164,9 @@
 	go func() {
 		beatCtx, cancel := context.WithTimeout(ctx, silenceLimit)
 		defer cancel()
-		err := r.Desk.Beat(beatCtx, number)
+		err := r.Batches.Beat(beatCtx, number)
 		if err != nil {
-			r.Logger.Warn("no sign of life stored", "error", err)
+			r.Logger.Warn("heartbeat not stored", "error", err)
 		}
 		r.post(ctx, func() {
 			r.beating = false
@@ -177,7 +177,7 @@
 	}()
 }
 
-// mayOrder tells whether the host's own signs of life are new enough to give orders:
+// mayOrder tells whether the host's own heartbeats are new enough to give orders:
 // by the steady clock, and by the time of day, which counts a time of suspension.
 func (r *Runner) mayOrder(now time.Time) bool {
 	return now.Sub(r.beaten) < ordersLimit && now.Round(0).Sub(r.beaten.Round(0)).Abs() < ordersLimit
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -52,7 +52,7 @@
 
 // testHost is one host.
 type testHost struct {
-	desk    *batch.Desk
+	batches *batch.Manager
 	runner  *runner.Runner
 	state   *state.Keeper
 	path    *fake.CutStore
@@ -103,12 +103,12 @@
 	book := batch.NewBook(logger)
 	made.follow = &store.Follower{Store: reached, Topic: topics.State, Handle: book.Apply, Logger: logger}
 	made.run(ctx, made.follow.Run)
-	made.desk = &batch.Desk{
+	made.batches = &batch.Manager{
 		Host: gypsum.HostID(name), Boot: boot, Book: book, Follow: made.follow, Store: reached, Topics: topics, Parts: 1,
 		RecordSize: 64 << 10, State: writers[topics.State], Logger: logger,
 		Write: func(topic gypsum.Topic, _ gypsum.Partition) *store.Writer { return writers[topic] },
 	}
-	if err := made.desk.Start(); err != nil {
+	if err := made.batches.Start(); err != nil {
 		d.t.Fatal(err)
 	}
 	made.state.TakeManifest(&gypsum.Manifest{
@@ -123,7 +123,7 @@
 		made.state.TakeReplica(replica)
 	}
 	made.runner = runner.New()
-	made.runner.Host, made.runner.Boot, made.runner.Desk, made.runner.Engines = gypsum.HostID(name), boot, made.desk, d.engines
+	made.runner.Host, made.runner.Boot, made.runner.Batches, made.runner.Engines = gypsum.HostID(name), boot, made.batches, d.engines
 	made.runner.State, made.runner.Near, made.runner.Share, made.runner.Lease = made.state, true, share, lease
 	made.runner.StoreAway = func() bool { _, down := made.follow.Answered(); return down }
 	made.runner.Logger = logger
@@ -181,7 +181,7 @@
 // submit gives a batch to a host, which must accept it.
 func (d *deployment) submit(host int, made *gypsum.Batch) {
 	d.t.Helper()
-	if err := d.hosts[host].desk.Accept(d.t.Context(), made); err != nil {
+	if err := d.hosts[host].batches.Accept(d.t.Context(), made); err != nil {
 		d.t.Fatal("batch not accepted:", err)
 	}
 }
@@ -193,7 +193,7 @@
 	var results []gypsum.BatchResult
 	for time.Since(made.Submitted) < limit {
 		ctx, cancel := context.WithTimeout(d.t.Context(), 2*time.Second)
-		_, more, err := d.hosts[host].desk.Read(ctx, made.ID, len(results), time.Second)
+		_, more, err := d.hosts[host].batches.Read(ctx, made.ID, len(results), time.Second)
 		cancel()
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
@@ -231,6 +231,6 @@
 
 // holder returns the host that holds the service, as another host sees it.
 func (d *deployment) holder(seenBy int) gypsum.HostID {
-	holder, _, _ := d.hosts[seenBy].desk.Book.Holder(service)
+	holder, _, _ := d.hosts[seenBy].batches.Book.Holder(service)
 	return holder.Host
 }
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -65,9 +65,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(h.ctx, itemsTimeout)
 		defer cancel()
-		items, err := h.runner.Desk.Items(ctx, &header)
+		items, err := h.runner.Batches.Items(ctx, &header)
 		var texts map[gypsum.ItemID]*finished
-		view, _ := h.runner.Desk.Book.Get(header.ID)
+		view, _ := h.runner.Batches.Book.Get(header.ID)
 		if err == nil {
 			texts = h.readPartials(ctx, &view)
 		}
@@ -88,7 +88,7 @@
 // items are run from their beginning.
 func (h *hold) readPartials(ctx context.Context, view *batch.View) map[gypsum.ItemID]*finished {
 	texts := make(map[gypsum.ItemID]*finished, len(view.Partials))
-	stored, err := h.runner.Desk.PartialTexts(ctx, view.Header.ID, view.Partials)
+	stored, err := h.runner.Batches.PartialTexts(ctx, view.Header.ID, view.Partials)
 	if err != nil {
 		h.runner.Logger.Warn("stored events not read", "batch", view.Header.ID, "error", err)
 		return texts
@@ -144,12 +144,12 @@
 		h.drop(task)
 	}
 	delete(h.jobs, known.header.ID)
-	h.runner.Desk.Forget(known.header.ID)
+	h.runner.Batches.Forget(known.header.ID)
 }
 
 // dropListed drops the tasks whose items have a result, also from another host.
 func (h *hold) dropListed(known *job) {
-	h.runner.Desk.Book.Progress(known.header.ID, func(listed map[gypsum.ItemID]bool, _ bool) {
+	h.runner.Batches.Book.Progress(known.header.ID, func(listed map[gypsum.ItemID]bool, _ bool) {
 		for id, task := range known.tasks {
 			if listed[id] {
 				h.drop(task)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,9 +17,9 @@
 const (
 	// tickInterval is how often decisions are looked at without a change.
 	tickInterval = 50 * time.Millisecond
-	// beatInterval is the time between two signs of life of a holder.
+	// beatInterval is the time between two heartbeats of a holder.
 	beatInterval = 400 * time.Millisecond
-	// silenceLimit is three signs of life missed.
+	// silenceLimit is three heartbeats missed.
 	silenceLimit = 3 * beatInterval
 	// claimTimeout bounds a claim: an append and a read between regions.
 	claimTimeout = 3 * time.Second
@@ -28,7 +28,7 @@
 	claimSpread = 300 * time.Millisecond
 	// farDelay lets hosts of the store's region claim first: their appends are quicker.
 	farDelay = 200 * time.Millisecond
-	// ordersLimit is how old a holder's own sign of life may be before it stops to
+	// ordersLimit is how old a holder's own heartbeat may be before it stops to
 	// give orders: another host may have taken over.
 	ordersLimit = silenceLimit - beatInterval
 	// cleanInterval is how often a holder removes from the store what is no longer needed.
@@ -51,7 +51,7 @@
 type Runner struct {
 	Host    gypsum.HostID
 	Boot    gypsum.Incarnation
-	Desk    *batch.Desk
+	Batches *batch.Manager
 	Engines gypsum.Engines
 	State   *state.Keeper
 	// StoreAway tells whether the store does not answer.
@@ -120,7 +120,7 @@
 			continue
 		case event := <-r.events:
 			event()
-		case <-r.Desk.Book.Changed():
+		case <-r.Batches.Book.Changed():
 		case <-ticker.C:
 		}
 		for pending := true; pending; {
@@ -175,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
 	held.checkpointAll(ctx)
-	if err := r.Desk.Claim(ctx, service, held.term+1, true); err != nil {
+	if err := r.Batches.Claim(ctx, service, held.term+1, true); err != nil {
 		r.Logger.Warn("service not released", "service", service, "error", err)
 	}
 	held.end()
@@ -186,7 +186,7 @@
 // Batches of a removed route belong to the service that they were accepted for.
 func (r *Runner) jobsOf(snapshot *state.Snapshot) map[gypsum.ServiceName][]batch.Header {
 	jobs := make(map[gypsum.ServiceName][]batch.Header)
-	for _, header := range r.Desk.Book.Open() {
+	for _, header := range r.Batches.Book.Open() {
 		service := header.Service
 		if route := routeOf(snapshot.Manifest, header.Route); route != nil && len(route.Services) > 0 {
 			service = route.Services[0].Service
@@ -209,7 +209,7 @@
 // decide looks at all that may have to be done.
 func (r *Runner) decide(ctx context.Context, now time.Time) {
 	snapshot := r.State.Now()
-	if snapshot.Manifest == nil || !r.Desk.Follow.Loaded() {
+	if snapshot.Manifest == nil || !r.Batches.Follow.Loaded() {
 		return
 	}
 	jobs := r.jobsOf(snapshot)
@@ -234,7 +234,7 @@
 	go func() {
 		cleanCtx, cancel := context.WithTimeout(ctx, cleanInterval)
 		defer cancel()
-		if err := r.Desk.Clean(cleanCtx, r.Status); err != nil {
+		if err := r.Batches.Clean(cleanCtx, r.Status); err != nil {
 			r.Logger.Warn("store not cleaned", "error", err)
 		}
 		r.post(ctx, func() { r.cleaning = false })
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -48,7 +48,7 @@
 		elsewhere, _ := d.await(2, made, 10*time.Second)
 		is.Equal(results, elsewhere)
 		is.Equal(len(d.engines.Runs()), 64) // none ran twice
-		is.NoErr(d.hosts[1].desk.Accept(t.Context(), made))
+		is.NoErr(d.hosts[1].batches.Accept(t.Context(), made))
 		is.Equal(len(d.engines.Runs()), 64) // a repeat starts nothing
 	})
 }
@@ -114,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newDeployment(t, newEngines(4), 0.19, 0.19)
-		is.NoErr(d.hosts[0].desk.Announce(t.Context(), "a", gypsum.Location{}, 0.19))
+		is.NoErr(d.hosts[0].batches.Announce(t.Context(), "a", gypsum.Location{}, 0.19))
 		made := newBatch("bat", 1, lengths(20, 4)...)
 		d.submit(0, made)
 		time.Sleep(time.Second)
@@ -123,7 +123,7 @@
 		strong := d.start("host-3", 0.8)
 		d.hosts = append(d.hosts, strong)
 		time.Sleep(100 * time.Millisecond)
-		is.NoErr(strong.desk.Announce(t.Context(), "c", gypsum.Location{}, 0.8))
+		is.NoErr(strong.batches.Announce(t.Context(), "c", gypsum.Location{}, 0.8))
 		next := newBatch("nex", 1, lengths(20, 4)...)
 		time.Sleep(3 * time.Second)
 		next.Submitted = time.Now()
@@ -290,7 +290,7 @@
 		made := newBatch("bat", 2, lengths(6, 0)...)
 		d.submit(0, made)
 		time.Sleep(2 * time.Second)
-		_, results, err := d.hosts[0].desk.Read(t.Context(), made.ID, 0, 0)
+		_, results, err := d.hosts[0].batches.Read(t.Context(), made.ID, 0, 0)
 		is.NoErr(err)
 		is.Equal(len(results), 0)
 		for _, replica := range d.engines.Replicas(service) {
@@ -368,7 +368,7 @@
 		made := newBatch("bat", 1, lengths(4, 2)...)
 		d.submit(0, made)
 		time.Sleep(1500 * time.Millisecond)
-		is.NoErr(d.hosts[1].desk.End(t.Context(), made.ID))
+		is.NoErr(d.hosts[1].batches.End(t.Context(), made.ID))
 		time.Sleep(time.Second)
 		next := newBatch("nex", 1)
 		next.Items = made.Items[4:]
@@ -379,6 +379,6 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		is.NoErr(d.hosts[0].desk.End(ctx, made.ID)) // ending again is harmless
+		is.NoErr(d.hosts[0].batches.End(ctx, made.ID)) // ending again is harmless
 	})
 }
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -172,7 +172,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(h.ctx, itemsTimeout)
 		defer cancel()
-		if err := h.runner.Desk.NoteFailures(ctx, failures); err != nil {
+		if err := h.runner.Batches.NoteFailures(ctx, failures); err != nil {
 			h.runner.Logger.Warn("failures not stored", "batch", failures.Batch, "item", failures.Item, "error", err)
 		}
 	}()
