--- a/runner/hold.go
+++ b/runner/hold.go
@@ -78,6 +78,7 @@
 	h.followJobs(snapshot, open, now)
 	h.watch(now)
 	engines := h.views(now)
+	h.markBehind(snapshot, engines)
 	h.start(engines, now)
 	h.move(engines)
 	h.giveOrders(snapshot, engines, now)
@@ -118,6 +119,6 @@
 func (t *task) view() sched.Item {
 	return sched.Item{
 		Batch: t.job.header.ID, ID: t.item.ID, Model: t.job.header.Model, MinVersion: t.job.header.MinVersion,
-		Due: t.job.header.DueAt(), Left: t.left(), Avoid: t.avoid,
+		Due: t.job.header.DueAt(), Left: t.left(), Avoid: t.avoid, Single: t.job.header.Single,
 	}
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -33,12 +33,38 @@
 	}
 	models := h.needs(snapshot)
 	h.shares = sched.Shares(models, ready(engines), h.shares)
-	starting := func(id gypsum.BackendID, model gypsum.EngineModel) bool { return h.engines[id].starting[model] > 0 }
-	for _, load := range sched.Loads(models, engines, h.shares, starting) {
+	singles := h.singleRuns()
+	busy := func(id gypsum.BackendID, model gypsum.EngineModel) bool {
+		return h.engines[id].starting[model] > 0 || singles[id] == model
+	}
+	for _, load := range sched.Loads(models, engines, h.shares, busy) {
 		h.order(h.engines[load.Engine], load)
 	}
 }
 
+// markBehind marks the engines that are to load the next version of their model.
+func (h *hold) markBehind(snapshot *state.Snapshot, engines []*sched.Engine) {
+	for _, engine := range engines {
+		if model, ok := h.shares[engine.ID]; ok && engine.Versions[model] < snapshot.Versions[model] {
+			engine.Behind = model
+		}
+	}
+}
+
+// singleRuns returns the engines on which items run whose texts one version must
+// make, with their model: a load would make all of it void.
+func (h *hold) singleRuns() map[gypsum.BackendID]gypsum.EngineModel {
+	singles := make(map[gypsum.BackendID]gypsum.EngineModel)
+	for _, known := range h.jobs {
+		for _, task := range known.tasks {
+			if known.header.Single && task.phase == phaseRunning {
+				singles[task.engine.replica.ID] = known.header.Model
+			}
+		}
+	}
+	return singles
+}
+
 // ready returns the engines that are not leaving.
 func ready(engines []*sched.Engine) []*sched.Engine {
 	var open []*sched.Engine
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -382,3 +382,35 @@
 		is.NoErr(d.hosts[0].batches.End(ctx, made.ID)) // ending again is harmless
 	})
 }
+
+// Where one version must make a whole text, a load waits for the runs on its engine,
+// and new items go where no load is due: nothing is run anew for a new version.
+func TestSingleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(6), 0.8, 0.8)
+		total := 0
+		version := gypsum.WeightVersion(1)
+		for step := range 4 {
+			made := newBatch(fmt.Sprint("st", step), max(1, version-1), lengths(40, 4)...)
+			made.Single = true
+			d.submit(0, made)
+			time.Sleep(300 * time.Millisecond)
+			version++
+			for _, host := range d.hosts {
+				host.state.TakeVersion(model, version)
+			}
+			results, took := d.await(0, made, 20*time.Second)
+			is.True(took < 7500*time.Millisecond)
+			for _, result := range results {
+				is.Equal(len(result.Versions), 1)
+			}
+			total += len(results)
+		}
+		is.Equal(len(d.engines.Runs()), total) // none was run anew
+		time.Sleep(10 * time.Second)
+		for _, replica := range d.engines.Replicas(service) {
+			is.Equal(replica.Models[model], version)
+		}
+	})
+}
--- a/sched/start.go
+++ b/sched/start.go
@@ -21,8 +21,10 @@
 	Slots    int
 	Running  int
 	Versions map[gypsum.EngineModel]gypsum.WeightVersion
-	// Loading is the model whose weights the engine loads, empty for none.
+	// Loading is the model whose weights the engine loads, empty for none; Behind is the
+	// model whose next version it is to load, empty for none.
 	Loading gypsum.EngineModel
+	Behind  gypsum.EngineModel
 	// Pace is the time of one event on the otherwise idle engine.
 	Pace time.Duration
 	// Closed means that nothing may be started there.
@@ -49,6 +51,9 @@
 	Due        time.Time
 	// Left is the expected number of events still to come.
 	Left int
+	// Single means that one version must make the whole text, so that a load has to
+	// wait for the run.
+	Single bool
 	// Avoid is an engine on which the item failed, empty for none.
 	Avoid gypsum.BackendID
 }
@@ -85,17 +90,26 @@
 }
 
 // quickest returns the engine on which an item's events are expected to come
-// fastest, nil if none may start it.
+// fastest, nil if none may start it. An engine that is to load the next version gets
+// no item that would hold up the load, unless no other may start it.
 func quickest(item *Item, engines []*Engine) *Engine {
 	var best *Engine
 	for _, engine := range engines {
-		if engine.fits(item) && (best == nil || engine.eventTime(engine.Running+1) < best.eventTime(best.Running+1)) {
+		if engine.fits(item) && (best == nil || engine.better(best, item)) {
 			best = engine
 		}
 	}
 	return best
 }
 
+// better tells whether an engine goes before another for an item.
+func (e *Engine) better(other *Engine, item *Item) bool {
+	if item.Single && (e.Behind == item.Model) != (other.Behind == item.Model) {
+		return other.Behind == item.Model
+	}
+	return e.eventTime(e.Running+1) < other.eventTime(other.Running+1)
+}
+
 // medianPace returns the median pace of the engines.
 func medianPace(engines []*Engine) time.Duration {
 	paces := make([]time.Duration, 0, len(engines))
--- a/sched/weights.go
+++ b/sched/weights.go
@@ -114,8 +114,8 @@
 // Loads decides which engines load weights now. Load: a trainer names a version and
 // asks for the next step in the same moment; the step may still use the version
 // before. So an engine on which items of the model have just been sent, and may
-// not have begun, waits; the engine that is the furthest behind goes first.
-func Loads(models []ModelNeed, engines []*Engine, shares map[gypsum.BackendID]gypsum.EngineModel, starting func(gypsum.BackendID, gypsum.EngineModel) bool) []Load {
+// not have begun, is busy and waits; the engine that is the furthest behind goes first.
+func Loads(models []ModelNeed, engines []*Engine, shares map[gypsum.BackendID]gypsum.EngineModel, busy func(gypsum.BackendID, gypsum.EngineModel) bool) []Load {
 	named := make(map[gypsum.EngineModel]gypsum.WeightVersion, len(models))
 	for _, model := range models {
 		named[model.Model] = model.Named
@@ -128,7 +128,7 @@
 			continue
 		}
 		model, ok := shares[engine.ID]
-		if ok && !engine.Closed && engine.Versions[model] < named[model] && !starting(engine.ID, model) {
+		if ok && !engine.Closed && engine.Versions[model] < named[model] && !busy(engine.ID, model) {
 			wanted = append(wanted, engine)
 		}
 	}
