--- a/runner/runner.go
+++ b/runner/runner.go
@@ -101,7 +101,8 @@
 func New() *Runner {
 	return &Runner{
 		events: make(chan func(), eventsQueued), held: make(map[gypsum.ServiceName]*hold),
-		claims: make(map[gypsum.ServiceName]*claiming), yields: make(map[gypsum.ServiceName]time.Duration), stop: make(chan chan struct{}), done: make(chan struct{}),
+		claims: make(map[gypsum.ServiceName]*claiming), yields: make(map[gypsum.ServiceName]time.Duration),
+		stop: make(chan chan struct{}), done: make(chan struct{}),
 	}
 }
 
