--- a/detour/detour.go
+++ b/detour/detour.go
@@ -137,13 +137,13 @@
 // call makes a call by the direct path, or by way of others while that is broken. A
 // daemon that has no direct path itself refuses at once, so that an outage of the
 // store for all is told from one for this host.
-func call[T any](ctx context.Context, s *Store, wait time.Duration, make func(context.Context, gypsum.KeyedStore) (T, error)) (T, error) {
+func call[T any](ctx context.Context, s *Store, wait time.Duration, do func(context.Context, gypsum.KeyedStore) (T, error)) (T, error) {
 	s.start()
 	var answer T
 	var err error
 	if s.Broken() {
 		for _, peer := range s.candidates() {
-			answer, err = make(ctx, s.Peers.Via(peer.Address))
+			answer, err = do(ctx, s.Peers.Via(peer.Address))
 			if err == nil || !failedPath(err) {
 				s.count()
 				return answer, err
@@ -156,7 +156,7 @@
 	}
 	slow := time.AfterFunc(wait+directLimit, func() { s.setBroken(true, errSlow) })
 	defer slow.Stop()
-	answer, err = make(ctx, s.Direct)
+	answer, err = do(ctx, s.Direct)
 	switch {
 	case err == nil || !failedPath(err):
 		s.setBroken(false, nil)
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -292,8 +292,13 @@
 		return map[gypsum.EngineModel]gypsum.WeightVersion{"a": v}
 	}
 	engines := []*sched.Engine{
-		{ID: "0", Versions: version(4)}, {ID: "1", Versions: version(5)}, {ID: "2", Versions: version(4)}, {ID: "3", Versions: version(3)},
-		{ID: "4", Versions: version(4), Loading: "b"}, {ID: "5", Versions: version(3), Closed: true}, {ID: "6", Versions: version(3)},
+		{ID: "0", Versions: version(4)},
+		{ID: "1", Versions: version(5)},
+		{ID: "2", Versions: version(4)},
+		{ID: "3", Versions: version(3)},
+		{ID: "4", Versions: version(4), Loading: "b"},
+		{ID: "5", Versions: version(3), Closed: true},
+		{ID: "6", Versions: version(3)},
 	}
 	models := []sched.ModelNeed{{Model: "a", Named: 5, Demand: 1}}
 	shares := sched.Shares(models, engines, nil)
