Soak: ports below the system's own range; a daemon that does not start shows its log

Its log was not kept. The harness took ports of the range that the system gives to outgoing connections, without looking whether they were free; that is the likely cause, not proved.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -48,21 +48,21 @@
 
 // Sizes and times of the stand-ins.
 const (
-	enginesCount  = 4
-	plainCount    = 3
-	engineSlots   = 16
-	eventPace     = 5 * time.Millisecond
-	plainWork     = 3 * time.Millisecond
-	beatInterval  = 400 * time.Millisecond
-	missedBeats   = 3
-	hostName      = "a.example"
-	model         = "crew"
-	modelService  = "motif"
-	plainService  = "desk"
-	readyTimeout  = 10 * time.Second
-	firstPort     = 31000
-	portsPerHost  = 3
-	portRange     = 20000
+	enginesCount = 4
+	plainCount   = 3
+	engineSlots  = 16
+	eventPace    = 5 * time.Millisecond
+	plainWork    = 3 * time.Millisecond
+	beatInterval = 400 * time.Millisecond
+	missedBeats  = 3
+	hostName     = "a.example"
+	model        = "crew"
+	modelService = "motif"
+	plainService = "desk"
+	readyTimeout = 10 * time.Second
+	// Ports below those that the system itself gives to connections.
+	firstPort     = 11000
+	portRange     = 9000
 	settingsLines = `node = "%s"
 ip = "127.0.0.1"
 zone = "%s"
@@ -145,9 +145,8 @@
 	t.Cleanup(func() { stop(); <-ended })
 	address := serve(t, mimic.Store(w.store))
 	for i := range hosts {
-		port := firstPort + (os.Getpid()*50+i*portsPerHost)%portRange
 		made := &hostProcess{
-			name: fmt.Sprint("host-", i+1), centre: "genova", region: "liguria", front: port, ready: port + 1, inner: port + 2,
+			name: fmt.Sprint("host-", i+1), centre: "genova", region: "liguria", front: freePort(t), ready: freePort(t), inner: freePort(t),
 			path: newProxy(t, address),
 		}
 		if i%3 == 2 {
@@ -163,6 +162,22 @@
 	return w
 }
 
+// lastPort is the last port that was given to a daemon.
+var lastPort atomic.Int64
+
+// freePort returns a port that nothing listens on.
+func freePort(t *testing.T) int {
+	for range portRange {
+		port := firstPort + (os.Getpid()*50+int(lastPort.Add(1)))%portRange
+		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = listener.Close()
+			return port
+		}
+	}
+	t.Fatal("no port is free")
+	return 0
+}
+
 // serve serves a handler on loopback and returns its address.
 func serve(t *testing.T, handler http.Handler) string {
 	server := httptest.NewServer(handler)
@@ -255,14 +270,13 @@
 	}
 	command := exec.Command(binary, "edge")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
-	if logs := os.Getenv("SOAK_LOGS"); logs != "" {
-		file, err := os.OpenFile(filepath.Join(logs, host.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			w.t.Error(err)
-			return
-		}
-		command.Stdout, command.Stderr = file, file
+	file, err := os.OpenFile(w.logOf(host), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		w.t.Error(err)
+		return
 	}
+	defer func() { _ = file.Close() }()
+	command.Stdout, command.Stderr = file, file
 	host.mu.Lock()
 	defer host.mu.Unlock()
 	if err := command.Start(); err != nil {
@@ -272,6 +286,25 @@
 	host.command = command
 }
 
+// logOf is where a daemon logs to.
+func (w *world) logOf(host *hostProcess) string {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		dir = w.settings
+	}
+	return filepath.Join(dir, host.name+".log")
+}
+
+// logTail returns the last lines of a daemon's log.
+func (w *world) logTail(host *hostProcess) string {
+	const size = 4 << 10
+	content, err := os.ReadFile(w.logOf(host))
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-size):])
+}
+
 // signal sends a signal to a daemon's process.
 func (h *hostProcess) signal(signal syscall.Signal) {
 	h.mu.Lock()
@@ -316,7 +349,7 @@
 			return
 		}
 	}
-	w.t.Fatalf("%s is not ready after %s", host.name, readyTimeout)
+	w.t.Fatalf("%s is not ready after %s; its log ends with:\n%s", host.name, readyTimeout, w.logTail(host))
 }
 
 // address is where clients reach a daemon.
