Reads of batches and registrations come at least 40 and 250 ms apart

Cause: every host read each small record by itself; at 88 hosts and 51 replicas some 2,800 calls a second of the store's 6,000, growing with hosts times replicas. Ruled out: the wait of a read, which ends with the first record.

--- a/host/follow.go
+++ b/host/follow.go
@@ -74,8 +74,8 @@
 }
 
 // follow makes a follower of a topic.
-func (h *Host) follow(topic gypsum.Topic, handle func(store.Update)) *store.Follower {
-	follower := &store.Follower{Store: h.store, Topic: topic, Handle: handle, Logger: h.Logger}
+func (h *Host) follow(topic gypsum.Topic, gap time.Duration, handle func(store.Update)) *store.Follower {
+	follower := &store.Follower{Store: h.store, Topic: topic, Gap: gap, Handle: handle, Logger: h.Logger}
 	h.follows = append(h.follows, follower)
 	return follower
 }
--- a/host/host.go
+++ b/host/host.go
@@ -36,6 +36,12 @@
 	balancerNotice = 2800 * time.Millisecond
 	// stopReserve is the part of the grace time left for the end of the process.
 	stopReserve = 800 * time.Millisecond
+	// stateGap and replicasGap are the least times between two reads of batches and of
+	// registrations: hosts times records would pass the store's limit of reads. The
+	// first is a tenth of a trainer's reading interval, the second a twelfth of the time
+	// within which a leaving replica must get no more work.
+	stateGap    = 40 * time.Millisecond
+	replicasGap = 250 * time.Millisecond
 	// watchInterval is how often outages of the store are looked at.
 	watchInterval = 200 * time.Millisecond
 	// maxHeader bounds a client's header, above the limit of the users' configuration.
@@ -152,9 +158,9 @@
 		Probe: gypsum.KeyedRead{Topic: topics.State, Max: 1}, Logger: h.Logger,
 	}
 	h.makeWriters(topics)
-	following := h.follow(topics.State, h.book.Apply)
-	h.follow(platform.TopicOperator, h.takeOperator)
-	h.follow(platform.TopicReplicas, h.takeReplicas)
+	following := h.follow(topics.State, stateGap, h.book.Apply)
+	h.follow(platform.TopicOperator, 0, h.takeOperator)
+	h.follow(platform.TopicReplicas, replicasGap, h.takeReplicas)
 	h.batches = &batch.Manager{
 		Host: h.Settings.Host, Boot: h.boot, Book: h.book, Follow: following, Store: h.store, Topics: topics,
 		Parts: h.Settings.Parts, RecordSize: h.Settings.RecordSize, State: h.writers[writerKey{topic: topics.State}],
--- a/store/follower.go
+++ b/store/follower.go
@@ -45,6 +45,8 @@
 type Follower struct {
 	Store gypsum.KeyedStore
 	Topic gypsum.Topic
+	// Gap is the least time between two reads that brought something, 0 for none.
+	Gap time.Duration
 	// Handle takes each update, from the goroutine of Run.
 	Handle func(Update)
 	Logger *slog.Logger
@@ -85,6 +87,7 @@
 	reload := true
 	for {
 		var err error
+		begun := time.Now()
 		if reload {
 			err = f.load(ctx)
 		} else {
@@ -98,9 +101,10 @@
 			f.Logger.Warn("records expired before they were read", "topic", f.Topic, "error", err)
 			reload = true
 		case err != nil:
-			f.pause(ctx)
+			pause(ctx, readPause)
 		default:
 			reload = false
+			pause(ctx, f.Gap-time.Since(begun))
 		}
 	}
 }
@@ -122,11 +126,14 @@
 	f.down = failed
 }
 
-// pause waits after a failure.
-func (f *Follower) pause(ctx context.Context) {
+// pause waits for a time, if that is above zero.
+func pause(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(readPause):
+	case <-time.After(wait):
 	}
 }
 
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -128,3 +128,32 @@
 	_, err := store.Fetch(t.Context(), backing, topic, 0, "gone/", []store.Place{{Offset: 1, Key: "gone/1", Count: 1}})
 	is.True(errors.Is(err, store.ErrMissing))
 }
+
+// Load pattern: many writers add a small record each, and every host reads each of
+// them at once; hosts times records would pass the store's limit of reads. A gap lets
+// one read bring many.
+func TestReadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		seen := 0
+		follower := &store.Follower{Store: backing, Topic: topic, Logger: quiet(), Gap: 250 * time.Millisecond, Handle: func(update store.Update) {
+			seen += len(update.Records)
+		}}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Millisecond)
+		const records = 400
+		before := backing.Calls()
+		for i := range records {
+			backing.Put(topic, gypsum.KeyedRecord{Key: fmt.Sprint(i), Value: []byte("v")})
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.Equal(seen, records)
+		is.True(backing.Calls()-before <= 24) // 5 s, four a second
+		stop()
+		<-ended
+	})
+}
