--- a/front/batch.go
+++ b/front/batch.go
@@ -26,9 +26,9 @@
 )
 
 // submit accepts a batch.
-func (f *Front) submit(w http.ResponseWriter, r *http.Request, manifest *gypsum.Manifest, route *gypsum.Route, arrived time.Time) {
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, config *gypsum.SiteConfig, route *gypsum.Route, arrived time.Time) {
 	id := r.Header.Get(platform.HeaderRequestID)
-	content, release, ok := f.readBody(w, r, manifest.Limits.MaxBody)
+	content, release, ok := f.readBody(w, r, config.Limits.MaxBody)
 	if !ok {
 		return
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -60,26 +60,26 @@
 	if f.Stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	manifest := f.State.Now().Manifest
-	if manifest == nil {
+	config := f.State.Now().Config
+	if config == nil {
 		f.refuseOwn(w, r, gypsum.NotRun(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
-	route := FindRoute(manifest.Routes, hostName(r), r.URL.EscapedPath())
+	route := FindRoute(config.Routes, hostName(r), r.URL.EscapedPath())
 	switch {
 	case route == nil:
-		f.withoutRoute(w, r, manifest)
+		f.withoutRoute(w, r, config)
 	case route.Kind == gypsum.RouteRollout && r.Method == http.MethodPost:
-		f.submit(w, r, manifest, route, arrived)
+		f.submit(w, r, config, route, arrived)
 		f.Stats.Submit.Observe(time.Since(arrived))
 	default:
-		f.live(w, r, manifest, route, arrived)
+		f.live(w, r, config, route, arrived)
 		f.Stats.Live.Observe(time.Since(arrived))
 	}
 }
 
 // withoutRoute serves a request that no route matches: a call about a batch, or nothing.
-func (f *Front) withoutRoute(w http.ResponseWriter, r *http.Request, manifest *gypsum.Manifest) {
+func (f *Front) withoutRoute(w http.ResponseWriter, r *http.Request, config *gypsum.SiteConfig) {
 	call, err := platform.DecodeBatchCall(r)
 	switch {
 	case err != nil:
@@ -93,7 +93,7 @@
 	default:
 		f.Stats.Unknown.Add(1)
 		f.Logger.Info("no route", "request", r.Header.Get(platform.HeaderRequestID), "host_name", hostName(r),
-			"path", r.URL.EscapedPath(), "revision", manifest.Revision)
+			"path", r.URL.EscapedPath(), "revision", config.Revision)
 		http.Error(w, "no route", http.StatusNotFound)
 	}
 }
@@ -139,8 +139,8 @@
 }
 
 // live serves a request that waits for its answer.
-func (f *Front) live(w http.ResponseWriter, r *http.Request, manifest *gypsum.Manifest, route *gypsum.Route, arrived time.Time) {
-	body, release, ok := f.readBody(w, r, manifest.Limits.MaxBody)
+func (f *Front) live(w http.ResponseWriter, r *http.Request, config *gypsum.SiteConfig, route *gypsum.Route, arrived time.Time) {
+	body, release, ok := f.readBody(w, r, config.Limits.MaxBody)
 	if !ok {
 		return
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -102,7 +102,7 @@
 			MaxAttempts: 2, Services: desk, Retention: time.Minute, ResultDue: 5 * time.Second,
 		}
 	}
-	s.state.TakeManifest(&gypsum.Manifest{
+	s.state.TakeConfig(&gypsum.SiteConfig{
 		Revision: 1, Limits: gypsum.ClientLimits{MaxBody: 64 << 10}, Services: map[gypsum.ServiceName]gypsum.ServiceRule{"desk": {Name: "desk"}},
 		Routes: []gypsum.Route{
 			route("/i/", gypsum.RouteIdempotent), route("/n/", gypsum.RouteNonIdempotent), route("/i/stream/", gypsum.RouteStreaming),
--- a/host/follow.go
+++ b/host/follow.go
@@ -42,8 +42,8 @@
 		switch {
 		case err != nil:
 			h.Logger.Warn("operator's record passed over", "key", update.Records[i].Key, "offset", update.Records[i].Offset, "error", err)
-		case record.Manifest != nil:
-			h.state.TakeManifest(record.Manifest)
+		case record.Config != nil:
+			h.state.TakeConfig(record.Config)
 		default:
 			h.state.TakeVersion(record.Version.Model, record.Version.Version)
 		}
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -69,8 +69,8 @@
 		Errored: ran.Errored.Load(), Broken: ran.Broken.Load(), Rejected: ran.Rejected.Load(),
 		Orders: ran.Orders.Load(), Claims: ran.Claims.Load(), Takeovers: ran.Takeovers.Load(),
 	}
-	if snapshot.Manifest != nil {
-		current.Revision = snapshot.Manifest.Revision
+	if snapshot.Config != nil {
+		current.Revision = snapshot.Config.Revision
 	}
 	return current
 }
--- a/host/servers.go
+++ b/host/servers.go
@@ -19,7 +19,7 @@
 	switch {
 	case h.front.Stopping.Load():
 		return errStopping
-	case h.state.Now().Manifest == nil:
+	case h.state.Now().Config == nil:
 		return errNoConfiguration
 	case !h.batches.Follow.Loaded():
 		return errNoState
--- a/mimic/replica.go
+++ b/mimic/replica.go
@@ -27,7 +27,7 @@
 	// FaultCut ends an answer in its middle, FaultReset before its begin.
 	FaultCut   Fault = "cut"
 	FaultReset Fault = "reset"
-	// FaultUnsigned leaves out the receipt.
+	// FaultUnsigned leaves out the signature.
 	FaultUnsigned Fault = "unsigned"
 	// FaultBusy refuses as a full replica does.
 	FaultBusy Fault = "busy"
@@ -90,8 +90,8 @@
 	})
 }
 
-// Receipt is the receipt of an answer by a replica.
-func Receipt(id gypsum.BackendID, request string) string { return string(id) + "." + request }
+// Signature is the signature of an answer by a replica.
+func Signature(id gypsum.BackendID, request string) string { return string(id) + "." + request }
 
 // PlainBody is the body of a replica's answer to a plain request.
 func PlainBody(request, target string, body []byte) string {
@@ -113,7 +113,7 @@
 		return
 	}
 	if fault != FaultUnsigned {
-		header.Set("Server-Stamp", Receipt(p.ID, id))
+		header.Set("Server-Stamp", Signature(p.ID, id))
 	}
 	switch fault {
 	case FaultBusy:
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -111,7 +111,7 @@
 	if err := made.batches.Start(); err != nil {
 		d.t.Fatal(err)
 	}
-	made.state.TakeManifest(&gypsum.Manifest{
+	made.state.TakeConfig(&gypsum.SiteConfig{
 		Revision: 1, Routes: []gypsum.Route{{
 			Name: "train", Kind: gypsum.RouteRollout, Services: []gypsum.WeightedService{{Service: service, Weight: 1}},
 		}},
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -38,7 +38,7 @@
 func (h *hold) addJob(snapshot *state.Snapshot, header batch.Header) *job {
 	made := &job{
 		header: header, needs: needs{least: header.MinVersion, single: header.Single},
-		stride: max(1, snapshot.Manifest.Services[h.service].Stride), tasks: make(map[gypsum.ItemID]*task),
+		stride: max(1, snapshot.Config.Services[h.service].Stride), tasks: make(map[gypsum.ItemID]*task),
 	}
 	h.jobs[header.ID] = made
 	return made
@@ -46,7 +46,7 @@
 
 // followRoute gives up the items of a batch whose route is gone or whose time is over.
 func (h *hold) followRoute(snapshot *state.Snapshot, known *job, now time.Time) {
-	gone := routeOf(snapshot.Manifest, known.header.Route) == nil
+	gone := routeOf(snapshot.Config, known.header.Route) == nil
 	if !gone && now.Before(known.header.GiveUpAt().Add(clockSlack)) {
 		return
 	}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -79,7 +79,7 @@
 // needs returns what the service's models need.
 func (h *hold) needs(snapshot *state.Snapshot) []sched.ModelNeed {
 	var models []sched.ModelNeed
-	for _, model := range snapshot.Manifest.Services[h.service].Models {
+	for _, model := range snapshot.Config.Services[h.service].Models {
 		models = append(models, sched.ModelNeed{
 			Model: model, Named: max(1, snapshot.Versions[model]), Demand: h.demand[model],
 		})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -189,7 +189,7 @@
 	jobs := make(map[gypsum.ServiceName][]batch.Header)
 	for _, header := range r.Batches.Book.Open() {
 		service := header.Service
-		if route := routeOf(snapshot.Manifest, header.Route); route != nil && len(route.Services) > 0 {
+		if route := routeOf(snapshot.Config, header.Route); route != nil && len(route.Services) > 0 {
 			service = route.Services[0].Service
 		}
 		jobs[service] = append(jobs[service], header)
@@ -198,10 +198,10 @@
 }
 
 // routeOf returns the route with a name, nil if there is none.
-func routeOf(manifest *gypsum.Manifest, name string) *gypsum.Route {
-	for i := range manifest.Routes {
-		if manifest.Routes[i].Name == name {
-			return &manifest.Routes[i]
+func routeOf(config *gypsum.SiteConfig, name string) *gypsum.Route {
+	for i := range config.Routes {
+		if config.Routes[i].Name == name {
+			return &config.Routes[i]
 		}
 	}
 	return nil
@@ -210,7 +210,7 @@
 // decide looks at all that may have to be done.
 func (r *Runner) decide(ctx context.Context, now time.Time) {
 	snapshot := r.State.Now()
-	if snapshot.Manifest == nil || !r.Batches.Follow.Loaded() {
+	if snapshot.Config == nil || !r.Batches.Follow.Loaded() {
 		return
 	}
 	jobs := r.jobsOf(snapshot)
--- a/manifest.go
+++ b/site.go
@@ -67,9 +67,9 @@
 	IdleTimeout   time.Duration
 }
 
-// Manifest is one version of the operators' configuration. It is not changed
+// SiteConfig is one version of the operators' configuration. It is not changed
 // after it was made.
-type Manifest struct {
+type SiteConfig struct {
 	Revision Revision
 	Routes   []Route
 	Services map[ServiceName]ServiceRule
--- a/state/state.go
+++ b/state/state.go
@@ -20,7 +20,7 @@
 
 // Snapshot is what is known at one moment. It is not changed after it was made.
 type Snapshot struct {
-	Manifest *gypsum.Manifest
+	Config   *gypsum.SiteConfig
 	Replicas map[gypsum.BackendID]*gypsum.Replica
 	Services map[gypsum.ServiceName][]*gypsum.Replica
 	Versions map[gypsum.EngineModel]gypsum.WeightVersion
@@ -59,13 +59,13 @@
 	k.Changed()
 }
 
-// TakeManifest takes a configuration, unless a newer one is in force.
-func (k *Keeper) TakeManifest(manifest *gypsum.Manifest) {
-	if present := k.Now().Manifest; present != nil && present.Revision >= manifest.Revision {
+// TakeConfig takes a configuration, unless a newer one is in force.
+func (k *Keeper) TakeConfig(config *gypsum.SiteConfig) {
+	if present := k.Now().Config; present != nil && present.Revision >= config.Revision {
 		return
 	}
-	k.change(func(s *Snapshot) { s.Manifest = manifest })
-	k.Logger.Info("configuration in force", "revision", manifest.Revision, "routes", len(manifest.Routes), "services", len(manifest.Services))
+	k.change(func(s *Snapshot) { s.Config = config })
+	k.Logger.Info("configuration in force", "revision", config.Revision, "routes", len(config.Routes), "services", len(config.Services))
 }
 
 // TakeVersion takes a named version, unless a newer one is known.
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -32,9 +32,9 @@
 	is := is.New(t)
 	keeper := newKeeper()
 	for _, revision := range []gypsum.Revision{3, 7, 5} {
-		keeper.TakeManifest(&gypsum.Manifest{Revision: revision})
+		keeper.TakeConfig(&gypsum.SiteConfig{Revision: revision})
 	}
-	is.Equal(keeper.Now().Manifest.Revision, gypsum.Revision(7))
+	is.Equal(keeper.Now().Config.Revision, gypsum.Revision(7))
 	for _, version := range []gypsum.WeightVersion{2, 4, 3} {
 		keeper.TakeVersion("m", version)
 	}
