A replica whose client has left is not taken for one that failed

Cause, found on reading: the end of the client's connection ends the attempt with an error, and the replica was ejected for 0.2 to 3 s. Ruled out: the wait for an answer, whose end is the replica's. TestClientLeaves with a second replica was red first.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -223,11 +223,13 @@
 	}
 }
 
-// A request whose client has left ends at its replica.
+// A request whose client has left ends at its replica, which is not taken for one that
+// failed.
 func TestClientLeaves(t *testing.T) {
 	is := is.New(t)
-	s := newSite(t, 1)
+	s := newSite(t, 2)
 	s.configure()
+	s.preferFirst()
 	s.replicas[0].SetFault(mimic.FaultSilent)
 	ctx, cancel := context.WithCancel(t.Context())
 	request, err := http.NewRequestWithContext(ctx, "POST", s.url+"/i/a", strings.NewReader("x"))
@@ -247,6 +249,11 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(s.front.Relay.Open(), 0)
+	s.replicas[0].SetFault("")
+	before := len(s.replicas[0].Ran())
+	status, _, _ := s.call("POST", "/i/b", "q2", "x")
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(s.replicas[0].Ran())-before, 1) // not ejected
 }
 
 func TestStream(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -172,12 +172,12 @@
 	left := request.Deadline.Sub(begun)
 	last := !request.Route.Repeatable() || request.handed+1 >= request.Route.MaxAttempts || len(r.State.Now().Services[request.Service]) < 2
 	patience := Patience(target.Latency, request.Route.Target, left, last)
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	attemptCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	r.begin(replica.ID)
-	answer, err := r.Replicas.Exchange(ctx, replica, &request.LiveRequest, left)
+	answer, err := r.Replicas.Exchange(attemptCtx, replica, &request.LiveRequest, left)
 	took := time.Since(begun)
-	r.end(replica.ID, took, err != nil)
+	r.end(replica.ID, took, err, ctx.Err() != nil)
 	status := 0
 	if answer != nil {
 		status = answer.Status
--- a/relay/seen.go
+++ b/relay/seen.go
@@ -59,13 +59,17 @@
 	seen.open++
 }
 
-// end counts the end of a request at a replica. A latency of zero is a failure.
-func (r *Relay) end(id gypsum.BackendID, latency time.Duration, failed bool) {
+// end counts the end of a request at a replica. Nothing is learned from one whose
+// client has left.
+func (r *Relay) end(id gypsum.BackendID, latency time.Duration, err error, left bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := r.known[id]
 	seen.open--
-	if failed {
+	if left {
+		return
+	}
+	if err != nil {
 		seen.ejected = time.Now().Add(min(longestEjection, firstEjection<<min(seen.failures, 6)))
 		seen.failures++
 		return
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,11 +56,11 @@
 // streamOnce passes on the events of one replica.
 func (r *Relay) streamOnce(ctx context.Context, request *Request, target *Target, sink Sink, begun *bool, last *int64) error {
 	replica, started := target.Replica, time.Now()
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	streamCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	r.begin(replica.ID)
-	err := r.passEvents(ctx, request, replica, sink, begun, last)
-	r.end(replica.ID, time.Since(started), err != nil)
+	err := r.passEvents(streamCtx, request, replica, sink, begun, last)
+	r.end(replica.ID, time.Since(started), err, ctx.Err() != nil)
 	r.note(request, replica, err)
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
 		"attempt", request.handed, "last_event", *last, "took_ms", time.Since(started).Milliseconds(), "error", err)
