--- a/batch/book.go
+++ b/batch/book.go
@@ -73,9 +73,8 @@
 
 // beat is the newest heartbeat of a host.
 type beat struct {
-	boot   gypsum.Incarnation
-	number int64
-	at     time.Time
+	boot gypsum.Incarnation
+	at   time.Time
 }
 
 // View is a copy of a batch's state.
@@ -194,7 +193,7 @@
 		if err != nil {
 			return err
 		}
-		b.beats[sign.Host] = beat{boot: sign.Boot, number: sign.Beat, at: now}
+		b.beats[sign.Host] = beat{boot: sign.Boot, at: now}
 	}
 	return nil
 }
--- a/batch/duty.go
+++ b/batch/duty.go
@@ -12,41 +12,25 @@
 // Claim asks for a service on behalf of this host in a term, or gives it up. The
 // record's place among others decides; Book tells who won.
 func (m *Manager) Claim(ctx context.Context, service gypsum.ServiceName, term int64, released bool) error {
-	record, err := encode(Claim{Service: service, Host: m.Host, Boot: m.Boot, Term: term, Released: released},
+	offset, err := m.put(ctx, Claim{Service: service, Host: m.Host, Boot: m.Boot, Term: term, Released: released},
 		kindClaim, string(service), m.unique())
 	if err != nil {
 		return err
 	}
-	offset, err := m.State.Append(ctx, record)
-	if err != nil {
-		return fmt.Errorf("store claim: %w", err)
-	}
 	return m.Follow.Reach(ctx, offset+1)
 }
 
 // Beat stores a heartbeat.
 func (m *Manager) Beat(ctx context.Context, number int64) error {
-	record, err := encode(Heartbeat{Host: m.Host, Boot: m.Boot, Beat: number}, kindHeartbeat, string(m.Host))
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store heartbeat: %w", err)
-	}
-	return nil
+	_, err := m.put(ctx, Heartbeat{Host: m.Host, Boot: m.Boot, Beat: number}, kindHeartbeat, string(m.Host))
+	return err
 }
 
 // NoteCrash is part of gypsum.CrashBook: it stores that a replica died.
 func (m *Manager) NoteCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica gypsum.BackendID) error {
-	record, err := encode(Crash{Fingerprint: fingerprint, Replica: replica, At: time.Now().UnixMilli()},
+	_, err := m.put(ctx, Crash{Fingerprint: fingerprint, Replica: replica, At: time.Now().UnixMilli()},
 		kindCrash, strconv.FormatUint(uint64(fingerprint), 16), m.unique())
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store crash: %w", err)
-	}
-	return nil
+	return err
 }
 
 // Crashes is part of gypsum.CrashBook.
@@ -54,14 +38,8 @@
 
 // Announce tells other daemons where this one is and what part of a core it has.
 func (m *Manager) Announce(ctx context.Context, address string, location gypsum.Location, share float64) error {
-	record, err := encode(HostRecord{Host: m.Host, Address: address, Location: location, Share: share}, kindHost, string(m.Host))
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store address: %w", err)
-	}
-	return nil
+	_, err := m.put(ctx, HostRecord{Host: m.Host, Address: address, Location: location, Share: share}, kindHost, string(m.Host))
+	return err
 }
 
 // Withdraw removes what Announce has stored.
@@ -74,12 +52,6 @@
 
 // NoteFailures stores how often an item's runs have failed.
 func (m *Manager) NoteFailures(ctx context.Context, failures Failures) error {
-	record, err := encode(failures, kindFailures, string(failures.Batch), string(failures.Item))
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store failures: %w", err)
-	}
-	return nil
+	_, err := m.put(ctx, failures, kindFailures, string(failures.Batch), string(failures.Item))
+	return err
 }
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -101,14 +101,10 @@
 		Submitted: batch.Submitted.UnixMilli(), Due: batch.Due.UnixMilli(), GiveUp: batch.GiveUp.UnixMilli(),
 		Bodies: bodies, Origin: m.Host, Step: batch.Step,
 	}
-	record, err := encode(header, kindHeader, string(batch.ID), m.unique())
-	if err != nil {
-		return fmt.Errorf("%w: %w", gypsum.ErrStoreRefused, err)
-	}
 	m.bodies.Add(batch.ID, batch.Items)
-	offset, err := m.State.Append(ctx, record)
+	offset, err := m.put(ctx, header, kindHeader, string(batch.ID), m.unique())
 	if err != nil {
-		return fmt.Errorf("store header: %w", err)
+		return err
 	}
 	m.Logger.Info("batch stored", "batch", batch.ID, "items", len(batch.Items), "model", batch.Model, "step", batch.Step,
 		"min_version", batch.MinVersion, "offset", offset)
@@ -158,13 +154,9 @@
 	if ended {
 		return nil
 	}
-	record, err := encode(End{Batch: id}, kindEnd, string(id), m.unique())
-	if err != nil {
+	if _, err := m.put(ctx, End{Batch: id}, kindEnd, string(id), m.unique()); err != nil {
 		return err
 	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store end: %w", err)
-	}
 	m.Logger.Info("batch ended", "batch", id)
 	return nil
 }
@@ -220,15 +212,9 @@
 	if err != nil {
 		return err
 	}
-	record, err := encode(Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: stored},
+	_, err = m.put(ctx, Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: stored},
 		kindResult, string(id), string(result.Item), m.unique())
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store result: %w", err)
-	}
-	return nil
+	return err
 }
 
 // Checkpoint stores the events that an item's run has given so far.
@@ -237,13 +223,7 @@
 	if err != nil {
 		return err
 	}
-	record, err := encode(Partial{Batch: id, Item: item, Last: last, Versions: versions, Text: stored},
+	_, err = m.put(ctx, Partial{Batch: id, Item: item, Last: last, Versions: versions, Text: stored},
 		kindPartial, string(id), string(item))
-	if err != nil {
-		return err
-	}
-	if _, err := m.State.Append(ctx, record); err != nil {
-		return fmt.Errorf("store checkpoint: %w", err)
-	}
-	return nil
+	return err
 }
--- a/batch/record.go
+++ b/batch/record.go
@@ -4,6 +4,7 @@
 package batch
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -133,6 +134,19 @@
 	return gypsum.KeyedRecord{Key: kind + "/" + strings.Join(parts, "/"), Value: value}, nil
 }
 
+// put stores a record of the state and returns its offset.
+func (m *Manager) put(ctx context.Context, content any, kind string, parts ...string) (gypsum.Offset, error) {
+	record, err := encode(content, kind, parts...)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", gypsum.ErrStoreRefused, err)
+	}
+	offset, err := m.State.Append(ctx, record)
+	if err != nil {
+		return 0, fmt.Errorf("store record %s: %w", record.Key, err)
+	}
+	return offset, nil
+}
+
 // decode decodes a record's value.
 func decode[T any](value []byte) (T, error) {
 	var content T
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -15,8 +15,6 @@
 	firstPace = 28 * time.Millisecond
 	// paceWeight is the weight of the newest measurement.
 	paceWeight = 0.3
-	// slowdownPerRun is how much one more run slows an engine, see package sched.
-	slowdownPerRun = 0.035
 	// firstPause and longestPause bound the time for which an engine that failed a
 	// run gets no new ones.
 	firstPause   = 150 * time.Millisecond
@@ -66,7 +64,7 @@
 
 // observe takes the time between two events of a run. Any goroutine may call it.
 func (e *engine) observe(gap time.Duration) {
-	alone := float64(gap) / (1 + slowdownPerRun*float64(e.runs.Load()))
+	alone := float64(gap) / (1 + sched.SlowdownPerRun*float64(e.runs.Load()))
 	e.gaps.Add(int64(alone))
 	e.gapCount.Add(1)
 }
--- a/sched/start.go
+++ b/sched/start.go
@@ -11,9 +11,9 @@
 	"github.com/gypsumhook/gypsum"
 )
 
-// slowdownPerRun is how much one more run slows each step of an engine, as a part
+// SlowdownPerRun is how much one more run slows each step of an engine, as a part
 // of a step: 0.0252 ms to 0.723 ms in the users' description of their engines.
-const slowdownPerRun = 0.035
+const SlowdownPerRun = 0.035
 
 // Engine is what is known of an engine.
 type Engine struct {
@@ -33,7 +33,7 @@
 
 // eventTime is the expected time of an event with a number of runs.
 func (e *Engine) eventTime(runs int) time.Duration {
-	return time.Duration(float64(e.Pace) * (1 + slowdownPerRun*float64(runs)))
+	return time.Duration(float64(e.Pace) * (1 + SlowdownPerRun*float64(runs)))
 }
 
 // fits tells whether an engine may start an item now.
