--- a/batch/book.go
+++ b/batch/book.go
@@ -129,75 +129,69 @@
 	}
 	switch kindOf(record.Key) {
 	case kindHost:
-		host, err := decode[HostRecord](record.Value)
-		if err != nil {
-			return err
-		}
-		b.hosts[host.Host] = host
+		return take(record, func(host HostRecord) { b.hosts[host.Host] = host })
 	case kindHeader:
-		header, err := decode[Header](record.Value)
-		if err != nil {
-			return err
-		}
-		b.foldHeader(header, record.Key)
+		return take(record, func(header Header) { b.foldHeader(header, record.Key) })
 	case kindResult:
-		result, err := decode[Result](record.Value)
-		if err != nil {
-			return err
-		}
-		b.foldResult(result, record.Key)
+		return take(record, func(result Result) { b.foldResult(result, record.Key) })
 	case kindEnd:
-		end, err := decode[End](record.Value)
-		if err != nil {
-			return err
-		}
-		if known, ok := b.batches[end.Batch]; ok {
-			known.keys = append(known.keys, record.Key)
-			if !known.ended {
-				known.ended = true
-				known.signal()
-			}
-		}
+		return take(record, func(end End) { b.foldEnd(end, record.Key) })
 	case kindPartial:
-		partial, err := decode[Partial](record.Value)
-		if err != nil {
-			return err
-		}
-		if known, ok := b.batches[partial.Batch]; ok {
-			known.keys, known.texts = append(known.keys, record.Key), append(known.texts, partial.Text)
-			known.partials[partial.Item] = partial
-		}
+		return take(record, func(partial Partial) { b.foldPartial(partial, record.Key) })
 	case kindFailures:
-		failures, err := decode[Failures](record.Value)
-		if err != nil {
-			return err
-		}
-		if known, ok := b.batches[failures.Batch]; ok {
-			known.keys = append(known.keys, record.Key)
-			known.failures[failures.Item] = failures
-		}
+		return take(record, func(failures Failures) { b.foldFailures(failures, record.Key) })
 	case kindClaim:
-		claim, err := decode[Claim](record.Value)
-		if err != nil {
-			return err
-		}
-		b.foldClaim(claim, record, now)
+		return take(record, func(claim Claim) { b.foldClaim(claim, record, now) })
 	case kindCrash:
-		crash, err := decode[Crash](record.Value)
-		if err != nil {
-			return err
-		}
-		b.crashes[crash.Fingerprint] = append(b.crashes[crash.Fingerprint], crashSeen{key: record.Key, at: time.UnixMilli(crash.At)})
+		return take(record, func(crash Crash) {
+			seen := crashSeen{key: record.Key, at: time.UnixMilli(crash.At)}
+			b.crashes[crash.Fingerprint] = append(b.crashes[crash.Fingerprint], seen)
+		})
 	case kindHeartbeat:
-		sign, err := decode[Heartbeat](record.Value)
-		if err != nil {
-			return err
-		}
-		b.beats[sign.Host] = beat{boot: sign.Boot, at: now}
+		return take(record, func(sign Heartbeat) { b.beats[sign.Host] = beat{boot: sign.Boot, at: now} })
 	}
 	return nil
 }
 
+// take decodes a record and applies its content.
+func take[T any](record *gypsum.KeyedRecord, apply func(T)) error {
+	content, err := decode[T](record.Value)
+	if err != nil {
+		return err
+	}
+	apply(content)
+	return nil
+}
+
+// foldEnd takes in the end of a batch.
+func (b *Book) foldEnd(end End, key string) {
+	known, ok := b.batches[end.Batch]
+	if !ok {
+		return
+	}
+	known.keys = append(known.keys, key)
+	if !known.ended {
+		known.ended = true
+		known.signal()
+	}
+}
+
+// foldPartial takes in the events that an item's run has given so far.
+func (b *Book) foldPartial(partial Partial, key string) {
+	if known, ok := b.batches[partial.Batch]; ok {
+		known.keys, known.texts = append(known.keys, key), append(known.texts, partial.Text)
+		known.partials[partial.Item] = partial
+	}
+}
+
+// foldFailures takes in how often an item's runs have failed.
+func (b *Book) foldFailures(failures Failures, key string) {
+	if known, ok := b.batches[failures.Batch]; ok {
+		known.keys = append(known.keys, key)
+		known.failures[failures.Item] = failures
+	}
+}
+
 // foldRemoval takes in the removal of a key.
 func (b *Book) foldRemoval(key string) {
 	parts := strings.Split(key, "/")
--- a/detour/choose.go
+++ b/detour/choose.go
@@ -15,20 +15,9 @@
 	order := slices.Clone(peers)
 	slices.SortFunc(order, func(a, b Peer) int {
 		return cmp.Or(
-			cmp.Compare(distance(a.Location, home), distance(b.Location, home)),
+			cmp.Compare(a.Location.To(home), b.Location.To(home)),
 			cmp.Compare(gypsum.Rendezvous(seed, string(a.Host)), gypsum.Rendezvous(seed, string(b.Host))),
 		)
 	})
 	return order[:min(count, len(order))]
 }
-
-// distance returns 0 for the same data centre, 1 for the same region, 2 for others.
-func distance(a, b gypsum.Location) int {
-	switch {
-	case a.DataCentre == b.DataCentre:
-		return 0
-	case a.Region == b.Region:
-		return 1
-	}
-	return 2
-}
--- a/gypsum.go
+++ b/gypsum.go
@@ -57,6 +57,27 @@
 	Region     Region     `json:"region"`
 }
 
+// Distance is how far two places are from each other.
+type Distance int
+
+// The distances between places.
+const (
+	SameCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// To returns the distance to another place.
+func (l Location) To(other Location) Distance {
+	switch {
+	case l.DataCentre == other.DataCentre:
+		return SameCentre
+	case l.Region == other.Region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
 // Hash64 returns the hash of the parts, with a separator between them.
 func Hash64(parts ...string) uint64 {
 	var digest xxhash.Digest
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -61,21 +61,15 @@
 func (t *Target) expected(home gypsum.Location) time.Duration {
 	latency := t.Latency
 	if latency == 0 {
-		latency = firstLatency + distance(t.Replica.Location, home)
+		latency = firstLatency + roundTrips[t.Replica.Location.To(home)]
 	}
 	waves := 1 + t.Open/max(1, t.Replica.Slots)
 	return latency*time.Duration(waves) + latency*time.Duration(t.Open)/time.Duration(8*max(1, t.Replica.Slots))
 }
 
-// distance returns the round trip between two places.
-func distance(a, b gypsum.Location) time.Duration {
-	switch {
-	case a.DataCentre == b.DataCentre:
-		return 0
-	case a.Region == b.Region:
-		return centreLatency
-	}
-	return regionLatency
+// roundTrips are the round trips to replicas by their distance.
+var roundTrips = map[gypsum.Distance]time.Duration{
+	gypsum.SameCentre: 0, gypsum.SameRegion: centreLatency, gypsum.OtherRegion: regionLatency,
 }
 
 // Bounds of the time that one attempt gets while others may follow.
