--- a/batch/book.go
+++ b/batch/book.go
@@ -208,11 +208,21 @@
 		b.claims[service] = slices.DeleteFunc(b.claims[service], func(claim claimKey) bool { return claim.key == key })
 	case kindCrash:
 		if number, err := strconv.ParseUint(parts[1], 16, 64); err == nil {
-			delete(b.crashes, gypsum.Fingerprint(number))
+			b.dropCrash(gypsum.Fingerprint(number), key)
 		}
 	}
 }
 
+// dropCrash forgets one crash of a request.
+func (b *Book) dropCrash(fingerprint gypsum.Fingerprint, key string) {
+	left := slices.DeleteFunc(b.crashes[fingerprint], func(crash crashSeen) bool { return crash.key == key })
+	if len(left) == 0 {
+		delete(b.crashes, fingerprint)
+		return
+	}
+	b.crashes[fingerprint] = left
+}
+
 // foldHeader takes in a batch. The first record of an id wins.
 func (b *Book) foldHeader(header Header, key string) {
 	if known, ok := b.batches[header.ID]; ok {
--- a/batch/book_test.go
+++ b/batch/book_test.go
@@ -223,3 +223,17 @@
 		}
 	})
 }
+
+// The removal of an old crash leaves the newer ones of the same request.
+func TestCleanKeepsNewCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		manager := startManager(t, fake.NewKeyedStore(), "a")
+		is.NoErr(manager.NoteCrash(t.Context(), 7, "old"))
+		time.Sleep(10 * time.Minute)
+		is.NoErr(manager.NoteCrash(t.Context(), 7, "new"))
+		is.NoErr(manager.Clean(t.Context(), time.Minute))
+		time.Sleep(time.Millisecond)
+		is.Equal(manager.Book.Crashes(7), 1)
+	})
+}
