--- a/front/front_test.go
+++ b/front/front_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,8 +20,8 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/front"
-	"github.com/gypsumhook/gypsum/mimic"
 	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/platform/mimic"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/store"
@@ -119,8 +118,7 @@
 		s.t.Fatal(err)
 	}
 	request.Host = "a.example:81"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", "1500")
+	mimic.Identify(request.Header, id, 1500*time.Millisecond, time.Second)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return 0, nil, err.Error()
@@ -156,8 +154,8 @@
 	status, header, body := s.call("POST", "/i/a%2Fb//c/?q=%20", "q1", "x")
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, mimic.PlainBody("q1", "/i/a%2Fb//c/?q=%20", []byte("x"))) // the target as it was sent
-	is.True(header.Get("Server-Stamp") != "")
-	is.Equal(header.Get("Attempt-Id"), "q1")
+	is.True(header.Get(mimic.HeaderSignature) != "")
+	is.Equal(header.Get(platform.HeaderRequestID), "q1")
 	status, _, _ = s.call("GET", "/else", "q2", "")
 	is.Equal(status, http.StatusNotFound)
 	status, _, _ = s.call("POST", "/i/large", "q3", strings.Repeat("x", 65<<10))
@@ -235,7 +233,7 @@
 	request, err := http.NewRequestWithContext(ctx, "POST", s.url+"/i/a", strings.NewReader("x"))
 	is.NoErr(err)
 	request.Host = "a.example"
-	request.Header.Set("Attempt-Id", "q1")
+	request.Header.Set(platform.HeaderRequestID, "q1")
 	ended := make(chan error, 1)
 	go func() {
 		_, err := http.DefaultTransport.RoundTrip(request)
@@ -276,41 +274,45 @@
 	is := is.New(t)
 	s := newSite(t, 1)
 	s.configure()
-	submitted := `{"step":1,"model":"m","items":[{"id":"e1","path":"/t/1","body":"q83v","group":"g"}]}`
+	encoded, err := mimic.EncodeBatch(&gypsum.Batch{
+		Step: 1, Model: "m", Items: []gypsum.BatchItem{{ID: "e1", Path: "/t/1", Body: []byte("\xab\xcd\xef"), Group: "g"}},
+	})
+	is.NoErr(err)
+	submitted := string(encoded)
 	status, _, _ := s.call("POST", "/t/b1", "b1", submitted)
 	is.Equal(status, http.StatusAccepted)
 	status, _, _ = s.call("POST", "/t/b1", "b1", submitted)
 	is.Equal(status, http.StatusAccepted) // a repeat
 	status, _, _ = s.call("POST", "/t/b2", "b2", "{")
 	is.Equal(status, http.StatusBadRequest)
-	status, _, body := s.call("GET", "/items/b1?id=e1", "c1", "")
+	status, _, body := s.call("GET", mimic.BodyTarget("b1", "e1"), "c1", "")
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "\xab\xcd\xef")
-	status, _, _ = s.call("GET", "/items/b1?id=e2", "c1", "")
+	status, _, _ = s.call("GET", mimic.BodyTarget("b1", "e2"), "c1", "")
 	is.Equal(status, http.StatusNotFound)
 	is.NoErr(s.front.Batches.Finish(t.Context(), "b1", &gypsum.BatchResult{Item: "e1", State: gypsum.ItemCompleted, Text: "t", Versions: []gypsum.WeightVersion{1}}))
-	status, _, body = s.call("GET", "/lots/b1?after=0", "c2", "")
+	status, _, body = s.call("GET", mimic.ResultsTarget("b1", 0), "c2", "")
 	is.Equal(status, http.StatusOK)
-	var read map[string]any
-	is.NoErr(json.Unmarshal([]byte(body), &read))
-	is.Equal(read["total"], 1.0)
-	is.Equal(len(read["results"].([]any)), 1)
+	total, results, err := mimic.DecodeResults([]byte(body))
+	is.NoErr(err)
+	is.Equal(total, 1)
+	is.Equal(len(results), 1)
 	for range 2 {
-		status, _, _ = s.call("DELETE", "/lots/b1", "c3", "")
+		status, _, _ = s.call("DELETE", mimic.BatchTarget("b1"), "c3", "")
 		is.Equal(status, http.StatusOK)
 	}
-	status, _, _ = s.call("GET", "/lots/none", "c4", "")
+	status, _, _ = s.call("GET", mimic.BatchTarget("none"), "c4", "")
 	is.Equal(status, http.StatusNotFound)
 	s.backing.SetFault(fake.KeyedRefuse)
 	begun := time.Now()
-	status, header, _ := s.call("GET", "/lots/none", "c5", "")
+	status, header, _ := s.call("GET", mimic.BatchTarget("none"), "c5", "")
 	is.Equal(status, http.StatusServiceUnavailable) // nobody can be sure now
 	is.True(header.Get("Retry-After") != "")
 	status, header, _ = s.call("POST", "/t/b3", "b3", submitted)
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(header.Get("Retry-After") != "")
 	is.True(time.Since(begun) < 3*time.Second)
-	status, _, _ = s.call("GET", "/lots/b1?after=0", "c6", "") // known before
+	status, _, _ = s.call("GET", mimic.ResultsTarget("b1", 0), "c6", "") // known before
 	is.Equal(status, http.StatusOK)
 }
 
@@ -321,7 +323,7 @@
 	s.configure()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
 	is.NoErr(err)
-	_, err = io.WriteString(conn, "POST /i/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: q1\r\nContent-Length: 100\r\n\r\nhalf")
+	_, err = io.WriteString(conn, "POST /i/a HTTP/1.1\r\nHost: a.example\r\n"+platform.HeaderRequestID+": q1\r\nContent-Length: 100\r\n\r\nhalf")
 	is.NoErr(err)
 	is.NoErr(conn.Close())
 	time.Sleep(50 * time.Millisecond)
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,7 +11,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
-	"github.com/gypsumhook/gypsum/mimic"
+	"github.com/gypsumhook/gypsum/platform/mimic"
 )
 
 // Times of clients.
@@ -47,15 +46,7 @@
 	accepted bool
 	unsure   bool
 	ended    bool
-	results  []result
-}
-
-// result is a result as clients read it.
-type result struct {
-	ID       string                 `json:"id"`
-	State    string                 `json:"state"`
-	Text     string                 `json:"text"`
-	Versions []gypsum.WeightVersion `json:"versions"`
+	results  []gypsum.BatchResult
 }
 
 // newClients returns the clients of a world. They keep connections until the other
@@ -73,9 +64,7 @@
 	}
 	request.ContentLength = int64(len(body))
 	request.Host = hostName
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", "3000")
-	request.Header.Set("Wait-Ms", "200")
+	mimic.Identify(request.Header, id, 3*time.Second, 200*time.Millisecond)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, nil
@@ -140,7 +129,7 @@
 			time.Sleep(readPause)
 		}
 		if early {
-			if status, _ := c.call(ctx, c.host(random), http.MethodDelete, "/lots/"+seen.id, seen.id+"-end", nil); status == http.StatusOK {
+			if status, _ := c.call(ctx, c.host(random), http.MethodDelete, mimic.BatchTarget(seen.id), seen.id+"-end", nil); status == http.StatusOK {
 				seen.ended = true
 			}
 		}
@@ -154,7 +143,7 @@
 
 // submit submits a batch, at several daemons if need be.
 func (c *clients) submit(ctx context.Context, seen *batchSeen, random *rand.Rand) {
-	var items []map[string]any
+	batch := &gypsum.Batch{Step: 1, Model: model, MinVersion: seen.least, GroupCount: 3}
 	for i := range itemsPerStep {
 		length := 5 + random.IntN(longestItem-5)
 		if i > 1 {
@@ -162,12 +151,11 @@
 		}
 		id := fmt.Sprintf("%s.%d.%d", seen.id, i, length+1)
 		seen.items = append(seen.items, id)
-		items = append(items, map[string]any{
-			"id": id, "path": "/t/x", "headers": map[string]string{"Model": model, "Length-Hint": fmt.Sprint(length)},
-			"body": []byte(id), "token_count": length, "group": fmt.Sprint(i / 4),
+		batch.Items = append(batch.Items, gypsum.BatchItem{
+			ID: gypsum.ItemID(id), Path: "/t/x", Body: []byte(id), Tokens: length, Group: gypsum.GroupID(fmt.Sprint(i / 4)), ExpectedTokens: length,
 		})
 	}
-	body, err := json.Marshal(map[string]any{"step": 1, "model": model, "min_version": seen.least, "group_count": 3, "items": items})
+	body, err := mimic.EncodeBatch(batch)
 	if err != nil {
 		c.world.t.Error(err)
 		return
@@ -196,25 +184,22 @@
 	if from > 0 {
 		from-- // the last one must come again
 	}
-	status, content := c.call(ctx, host, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", seen.id, from), seen.id+"-read", nil)
+	status, content := c.call(ctx, host, http.MethodGet, mimic.ResultsTarget(seen.id, from), seen.id+"-read", nil)
 	if status == http.StatusNotFound {
 		c.world.t.Errorf("batch %s was accepted, and %s says that there is none", seen.id, host.name)
 	}
 	if status != http.StatusOK {
 		return
 	}
-	var page struct {
-		Total   int      `json:"total"`
-		Results []result `json:"results"`
-	}
-	if err := json.Unmarshal(content, &page); err != nil || page.Total != len(seen.items) {
-		c.world.t.Errorf("batch %s: total %d, error %v", seen.id, page.Total, err)
+	total, results, err := mimic.DecodeResults(content)
+	if err != nil || total != len(seen.items) {
+		c.world.t.Errorf("batch %s: total %d, error %v", seen.id, total, err)
 		return
 	}
-	for i, got := range page.Results {
+	for i, got := range results {
 		if position := from + i; position < len(seen.results) {
-			if known := seen.results[position]; known.ID != got.ID || known.Text != got.Text || known.State != got.State {
-				c.world.t.Errorf("batch %s: position %d was %s, and is %s at %s", seen.id, position, known.ID, got.ID, host.name)
+			if known := seen.results[position]; known.Item != got.Item || known.Text != got.Text || known.State != got.State {
+				c.world.t.Errorf("batch %s: position %d was %s, and is %s at %s", seen.id, position, known.Item, got.Item, host.name)
 			}
 			continue
 		}
@@ -224,20 +209,20 @@
 }
 
 // check checks a result by itself.
-func (c *clients) check(seen *batchSeen, got *result) {
-	if got.State == "completed" && got.Text != c.world.engines.WholeText(gypsum.ItemID(got.ID)) {
-		c.world.t.Errorf("item %s has another text: %q", got.ID, got.Text)
+func (c *clients) check(seen *batchSeen, got *gypsum.BatchResult) {
+	if got.State == gypsum.ItemCompleted && got.Text != c.world.engines.WholeText(got.Item) {
+		c.world.t.Errorf("item %s has another text: %q", got.Item, got.Text)
 	}
-	if got.State != "completed" && !seen.ended {
-		c.world.t.Errorf("item %s is %s without a reason", got.ID, got.State)
+	if got.State != gypsum.ItemCompleted && !seen.ended {
+		c.world.t.Errorf("item %s is %s without a reason", got.Item, got.State)
 	}
-	made := c.world.engines.Versions(gypsum.ItemID(got.ID))
+	made := c.world.engines.Versions(got.Item)
 	for _, version := range got.Versions {
 		if version < seen.least || !made[version] {
-			c.world.t.Errorf("item %s names version %d; least is %d, made by %v", got.ID, version, seen.least, made)
+			c.world.t.Errorf("item %s names version %d; least is %d, made by %v", got.Item, version, seen.least, made)
 		}
 	}
-	if got.State == "completed" && len(got.Versions) == 0 {
-		c.world.t.Errorf("item %s names no version", got.ID)
+	if got.State == gypsum.ItemCompleted && len(got.Versions) == 0 {
+		c.world.t.Errorf("item %s names no version", got.Item)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
-	"github.com/gypsumhook/gypsum/mimic"
+	"github.com/gypsumhook/gypsum/platform/mimic"
 )
 
 var (
@@ -193,8 +193,8 @@
 		return
 	}
 	for i, known := range seen.results {
-		if got := again.results[i]; got.ID != known.ID || got.Text != known.Text {
-			w.t.Errorf("batch %s: position %d is %s at %s, and was %s", seen.id, i, got.ID, host.name, known.ID)
+		if got := again.results[i]; got.Item != known.Item || got.Text != known.Text {
+			w.t.Errorf("batch %s: position %d is %s at %s, and was %s", seen.id, i, got.Item, host.name, known.Item)
 		}
 	}
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -21,8 +21,8 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
-	"github.com/gypsumhook/gypsum/mimic"
 	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/platform/mimic"
 )
 
 // binary is the daemon's program, built once.
