--- a/cmd/gypsumhook/edge.go
+++ b/cmd/gypsumhook/edge.go
@@ -68,6 +68,7 @@
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
+	// A file that cannot be read now counts as changed at the next look, which says so.
 	known, _ := os.ReadFile(path)
 	for {
 		why := "changed"
--- a/host/host.go
+++ b/host/host.go
@@ -178,7 +178,7 @@
 	h.runner.Host, h.runner.Boot, h.runner.Batches, h.runner.Engines = h.Settings.Host, h.boot, h.batches, backends
 	h.runner.State, h.runner.Logger = h.state, h.Logger
 	h.runner.Lease, h.runner.Status = h.Settings.Lease, h.Settings.Status
-	h.runner.Near, h.runner.Share = true, h.Settings.CPUShare
+	h.runner.Share = h.Settings.CPUShare
 	h.runner.StoreAway = func() bool { return h.storeAway() > 0 }
 	h.front = &front.Front{
 		State: h.state, Relay: h.relay, Batches: h.batches, StoreAway: h.storeAway,
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -105,11 +105,7 @@
 		return delay
 	}
 	rank := gypsum.Rendezvous(string(service)+"/"+fmt.Sprint(holder.Fence), string(r.Host))
-	delay += tickInterval + time.Duration(rank%uint64(claimSpread))
-	if !r.Near {
-		delay += farDelay
-	}
-	return delay
+	return delay + tickInterval + time.Duration(rank%uint64(claimSpread))
 }
 
 // claim makes sure that the holder is still silent, and claims.
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -124,7 +124,7 @@
 	}
 	made.runner = runner.New()
 	made.runner.Host, made.runner.Boot, made.runner.Batches, made.runner.Engines = gypsum.HostID(name), boot, made.batches, d.engines
-	made.runner.State, made.runner.Near, made.runner.Share, made.runner.Lease = made.state, true, share, lease
+	made.runner.State, made.runner.Share, made.runner.Lease = made.state, share, lease
 	made.runner.StoreAway = func() bool { _, down := made.follow.Answered(); return down }
 	made.runner.Logger = logger
 	made.run(ctx, made.runner.Run)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -26,8 +26,6 @@
 	// claimSpread is the time over which hosts that saw the same silence claim, so
 	// that most see another's claim before they write their own.
 	claimSpread = 300 * time.Millisecond
-	// farDelay lets hosts of the store's region claim first: their appends are quicker.
-	farDelay = 200 * time.Millisecond
 	// ordersLimit is how old a holder's own heartbeat may be before it stops to
 	// give orders: another host may have taken over.
 	ordersLimit = silenceLimit - beatInterval
@@ -56,8 +54,6 @@
 	State   *state.Keeper
 	// StoreAway tells whether the store does not answer.
 	StoreAway func() bool
-	// Near tells whether the host stands in the store's region.
-	Near bool
 	// Share is the part of a core that the host has.
 	Share float64
 	Lease time.Duration
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/check"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
@@ -30,18 +31,13 @@
 
 func TestMain(m *testing.M) {
 	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "gypsumhook")
+		built, cleanup, err := check.BuildDaemon()
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		binary = filepath.Join(dir, "gypsumhook")
-		build := exec.Command("go", "build", "-o", binary, "../cmd/gypsumhook")
-		build.Stderr = os.Stderr
-		if err := build.Run(); err != nil {
-			return 1
-		}
+		defer cleanup()
+		binary = built
 		return m.Run()
 	}())
 }
--- a/state/state.go
+++ b/state/state.go
@@ -34,14 +34,14 @@
 
 	mu       sync.Mutex
 	snapshot atomic.Pointer[Snapshot]
-	lapsed   map[gypsum.BackendID]time.Time
+	lapsed   map[gypsum.BackendID]bool
 	back     time.Time
 	away     bool
 }
 
 // NewKeeper returns a keeper that knows nothing yet.
 func NewKeeper(logger *slog.Logger) *Keeper {
-	keeper := &Keeper{Logger: logger, Changed: func() {}, lapsed: make(map[gypsum.BackendID]time.Time)}
+	keeper := &Keeper{Logger: logger, Changed: func() {}, lapsed: make(map[gypsum.BackendID]bool)}
 	keeper.snapshot.Store(&Snapshot{})
 	return keeper
 }
@@ -108,9 +108,7 @@
 	k.mu.Lock()
 	wait := k.away || time.Since(k.back) < lapseGrace
 	if wait {
-		if _, known := k.lapsed[id]; !known {
-			k.lapsed[id] = time.Now()
-		}
+		k.lapsed[id] = true
 	}
 	k.mu.Unlock()
 	if wait {
