--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -25,7 +25,7 @@
 )
 
 // logOutput is where the hosts of a test log to.
-var logOutput io.Writer = io.Discard
+var logOutput = io.Discard
 
 // deployment is a store, engines and hosts in one process.
 type deployment struct {
