A daemon handed an answer in progress goes on behind its known tokens

Cause: a call that is resumed carries the tokens known so far. Test: TestResumedElsewhere, red before (no backend server took the call).

--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -431,6 +431,41 @@
 	})
 }
 
+// TestResumedElsewhere checks that a daemon that is handed an answer whose first
+// tokens are known, as the next data centre is when engines break off or yield,
+// goes on behind them, also when its own first engine breaks off.
+func TestResumedElsewhere(t *testing.T) {
+	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+		const known = 8
+		generation := &gypsum.Generation{ID: "resumed", Prompt: "crew", MaxTokens: 256, Seed: 3, ResumeTokens: known}
+		for index := range known {
+			generation.ResumeText += fake.Token(generation.Prompt, generation.Seed, 1, index)
+		}
+		crash := time.AfterFunc(200*time.Millisecond, func() {
+			for _, engine := range f.Engines {
+				if engine.Tokens() > 0 {
+					engine.Crash()
+				}
+			}
+		})
+		defer crash.Stop()
+		text, next := generation.ResumeText, known
+		is.NoErr(f.Node(first).Run(t.Context(), &gypsum.Call{
+			ID: "resumed", Service: check.ModelService, Class: gypsum.ClassTrainer, Stage: gypsum.StagePlace,
+			Budget: callTimeout, Recovery: gypsum.RecoveryResume, Generation: generation,
+		}, func(event *gypsum.Event) error {
+			if event.Chunk != nil {
+				is.Equal(event.Chunk.Index, next)
+				next += event.Chunk.Tokens
+				text += event.Chunk.Text
+			}
+			return nil
+		}))
+		is.Equal(next, fake.Length(generation.Prompt, generation.Seed, generation.MaxTokens))
+		is.Equal(text, fake.Text(generation.Prompt, generation.Seed, []gypsum.Segment{{Version: 1, Tokens: next}}))
+	})
+}
+
 // TestUnversioned checks that no sample is delivered whose engine reported no version.
 func TestUnversioned(t *testing.T) {
 	inFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
--- a/join.go
+++ b/join.go
@@ -14,6 +14,13 @@
 	finish   string
 }
 
+// Resume begins with the tokens of a generation that are known already. Their
+// segments are not.
+func (j *Joiner) Resume(generation *Generation) {
+	j.text.WriteString(generation.ResumeText)
+	j.tokens = generation.ResumeTokens
+}
+
 // Add takes the next chunk. It returns false for a chunk that was already
 // there, and ErrBroken for one behind a gap or an answer's end.
 func (j *Joiner) Add(chunk *Chunk) (fresh bool, err error) {
--- a/node/router.go
+++ b/node/router.go
@@ -112,6 +112,9 @@
 	}
 	n.crashes.merge(call.Crashes, time.Now())
 	trip := &journey{node: n, call: *call, deadline: time.Now().Add(call.Budget), sink: sink, spec: spec}
+	if call.Generation != nil {
+		trip.joiner.Resume(call.Generation)
+	}
 	n.retries.Earn()
 	for {
 		refusal := trip.attempt(ctx)
