Gossip: signs of life as digests, both ways; one summary of a data centre

Now a beat travels as a digest with its age, in requests as in answers; other news only to those who lack it; of a data centre one summary is kept; one member is asked in an interval while nothing but beats changes.

--- a/gypsum.go
+++ b/gypsum.go
@@ -53,8 +53,8 @@
 
 // Location is a place: a data centre and the region it belongs to.
 type Location struct {
-	DataCentre DataCentre `json:"data_centre"`
-	Region     Region     `json:"region"`
+	DataCentre DataCentre `json:"data_centre" cbor:"1,keyasint"`
+	Region     Region     `json:"region" cbor:"2,keyasint"`
 }
 
 // Distance is how far two places are from each other.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -78,10 +78,56 @@
 	now := begin.Add(goneAfter + 100*time.Millisecond)
 	a.Expire(now)
 	b.Expire(now)
-	a.Merge(b.News(a.Digests(), now), now)
+	digests := a.Digests(now)
+	news, alive := b.News(digests, now)
+	a.Merge(news, now)
+	a.Heard(alive, now)
 	is.True(state(a, "dead", now) != gypsum.StateAlive)
 }
 
+// TestSignsOfLife checks that a digest keeps a member alive whose other news is
+// known, as of its age, and stands for nothing else.
+func TestSignsOfLife(t *testing.T) {
+	is := is.New(t)
+	a, b := newTable("a"), newTable("b")
+	c := gypsum.Member{ID: "c", Location: here, Incarnation: 1, Beat: 4, NewsBeat: 3, Revision: 7}
+	a.Merge([]gypsum.Member{c}, begin)
+	b.Merge([]gypsum.Member{c}, begin)
+	c.Beat = 9
+	b.Merge([]gypsum.Member{c}, begin.Add(time.Second))
+	now := begin.Add(suspectAfter)
+	news, alive := b.News(a.Digests(now), now)
+	is.Equal(len(news), 1) // b itself, unknown to a
+	is.Equal(alive, []gypsum.MemberDigest{{ID: "c", Incarnation: 1, Beat: 9, NewsBeat: 3, Age: suspectAfter - time.Second}})
+	is.Equal(len(a.Heard(alive, now)), 1)
+	is.Equal(state(a, "c", begin.Add(time.Second+suspectAfter)), gypsum.StateAlive)
+	is.Equal(state(a, "c", begin.Add(time.Second+suspectAfter+1)), gypsum.StateSuspect) // by the age of the news
+	is.Equal(len(a.Heard(alive, now)), 0)                                               // the same beat is no news
+	c.Beat, c.NewsBeat, c.Leaving = 10, 10, true
+	b.Merge([]gypsum.Member{c}, now)
+	is.Equal(len(a.Heard(b.Digests(now), now)), 0) // that it leaves cannot be told by a digest
+	news, alive = b.News(a.Digests(now), now)
+	is.Equal(len(news), 2)
+	is.Equal(len(alive), 0)
+	a.Merge(news, now)
+	is.Equal(state(a, "c", now), gypsum.StateLeaving)
+}
+
+// TestOtherMaker checks that a second delegate's summary takes the place of the
+// first's only once that has stopped making them.
+func TestOtherMaker(t *testing.T) {
+	is := is.New(t)
+	a := member.NewSummaries("genova")
+	a.SuspectAfter, a.GoneAfter, a.Renewal = 2*suspectAfter, goneAfter, time.Second
+	first := gypsum.Summary{Location: there, Maker: "c", Incarnation: 1, Beat: 3, Members: []gypsum.MemberBrief{{ID: "c"}}}
+	second := gypsum.Summary{Location: there, Maker: "d", Incarnation: 1, Beat: 8, Members: []gypsum.MemberBrief{{ID: "d"}}}
+	a.Merge([]gypsum.Summary{first}, begin)
+	a.Merge([]gypsum.Summary{second}, begin.Add(time.Second))
+	is.Equal(a.Others(begin.Add(time.Second))[0].Maker, gypsum.HostID("c"))
+	a.Merge([]gypsum.Summary{second}, begin.Add(time.Second+time.Millisecond))
+	is.Equal(a.Others(begin.Add(time.Second + time.Millisecond))[0].Maker, gypsum.HostID("d"))
+}
+
 // TestNoResurrectionOfSummaries checks the same for data centres.
 func TestNoResurrectionOfSummaries(t *testing.T) {
 	is := is.New(t)
@@ -96,7 +142,7 @@
 	now := begin.Add(goneAfter + 100*time.Millisecond)
 	a.Expire(now)
 	b.Expire(now)
-	a.Merge(b.News(a.Digests(), now), now)
+	a.Merge(b.News(a.Digests("", now), "", now), now)
 	is.Equal(len(a.Others(now)), 0)
 }
 
@@ -111,11 +157,11 @@
 	members := []gypsum.MemberBrief{{ID: "c", Address: "c"}}
 	summary := gypsum.Summary{Location: there, Maker: "c", Incarnation: 1, Beat: 1, Members: members, Roster: member.RosterOf(members)}
 	b.Merge([]gypsum.Summary{summary}, begin)
-	a.Merge(b.News(a.Digests(), begin), begin)
+	a.Merge(b.News(a.Digests("", begin), "", begin), begin)
 	is.Equal(a.Others(begin)[0].Members, members)
 	summary.Beat = 2
 	b.Merge([]gypsum.Summary{summary}, begin)
-	news := b.News(a.Digests(), begin)
+	news := b.News(a.Digests("", begin), "", begin)
 	is.Equal(len(news[0].Members), 0)
 	a.Merge(news, begin)
 	is.Equal(a.Others(begin)[0].Members, members)
--- a/member/summary.go
+++ b/member/summary.go
@@ -19,12 +19,16 @@
 	// GoneAfter is the silence after which a summary is forgotten.
 	GoneAfter time.Duration
 
-	entries map[gypsum.HostID]*summaryEntry
+	// Renewal is the time between two summaries of one maker. One of another maker
+	// replaces a summary that is older than that.
+	Renewal time.Duration
+
+	entries map[gypsum.DataCentre]*summaryEntry
 	// Failed is when calls to members elsewhere failed last.
 	failed map[gypsum.HostID]time.Time
 }
 
-// summaryEntry is the newest summary of one maker.
+// summaryEntry is the newest summary of a data centre.
 type summaryEntry struct {
 	summary gypsum.Summary
 	heard   time.Time
@@ -32,7 +36,7 @@
 
 // NewSummaries returns a store without summaries.
 func NewSummaries(own gypsum.DataCentre) *Summaries {
-	return &Summaries{Own: own, entries: make(map[gypsum.HostID]*summaryEntry), failed: make(map[gypsum.HostID]time.Time)}
+	return &Summaries{Own: own, entries: make(map[gypsum.DataCentre]*summaryEntry), failed: make(map[gypsum.HostID]time.Time)}
 }
 
 // Merge takes over newer summaries.
@@ -41,11 +45,12 @@
 		if summary.Age > s.GoneAfter {
 			continue
 		}
-		known, ok := s.entries[summary.Maker]
+		centre := summary.Location.DataCentre
+		known, ok := s.entries[centre]
 		if !ok {
 			known = &summaryEntry{}
-			s.entries[summary.Maker] = known
-		} else if !newerSummary(summary.Incarnation, summary.Beat, &known.summary) {
+			s.entries[centre] = known
+		} else if !s.replaces(&summary, digestOfSummary(known, now)) {
 			continue
 		}
 		if summary.Members == nil && summary.Roster == known.summary.Roster {
@@ -55,12 +60,23 @@
 	}
 }
 
-// newerSummary tells whether a summary with an incarnation and beat replaces one.
-func newerSummary(incarnation gypsum.Incarnation, beat int64, known *gypsum.Summary) bool {
-	if incarnation != known.Incarnation {
-		return incarnation > known.Incarnation
+// replaces tells whether a summary replaces one of the same data centre.
+func (s *Summaries) replaces(summary *gypsum.Summary, known gypsum.SummaryDigest) bool {
+	switch {
+	case summary.Maker != known.Maker:
+		return summary.Age+s.Renewal < known.Age
+	case summary.Incarnation != known.Incarnation:
+		return summary.Incarnation > known.Incarnation
+	}
+	return summary.Beat > known.Beat
+}
+
+// digestOfSummary returns the digest of a known summary.
+func digestOfSummary(known *summaryEntry, now time.Time) gypsum.SummaryDigest {
+	return gypsum.SummaryDigest{
+		DataCentre: known.summary.Location.DataCentre, Maker: known.summary.Maker, Incarnation: known.summary.Incarnation,
+		Beat: known.summary.Beat, Roster: known.summary.Roster, Age: now.Sub(known.heard).Truncate(time.Millisecond),
 	}
-	return beat > known.Beat
 }
 
 // Failed notes that a call to a member of another data centre failed. It gets
@@ -69,9 +85,9 @@
 
 // Expire forgets summaries that have not advanced for too long, and old failures.
 func (s *Summaries) Expire(now time.Time) {
-	for maker, known := range s.entries {
+	for centre, known := range s.entries {
 		if now.Sub(known.heard) > s.GoneAfter {
-			delete(s.entries, maker)
+			delete(s.entries, centre)
 		}
 	}
 	for id, at := range s.failed {
@@ -81,33 +97,32 @@
 	}
 }
 
-// Digests returns what the store has.
-func (s *Summaries) Digests() []gypsum.SummaryDigest {
+// Digests returns what the store has of the data centres but one.
+func (s *Summaries) Digests(but gypsum.DataCentre, now time.Time) []gypsum.SummaryDigest {
 	digests := make([]gypsum.SummaryDigest, 0, len(s.entries))
-	for maker, known := range s.entries {
-		digests = append(digests, gypsum.SummaryDigest{
-			Maker: maker, Incarnation: known.summary.Incarnation, Beat: known.summary.Beat, Roster: known.summary.Roster,
-		})
+	for centre, known := range s.entries {
+		if centre != but {
+			digests = append(digests, digestOfSummary(known, now))
+		}
 	}
 	return digests
 }
 
-// News returns the summaries that are newer than the digests, without the
-// members that the asker has.
-func (s *Summaries) News(digests []gypsum.SummaryDigest, now time.Time) []gypsum.Summary {
-	has := make(map[gypsum.HostID]gypsum.SummaryDigest, len(digests))
+// News returns the summaries of all data centres but one that are newer than the
+// digests, without the members that the asker has.
+func (s *Summaries) News(digests []gypsum.SummaryDigest, but gypsum.DataCentre, now time.Time) []gypsum.Summary {
+	has := make(map[gypsum.DataCentre]gypsum.SummaryDigest, len(digests))
 	for _, digest := range digests {
-		has[digest.Maker] = digest
+		has[digest.DataCentre] = digest
 	}
 	var news []gypsum.Summary
-	for maker, known := range s.entries {
-		digest, ok := has[maker]
-		old := gypsum.Summary{Incarnation: digest.Incarnation, Beat: digest.Beat}
-		if ok && !newerSummary(known.summary.Incarnation, known.summary.Beat, &old) {
+	for centre, known := range s.entries {
+		summary := known.summary
+		summary.Age = now.Sub(known.heard).Truncate(time.Millisecond)
+		digest, ok := has[centre]
+		if centre == but || (ok && !s.replaces(&summary, digest)) {
 			continue
 		}
-		summary := known.summary
-		summary.Age = now.Sub(known.heard)
 		if ok && digest.Roster == summary.Roster {
 			summary.Members = nil
 		}
@@ -116,21 +131,14 @@
 	return news
 }
 
-// Others returns the freshest summary of each other data centre, by name,
-// without data centres that are silent and members that failed.
+// Others returns the summary of each other data centre, by name, without data
+// centres that are silent and members that failed.
 func (s *Summaries) Others(now time.Time) []gypsum.Summary {
-	freshest := make(map[gypsum.DataCentre]*summaryEntry)
-	for _, known := range s.entries {
-		centre := known.summary.Location.DataCentre
+	others := make([]gypsum.Summary, 0, len(s.entries))
+	for centre, known := range s.entries {
 		if centre == s.Own || now.Sub(known.heard) > s.SuspectAfter {
 			continue
 		}
-		if best, ok := freshest[centre]; !ok || known.heard.After(best.heard) {
-			freshest[centre] = known
-		}
-	}
-	others := make([]gypsum.Summary, 0, len(freshest))
-	for _, known := range freshest {
 		summary := known.summary
 		summary.Members = slices.DeleteFunc(slices.Clone(summary.Members), func(member gypsum.MemberBrief) bool {
 			_, failed := s.failed[member.ID]
--- a/member/table.go
+++ b/member/table.go
@@ -67,31 +67,6 @@
 	}
 }
 
-// Beat takes over a member's own word on itself, without its loads, and so saves
-// to ask it for its beat.
-func (t *Table) Beat(member gypsum.Member, now time.Time) {
-	if member.ID == t.Self.ID || member.Location.DataCentre != t.Self.Location.DataCentre {
-		return
-	}
-	known, ok := t.entries[member.ID]
-	if ok && !newer(member.Incarnation, member.Beat, &known.member) {
-		return
-	}
-	if ok && member.Incarnation == known.member.Incarnation {
-		member.Backends, member.LoadBeat = known.member.Backends, known.member.LoadBeat
-	} else {
-		member.Backends, member.LoadBeat = nil, noLoads
-	}
-	if !ok {
-		known = &entry{}
-		t.entries[member.ID] = known
-	}
-	known.take(member, now)
-}
-
-// noLoads is the LoadBeat of a member whose loads are not known.
-const noLoads = -1
-
 // take takes over newer news of a member.
 func (e *entry) take(member gypsum.Member, heard time.Time) {
 	e.member, e.heard, e.seen = member, heard, true
@@ -100,11 +75,6 @@
 	}
 }
 
-// newerLoads tells whether news of the same beat brings newer loads.
-func newerLoads(member, known *gypsum.Member) bool {
-	return member.Incarnation == known.Incarnation && member.Beat == known.Beat && member.LoadBeat > known.LoadBeat
-}
-
 // newer tells whether news with an incarnation and beat replaces a member's.
 func newer(incarnation gypsum.Incarnation, beat int64, known *gypsum.Member) bool {
 	if incarnation != known.Incarnation {
@@ -120,7 +90,7 @@
 			continue
 		}
 		known, ok := t.entries[member.ID]
-		if ok && !newer(member.Incarnation, member.Beat, &known.member) && !newerLoads(&member, &known.member) {
+		if ok && !newer(member.Incarnation, member.Beat, &known.member) {
 			continue
 		}
 		if member.Age > t.GoneAfter {
@@ -131,15 +101,35 @@
 			known = &entry{}
 			t.entries[member.ID] = known
 		}
-		if ok && member.LoadBeat == known.member.LoadBeat && member.Incarnation == known.member.Incarnation {
-			member.Backends = known.member.Backends
-		}
 		known.take(member, now.Add(-member.Age))
 		taken = append(taken, member)
 	}
 	return taken
 }
 
+// Heard takes over signs of life of members whose other news is known, and returns
+// their news. What a digest says of others needs the news itself.
+func (t *Table) Heard(digests []gypsum.MemberDigest, now time.Time) (taken []gypsum.Member) {
+	for i := range digests {
+		digest := &digests[i]
+		known, ok := t.entries[digest.ID]
+		if !ok || !known.seen || !sameNews(digest, &known.member) || digest.Beat <= known.member.Beat || digest.Age > t.GoneAfter {
+			continue
+		}
+		member := known.member
+		member.Beat = digest.Beat
+		known.take(member, now.Add(-digest.Age))
+		taken = append(taken, member)
+	}
+	return taken
+}
+
+// sameNews tells whether a digest stands for the news that is known of a member,
+// whatever its beat.
+func sameNews(digest *gypsum.MemberDigest, known *gypsum.Member) bool {
+	return digest.Incarnation == known.Incarnation && digest.NewsBeat == known.NewsBeat
+}
+
 // Failed notes that a call to a member failed. It gets no new work until news
 // from it has advanced again.
 func (t *Table) Failed(id gypsum.HostID) {
@@ -191,36 +181,41 @@
 	return list
 }
 
-// digestOf returns the digest of a member's news.
-func digestOf(member *gypsum.Member) gypsum.MemberDigest {
-	return gypsum.MemberDigest{ID: member.ID, Incarnation: member.Incarnation, Beat: member.Beat, LoadBeat: member.LoadBeat}
+// digestOf returns the digest of a member's news of some age.
+func digestOf(member *gypsum.Member, age time.Duration) gypsum.MemberDigest {
+	return gypsum.MemberDigest{
+		ID: member.ID, Incarnation: member.Incarnation, Beat: member.Beat, NewsBeat: member.NewsBeat,
+		Age: age.Truncate(time.Millisecond),
+	}
 }
 
-// Digests returns what the table has, for a peer to compare with.
-func (t *Table) Digests() []gypsum.MemberDigest {
-	digests := []gypsum.MemberDigest{digestOf(&t.Self)}
+// Digests returns what the table has, for a peer to compare with, its own
+// daemon's first.
+func (t *Table) Digests(now time.Time) []gypsum.MemberDigest {
+	digests := []gypsum.MemberDigest{digestOf(&t.Self, 0)}
 	for _, known := range t.entries {
 		if known.seen {
-			digests = append(digests, digestOf(&known.member))
+			digests = append(digests, digestOf(&known.member, now.Sub(known.heard)))
 		}
 	}
 	return digests
 }
 
-// News returns the members of which the table has newer news than the digests,
-// each with the age of its news, so that old news never looks fresh elsewhere.
-func (t *Table) News(digests []gypsum.MemberDigest, now time.Time) []gypsum.Member {
-	has := make(map[gypsum.HostID]gypsum.Member, len(digests))
-	for _, digest := range digests {
-		has[digest.ID] = gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat, LoadBeat: digest.LoadBeat}
+// News returns what the table has and the digests lack: members with newer news,
+// and signs of life of the others, each with its age, so that old news never looks
+// fresh elsewhere.
+func (t *Table) News(digests []gypsum.MemberDigest, now time.Time) (news []gypsum.Member, alive []gypsum.MemberDigest) {
+	has := make(map[gypsum.HostID]*gypsum.MemberDigest, len(digests))
+	for i := range digests {
+		has[digests[i].ID] = &digests[i]
 	}
-	var news []gypsum.Member
 	add := func(member gypsum.Member) {
-		known, ok := has[member.ID]
-		if !ok || newer(member.Incarnation, member.Beat, &known) || newerLoads(&member, &known) {
-			if ok && member.LoadBeat == known.LoadBeat && member.Incarnation == known.Incarnation {
-				member.Backends = nil
-			}
+		digest, ok := has[member.ID]
+		switch {
+		case ok && !newer(member.Incarnation, member.Beat, &gypsum.Member{Incarnation: digest.Incarnation, Beat: digest.Beat}):
+		case ok && sameNews(digest, &member):
+			alive = append(alive, digestOf(&member, member.Age))
+		default:
 			news = append(news, member)
 		}
 	}
@@ -232,5 +227,5 @@
 			add(member)
 		}
 	}
-	return news
+	return news, alive
 }
--- a/node/control.go
+++ b/node/control.go
@@ -34,7 +34,10 @@
 	lastTick   time.Time
 	lastBeat   time.Time
 	lastGossip time.Time
+	// LastNews is when more than a beat last changed in the data centre.
+	lastNews time.Time
 	lastFar    time.Time
+	told       map[gypsum.HostID]telling
 	// Asked counts the members of the own data centre that were asked for news.
 	asked    int
 	lastList time.Time
@@ -61,8 +64,12 @@
 
 // merge takes over news of members. What was sent to a backend server before its
 // news is a part of it.
-func (c *control) merge(members []gypsum.Member, now time.Time) {
-	for _, member := range c.table.Merge(members, now) {
+func (c *control) merge(members []gypsum.Member, alive []gypsum.MemberDigest, now time.Time) {
+	taken := c.table.Merge(members, now)
+	if len(taken) > 0 {
+		c.lastNews = now
+	}
+	for _, member := range append(taken, c.table.Heard(alive, now)...) {
 		for i := range member.Backends {
 			c.node.tracked.get(member.Backends[i].ID).Reported()
 		}
@@ -73,9 +80,10 @@
 func newControl(n *Node) *control {
 	summaries := member.NewSummaries(n.Self.Location.DataCentre)
 	summaries.GoneAfter, summaries.SuspectAfter = n.Tuning.GoneAfter, centreSilence*n.Tuning.SuspectAfter
+	summaries.Renewal = summaryRounds * n.Tuning.GossipInterval
 	return &control{
 		node: n, table: n.newTable(), summaries: summaries,
-		backends: make(map[gypsum.BackendID]gypsum.Host), sent: make(map[string]sentCount),
+		backends: make(map[gypsum.BackendID]gypsum.Host), sent: make(map[string]sentCount), told: make(map[gypsum.HostID]telling),
 	}
 }
 
@@ -122,7 +130,7 @@
 		c.spreadFar(ctx)
 	}
 	// Peers are asked one after another, so that none repeats another's news.
-	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval/time.Duration(max(1, c.node.Tuning.GossipFanout)) {
+	if now.Sub(c.lastGossip) >= c.node.Tuning.GossipInterval/time.Duration(c.fanout(now)) {
 		c.lastGossip = now
 		c.spreadNear(ctx)
 	}
@@ -139,13 +147,22 @@
 	c.table.Self.Incarnation = max(c.table.Self.Incarnation+1, gypsum.Incarnation(now.UnixMilli()))
 }
 
-// beat renews the daemon's own entry.
-func (c *control) beat(time.Time) {
+// leave makes the daemon's own entry say that it leaves.
+func (c *control) leave() {
+	c.table.Self.Leaving = true
 	c.table.Self.Beat++
-	c.table.Self.LogDown = c.node.LogDown()
-	c.table.Self.Revision = c.node.book.Revision()
-	if news := c.node.owned.news(); !slices.Equal(news, c.table.Self.Backends) {
-		c.table.Self.Backends, c.table.Self.LoadBeat = news, c.table.Self.Beat
+	c.table.Self.NewsBeat = c.table.Self.Beat
+}
+
+// beat renews the daemon's own entry.
+func (c *control) beat(now time.Time) {
+	self := &c.table.Self
+	self.Beat++
+	known := *self
+	self.LogDown, self.Revision, self.Backends = c.node.LogDown(), c.node.book.Revision(), c.node.owned.news()
+	if self.LogDown != known.LogDown || self.Revision != known.Revision || !slices.Equal(self.Backends, known.Backends) {
+		self.NewsBeat = self.Beat
+		c.lastNews = now
 	}
 	c.makeSummary()
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -85,11 +85,21 @@
 // askAll asks members for news.
 func (c *control) askAll(ctx context.Context, targets []gypsum.Member) {
 	for _, target := range targets {
-		gossip := c.gossipFor(&target)
-		c.node.tasks.start(func() { c.node.ask(ctx, target, gossip) })
+		gossip, tells := c.gossipFor(&target), c.tellingTo(&target)
+		c.node.tasks.start(func() { c.node.ask(ctx, target, gossip, tells) })
 	}
 }
 
+// fanout returns how many members of the data centre are asked in an interval:
+// one if there is nothing to tell but signs of life, which go both ways.
+func (c *control) fanout(now time.Time) int {
+	others := len(c.node.View().Members) - 1
+	if now.Sub(c.lastNews) > c.node.Tuning.GossipInterval {
+		return 1
+	}
+	return max(1, min(c.node.Tuning.GossipFanout, others))
+}
+
 // near returns a member of the own data centre, at random.
 func (c *control) near(view *View) []gypsum.Member {
 	var targets []gypsum.Member
@@ -134,42 +144,59 @@
 	return members
 }
 
+// telling is the newest own news that a member has, as this daemon knows.
+type telling struct {
+	to, own  gypsum.Incarnation
+	newsBeat int64
+}
+
+// tellingTo returns the present news as told to a member.
+func (c *control) tellingTo(target *gypsum.Member) telling {
+	return telling{to: target.Incarnation, own: c.table.Self.Incarnation, newsBeat: c.table.Self.NewsBeat}
+}
+
 // gossipFor returns the request for news to a member.
 func (c *control) gossipFor(target *gypsum.Member) *gypsum.Gossip {
-	gossip := &gypsum.Gossip{
-		From: c.table.Self, Revision: c.node.book.Revision(), Crashes: c.node.crashes.list(time.Now()),
+	now := time.Now()
+	gossip := &gypsum.Gossip{Revision: c.node.book.Revision(), Crashes: c.node.crashes.list(now)}
+	if centre := c.table.Self.Location.DataCentre; target.Location.DataCentre != centre {
+		gossip.Foreign = centre
+		gossip.Summaries = c.summaries.Digests(centre, now)
+		return gossip
 	}
-	if target.Location.DataCentre == c.table.Self.Location.DataCentre {
-		gossip.Digests = c.table.Digests()
-		c.asked++
-		gossip.MembersOnly = c.asked%summaryRounds != 0
+	if c.told[target.ID] != c.tellingTo(target) {
+		self := c.table.Self
+		gossip.Self = &self
 	}
+	gossip.Digests = c.table.Digests(now)
+	c.asked++
+	gossip.MembersOnly = c.asked%summaryRounds != 0
 	if !gossip.MembersOnly {
-		gossip.Summaries = c.summaries.Digests()
+		gossip.Summaries = c.summaries.Digests("", now)
 	}
-	// The other side asks for these itself if it lacks them.
-	gossip.From.Backends = nil
 	return gossip
 }
 
-// ask exchanges news with a member.
-func (n *Node) ask(ctx context.Context, target gypsum.Member, gossip *gypsum.Gossip) {
+// ask exchanges news with a member. The control goroutine makes the gossip and
+// says what it tells.
+func (n *Node) ask(ctx context.Context, target gypsum.Member, gossip *gypsum.Gossip, tells telling) {
 	ctx, cancel := context.WithTimeout(ctx, n.Tuning.SuspectAfter)
 	defer cancel()
 	count(&n.gossip.out, gossip)
 	begin := time.Now()
 	answer, err := n.Peers.Gossip(ctx, target, gossip)
-	if err == nil {
-		n.trips.learn(target.Location.DataCentre, time.Since(begin))
-		count(&n.gossip.in, answer)
-	}
 	if err != nil {
 		return
 	}
+	n.trips.learn(target.Location.DataCentre, time.Since(begin))
+	count(&n.gossip.in, answer)
 	n.takeConfig(answer.Config)
 	n.crashes.merge(answer.Crashes, time.Now())
 	n.post(func(c *control) {
-		c.merge(answer.Members, time.Now())
+		if gossip.Self != nil {
+			c.told[target.ID] = tells
+		}
+		c.merge(answer.Members, answer.Alive, time.Now())
 		c.summaries.Merge(answer.Summaries, time.Now())
 	})
 }
@@ -195,14 +222,17 @@
 	n.crashes.merge(gossip.Crashes, time.Now())
 	answers := make(chan *gypsum.GossipAnswer, 1)
 	n.post(func(c *control) {
-		near := gossip.From.Location.DataCentre == c.table.Self.Location.DataCentre
+		now := time.Now()
 		answer := &gypsum.GossipAnswer{Revision: n.book.Revision()}
 		if !gossip.MembersOnly {
-			answer.Summaries = c.summaries.News(gossip.Summaries, time.Now())
+			answer.Summaries = c.summaries.News(gossip.Summaries, gossip.Foreign, now)
+		}
+		if gossip.Self != nil {
+			c.merge([]gypsum.Member{*gossip.Self}, nil, now)
 		}
-		c.table.Beat(gossip.From, time.Now())
-		if near || gossip.All {
-			answer.Members = c.table.News(gossip.Digests, time.Now())
+		c.merge(nil, gossip.Digests, now)
+		if gossip.All || len(gossip.Digests) > 0 {
+			answer.Members, answer.Alive = c.table.News(gossip.Digests, now)
 		}
 		answers <- answer
 	})
@@ -242,7 +272,7 @@
 		for _, brief := range view.Others[i].Members {
 			peer := gypsum.Member{ID: brief.ID, Address: brief.Address, Location: view.Others[i].Location}
 			callCtx, cancel := context.WithTimeout(ctx, n.Tuning.SuspectAfter)
-			answer, err := n.Peers.Gossip(callCtx, peer, &gypsum.Gossip{From: view.Self, Revision: view.Config.Revision, All: true})
+			answer, err := n.Peers.Gossip(callCtx, peer, &gypsum.Gossip{Revision: view.Config.Revision, All: true})
 			cancel()
 			if err != nil {
 				continue
--- a/node/node.go
+++ b/node/node.go
@@ -208,7 +208,7 @@
 
 // Leave makes the daemon give up its part: peers place nothing new with it.
 func (n *Node) Leave() {
-	n.post(func(c *control) { c.table.Self.Leaving = true })
+	n.post(func(c *control) { c.leave() })
 }
 
 // post runs an update on the control goroutine. It is dropped after the end.
--- a/peers.go
+++ b/peers.go
@@ -30,9 +30,9 @@
 	Age time.Duration `json:"age,omitempty" cbor:"8,keyasint,omitempty"`
 	// LogDown means that the member does not reach the platform's log.
 	LogDown bool `json:"log_down,omitempty" cbor:"9,keyasint,omitempty"`
-	// LoadBeat is the beat at which Backends last changed. News leaves them out if
-	// the asker has them.
-	LoadBeat int64 `json:"load_beat" cbor:"10,keyasint"`
+	// NewsBeat is the beat at which anything but Beat and Age last changed. To an
+	// asker that has it, a digest says all.
+	NewsBeat int64 `json:"news_beat" cbor:"10,keyasint"`
 	// Backends are the backend servers the member owns the queue of.
 	Backends []BackendNews `json:"backends,omitempty" cbor:"11,keyasint,omitempty"`
 }
@@ -85,20 +85,25 @@
 	LogDown bool   `json:"log_down,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
-// SummaryDigest is the newest summary that the sender of a gossip has.
+// SummaryDigest is the summary that the sender of a gossip has of a data centre.
 type SummaryDigest struct {
-	Maker       HostID      `json:"maker" cbor:"1,keyasint"`
-	Incarnation Incarnation `json:"incarnation" cbor:"2,keyasint"`
-	Beat        int64       `json:"beat" cbor:"3,keyasint"`
-	Roster      uint64      `json:"roster" cbor:"4,keyasint"`
+	DataCentre  DataCentre    `json:"data_centre" cbor:"1,keyasint"`
+	Maker       HostID        `json:"maker" cbor:"2,keyasint"`
+	Incarnation Incarnation   `json:"incarnation" cbor:"3,keyasint"`
+	Beat        int64         `json:"beat" cbor:"4,keyasint"`
+	Roster      uint64        `json:"roster" cbor:"5,keyasint"`
+	Age         time.Duration `json:"age,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
-// MemberDigest is the newest news that the sender of a gossip has of a member.
+// MemberDigest is the newest news that the sender of a message has of a member. To
+// whoever has news of the same NewsBeat it is a sign of life of that member.
 type MemberDigest struct {
 	ID          HostID      `json:"id" cbor:"1,keyasint"`
 	Incarnation Incarnation `json:"incarnation" cbor:"2,keyasint"`
 	Beat        int64       `json:"beat" cbor:"3,keyasint"`
-	LoadBeat    int64       `json:"load_beat" cbor:"4,keyasint"`
+	NewsBeat    int64       `json:"news_beat" cbor:"4,keyasint"`
+	// Age is the time since the beat advanced, as the sender saw it.
+	Age time.Duration `json:"age,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Crash is a count of backend servers that died while running a request, as
@@ -113,7 +118,10 @@
 
 // Gossip is a request for news: it says what the sender has.
 type Gossip struct {
-	From      Member          `json:"from" cbor:"1,keyasint"`
+	// Self is the sender's news if the asked may lack it. Only members of the same
+	// data centre tell it.
+	Self *Member `json:"self,omitempty" cbor:"1,keyasint,omitempty"`
+	// Digests name the members of the data centre that both are in, if they are.
 	Digests   []MemberDigest  `json:"digests,omitempty" cbor:"2,keyasint,omitempty"`
 	Summaries []SummaryDigest `json:"summaries,omitempty" cbor:"3,keyasint,omitempty"`
 	Revision  Revision        `json:"revision" cbor:"4,keyasint"`
@@ -122,11 +130,15 @@
 	All bool `json:"all,omitempty" cbor:"6,keyasint,omitempty"`
 	// MembersOnly asks for no summaries.
 	MembersOnly bool `json:"members_only,omitempty" cbor:"7,keyasint,omitempty"`
+	// Foreign is the sender's data centre, if it is not that of the asked.
+	Foreign DataCentre `json:"foreign,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // GossipAnswer is the news that the sender of a gossip lacked.
 type GossipAnswer struct {
-	Members   []Member  `json:"members,omitempty" cbor:"1,keyasint,omitempty"`
+	Members []Member `json:"members,omitempty" cbor:"1,keyasint,omitempty"`
+	// Alive are members of which the sender has all news but the beat.
+	Alive     []MemberDigest `json:"alive,omitempty" cbor:"6,keyasint,omitempty"`
 	Summaries []Summary `json:"summaries,omitempty" cbor:"2,keyasint,omitempty"`
 	Revision  Revision  `json:"revision" cbor:"3,keyasint"`
 	Crashes   []Crash   `json:"crashes,omitempty" cbor:"4,keyasint,omitempty"`
