--- a/node/control.go
+++ b/node/control.go
@@ -36,8 +36,8 @@
 	lastGossip time.Time
 	// LastNews is when more than a beat last changed in the data centre.
 	lastNews time.Time
-	lastFar    time.Time
-	told       map[gypsum.HostID]telling
+	lastFar  time.Time
+	told     map[gypsum.HostID]telling
 	// Asked counts the members of the own data centre that were asked for news.
 	asked    int
 	lastList time.Time
--- a/peers.go
+++ b/peers.go
@@ -139,9 +139,9 @@
 	Members []Member `json:"members,omitempty" cbor:"1,keyasint,omitempty"`
 	// Alive are members of which the sender has all news but the beat.
 	Alive     []MemberDigest `json:"alive,omitempty" cbor:"6,keyasint,omitempty"`
-	Summaries []Summary `json:"summaries,omitempty" cbor:"2,keyasint,omitempty"`
-	Revision  Revision  `json:"revision" cbor:"3,keyasint"`
-	Crashes   []Crash   `json:"crashes,omitempty" cbor:"4,keyasint,omitempty"`
+	Summaries []Summary      `json:"summaries,omitempty" cbor:"2,keyasint,omitempty"`
+	Revision  Revision       `json:"revision" cbor:"3,keyasint"`
+	Crashes   []Crash        `json:"crashes,omitempty" cbor:"4,keyasint,omitempty"`
 	// Config is the newer configuration, if the answerer has one.
 	Config []byte `json:"config,omitempty" cbor:"5,keyasint,omitempty"`
 }
--- a/route/centre.go
+++ b/route/centre.go
@@ -10,10 +10,10 @@
 )
 
 // Loads from which calls are better placed elsewhere. Another region's news is
-// older, and a call refused there has lost a round trip.
+// older, and a live call refused there has lost a round trip.
 const (
-	fullLoad      = 1.0
-	crossFullLoad = 0.35
+	fullLoad          = 1.0
+	crossFullLiveLoad = 0.35
 )
 
 // Centre is a data centre that serves a service.
@@ -102,7 +102,10 @@
 // centreRank returns the rank of a centre and the rule that gives it.
 func centreRank(centre *Centre, class gypsum.Class, region gypsum.Region) (int, string) {
 	near := centre.Location.Region == region
-	full := centre.Load(class) >= fullLoad || (!near && centre.Load(class) >= crossFullLoad)
+	full := centre.Load(class) >= fullLoad
+	if class == gypsum.ClassLive && !near {
+		full = centre.Load(class) >= crossFullLiveLoad
+	}
 	switch {
 	case centre.Own && !full:
 		return rankOwn, "own_data_centre"
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -110,23 +110,28 @@
 		name           string
 		own, near, far int // live calls on 10 slots, below 0 for no backend server
 		cross          bool
+		trainer        bool
 		want           string
 	}{
-		{"own has room", 5, 0, 0, true, "own"},
-		{"own is full", 10, 5, 0, true, "near"},
-		{"region is full", 10, 10, 3, true, "far"},
-		{"far is half full", 10, 10, 5, true, "own"},
-		{"all full", 12, 10, 10, true, "own"},
-		{"no budget to cross", 10, 10, 0, false, "own"},
-		{"only far has any", -1, -1, 20, true, "far"},
-		{"only far has any, no budget", -1, -1, 0, false, ""},
+		{"own has room", 5, 0, 0, true, false, "own"},
+		{"own is full", 10, 5, 0, true, false, "near"},
+		{"region is full", 10, 10, 3, true, false, "far"},
+		{"far is half full", 10, 10, 5, true, false, "own"},
+		{"all full", 12, 10, 10, true, false, "own"},
+		{"no budget to cross", 10, 10, 0, false, false, "own"},
+		{"only far has any", -1, -1, 20, true, false, "far"},
+		{"only far has any, no budget", -1, -1, 0, false, false, ""},
+		// A sample takes seconds: a round trip more does not matter, an idle engine does.
+		{"far is half full, for a trainer", 10, 10, 5, true, true, "far"},
+		{"all full, for a trainer", 10, 10, 10, true, true, "own"},
+		{"no budget to cross, for a trainer", 10, 10, 0, false, true, "own"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			var centres []route.Centre
 			add := func(name, region string, own bool, live int) {
-				centre := route.Centre{Location: place(name, region), Own: own, Slots: 10, Live: live}
+				centre := route.Centre{Location: place(name, region), Own: own, Slots: 10, Live: live, Busy: live}
 				if live < 0 {
 					centre.Slots = 0
 				}
@@ -135,7 +140,11 @@
 			add("own", "here", true, row.own)
 			add("near", "here", false, row.near)
 			add("far", "there", false, row.far)
-			chosen, _ := route.ChooseCentre(centres, gypsum.ClassLive, "here", row.cross)
+			class := gypsum.ClassLive
+			if row.trainer {
+				class = gypsum.ClassTrainer
+			}
+			chosen, _ := route.ChooseCentre(centres, class, "here", row.cross)
 			if row.want == "" {
 				is.True(chosen == nil)
 				return
