Live requests: replicas weighed by what they fail; silent streams resumed

Now the part that a replica is expected to fail counts in the choice with what a failure costs the request, and fades with time; another replica is asked after six mean answers, half of the aim at the least; streams that may be resumed are after a second without an event; errors in place of a stream are tried elsewhere.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -101,11 +101,13 @@
 			MaxAttempts: 2, Services: desk, Retention: time.Minute, ResultDue: 5 * time.Second,
 		}
 	}
+	resumable := route("/i/resumed/stream/", gypsum.RouteStreaming)
+	resumable.Resumable = true
 	s.state.TakeConfig(&gypsum.SiteConfig{
 		Revision: 1, Limits: gypsum.ClientLimits{MaxBody: 64 << 10}, Services: map[gypsum.ServiceName]gypsum.ServiceRule{"desk": {Name: "desk"}},
 		Routes: []gypsum.Route{
 			route("/i/", gypsum.RouteIdempotent), route("/n/", gypsum.RouteNonIdempotent), route("/i/stream/", gypsum.RouteStreaming),
-			route("/t/", gypsum.RouteRollout),
+			route("/t/", gypsum.RouteRollout), resumable,
 		},
 	})
 }
@@ -270,6 +272,42 @@
 	is.True(strings.Contains(body, "EOF"))
 }
 
+// A replica that gives nothing, or nothing more, is left for another in time, where
+// the stream may be resumed; errors in place of a stream are tried elsewhere.
+func TestSilentStream(t *testing.T) {
+	for _, fault := range []mimic.Fault{mimic.FaultSilent, mimic.FaultStall, mimic.FaultError} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 2)
+			s.configure()
+			s.preferFirst()
+			s.replicas[0].SetFault(fault)
+			status, _, body := s.call("POST", "/i/resumed/stream/a", "q1", "x")
+			is.Equal(status, http.StatusOK)
+			for event := 1; event <= 10; event++ {
+				is.Equal(strings.Count(body, fmt.Sprintf("id: %d\n", event)), 1)
+			}
+			is.True(strings.HasSuffix(body, "id: 10\ndata: q1:10\n\n"))
+		})
+	}
+}
+
+// A replica that answers with errors at once, faster than the others answer, gets few
+// requests.
+func TestQuickErrors(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	s.configure()
+	s.preferFirst()
+	s.replicas[0].SetFault(mimic.FaultError)
+	before := len(s.replicas[0].Ran())
+	for i := range 10 {
+		status, _, _ := s.call("POST", "/i/a", fmt.Sprint("q", i), "x")
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(len(s.replicas[0].Ran())-before <= 2)
+}
+
 func TestBatchCalls(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -25,21 +25,24 @@
 	// answers, zero if none was seen.
 	Open    int
 	Latency time.Duration
-	// Ejected means that it failed lately and may fail again.
-	Ejected bool
+	// Failing is the part of requests that it is expected to fail.
+	Failing float64
+	// Full means that it said just now that it takes no more.
+	Full bool
 	// Tried means that it was handed this request before.
 	Tried bool
 }
 
-// Choose returns the replica that is expected to answer first, nil if there is
-// none. Load: replicas of one service differ in speed, some are several times
-// slower for a while, and each host sees a small share of the requests, so that the
-// counts of others are unknown. The answer time seen here stands for them. A ejected
-// replica is taken only if all are; one that was tried only if all were.
-func Choose(targets []Target, home gypsum.Location) *Target {
+// Choose returns the replica from which the answer is expected first, nil if there is
+// none; a failed attempt costs the request some time. Load: replicas of one service
+// differ in speed, some are several times slower for a while, and each host sees a
+// small share of the requests, so that the counts of others are unknown. The answer
+// time seen here stands for them. A replica that is full is taken only if all are;
+// one that was tried only if all were.
+func Choose(targets []Target, home gypsum.Location, failure time.Duration) *Target {
 	var best *Target
 	for i := range targets {
-		if best == nil || before(&targets[i], best, home) {
+		if best == nil || before(&targets[i], best, home, failure) {
 			best = &targets[i]
 		}
 	}
@@ -47,14 +50,32 @@
 }
 
 // before tells whether a target goes before another.
-func before(a, b *Target, home gypsum.Location) bool {
+func before(a, b *Target, home gypsum.Location, failure time.Duration) bool {
 	if a.Tried != b.Tried {
 		return !a.Tried
 	}
-	if a.Ejected != b.Ejected {
-		return !a.Ejected
+	if a.Full != b.Full {
+		return !a.Full
 	}
-	return a.expected(home) < b.expected(home)
+	return a.cost(home, failure) < b.cost(home, failure)
+}
+
+// cost returns the expected time to an answer, with that of failures.
+func (t *Target) cost(home gypsum.Location, failure time.Duration) time.Duration {
+	return t.expected(home) + time.Duration(t.Failing*float64(failure))
+}
+
+// failureTimes is how many times its aim a request is late after a failed attempt that
+// another may follow: a second attempt and the patience before it.
+const failureTimes = 4
+
+// FailureCost returns what a failed attempt costs a request: time if another may
+// follow, else all that the client has.
+func FailureCost(repeatable bool, target, left time.Duration) time.Duration {
+	if !repeatable {
+		return left
+	}
+	return min(left, failureTimes*max(target, shortestPatience))
 }
 
 // expected returns the expected time to an answer.
@@ -74,13 +95,17 @@
 
 // Bounds of the time that one attempt gets while others may follow.
 const (
+	// shortestPatience is used for requests whose aim allows it: a few answers.
 	shortestPatience = 300 * time.Millisecond
-	patienceTimes    = 8
+	// patienceTimes is how many times the mean an answer may take: beyond the longest
+	// hundredth of answers in the sheets (five times the mean work).
+	patienceTimes = 6
 )
 
-// Patience returns how long a replica may take before another is asked. Load: a
-// replica falls silent without a reset, and the request's aim is a few hundred
-// milliseconds. The last attempt gets all the time that is left.
+// Patience returns how long a replica may take to answer, or to begin a stream, before
+// another is asked. Load: a replica falls silent without a reset, and the request's
+// aim is a few hundred milliseconds; half of the aim leaves time for another replica's
+// answer. The last attempt gets all the time that is left.
 func Patience(latency, target, left time.Duration, last bool) time.Duration {
 	if last {
 		return left
@@ -88,7 +113,7 @@
 	if latency == 0 {
 		latency = firstLatency
 	}
-	return min(left, max(shortestPatience, target, patienceTimes*latency))
+	return min(left, max(min(shortestPatience, target/2), patienceTimes*latency))
 }
 
 // Bounds of the time after which a refused client is told to come back.
--- a/relay/choose_test.go
+++ b/relay/choose_test.go
@@ -21,7 +21,9 @@
 func TestChoose(t *testing.T) {
 	is := is.New(t)
 	near, next, far := target("near", "genova", "liguria"), target("next", "la-spezia", "liguria"), target("far", "chioggia", "adriatico")
-	choose := func(targets ...relay.Target) gypsum.BackendID { return relay.Choose(targets, home).Replica.ID }
+	choose := func(targets ...relay.Target) gypsum.BackendID {
+		return relay.Choose(targets, home, time.Second).Replica.ID
+	}
 	is.Equal(choose(far, next, near), gypsum.BackendID("near"))
 	slow := near
 	slow.Latency = 200 * time.Millisecond
@@ -29,16 +31,19 @@
 	full := near
 	full.Open, full.Latency = 6, 30*time.Millisecond
 	is.Equal(choose(far, next, full), gypsum.BackendID("next")) // its next free slot is a wave away
-	ejected := near
-	ejected.Ejected = true
-	is.Equal(choose(ejected, far), gypsum.BackendID("far"))
-	is.Equal(choose(ejected), gypsum.BackendID("near"))
+	failing := near
+	failing.Failing = 0.3
+	is.Equal(choose(failing, far), gypsum.BackendID("far")) // a failure costs more than the way
+	is.Equal(choose(failing), gypsum.BackendID("near"))
+	refused := near
+	refused.Full = true
+	is.Equal(choose(refused, far), gypsum.BackendID("far"))
 	tried := near
 	tried.Tried = true
-	alsoEjected := far
-	alsoEjected.Ejected = true
-	is.Equal(choose(tried, alsoEjected), gypsum.BackendID("far")) // one that failed lately before the same again
-	is.True(relay.Choose(nil, home) == nil)
+	alsoFailing := far
+	alsoFailing.Failing = 0.9
+	is.Equal(choose(tried, alsoFailing), gypsum.BackendID("far")) // one that fails before the same again
+	is.True(relay.Choose(nil, home, 0) == nil)
 }
 
 // Load pattern: one of three replicas turns four times slower for a while. Requests
@@ -66,7 +71,7 @@
 	}
 	inTurn := play(func(i int, targets []relay.Target) int { return i % len(targets) })
 	chosen := play(func(_ int, targets []relay.Target) int {
-		best := relay.Choose(targets, home)
+		best := relay.Choose(targets, home, 0)
 		for i := range targets {
 			if targets[i].Replica == best.Replica {
 				return i
@@ -78,12 +83,15 @@
 	is.True(chosen < inTurn*6/10)
 }
 
+// Another replica is asked early enough for its answer to be within the aim.
 func TestPatience(t *testing.T) {
 	is := is.New(t)
 	is.Equal(relay.Patience(30*time.Millisecond, 250*time.Millisecond, 4*time.Second, true), 4*time.Second)
-	is.Equal(relay.Patience(30*time.Millisecond, 250*time.Millisecond, 4*time.Second, false), 300*time.Millisecond)
-	is.Equal(relay.Patience(200*time.Millisecond, 250*time.Millisecond, 4*time.Second, false), 1600*time.Millisecond)
-	is.Equal(relay.Patience(0, time.Second, 500*time.Millisecond, false), 500*time.Millisecond)
+	is.Equal(relay.Patience(10*time.Millisecond, 250*time.Millisecond, 4*time.Second, false), 125*time.Millisecond)
+	is.Equal(relay.Patience(30*time.Millisecond, 250*time.Millisecond, 4*time.Second, false), 180*time.Millisecond)
+	is.Equal(relay.Patience(200*time.Millisecond, 250*time.Millisecond, 4*time.Second, false), 1200*time.Millisecond)
+	is.Equal(relay.Patience(10*time.Millisecond, 5*time.Second, 9*time.Second, false), 300*time.Millisecond)
+	is.Equal(relay.Patience(0, time.Second, 200*time.Millisecond, false), 200*time.Millisecond)
 }
 
 // The time to come back grows with the time that the cause has lasted, within bounds.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,7 +115,8 @@
 	case request.ran && !request.Route.Repeatable():
 		return nil, r.fail(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
 	}
-	target := Choose(r.targets(request, now), r.Home)
+	failure := FailureCost(request.Route.Repeatable(), request.Route.Target, left)
+	target := Choose(r.targets(request, now), r.Home, failure)
 	if target == nil {
 		return nil, r.refuse(request, gypsum.ReasonNoBackend, longestReturn, "the service has no replica now")
 	}
@@ -166,24 +167,32 @@
 	}
 }
 
+// final tells whether no attempt may follow the next one.
+func (r *Relay) final(request *Request) bool {
+	return !request.Route.Repeatable() || request.handed+1 >= request.Route.MaxAttempts || len(r.State.Now().Services[request.Service]) < 2
+}
+
+// patience returns how long a replica may take to answer or to begin a stream.
+func (r *Relay) patience(request *Request, target *Target, now time.Time) time.Duration {
+	return Patience(target.Latency, request.Route.Target, request.Deadline.Sub(now), r.final(request))
+}
+
 // attempt makes one attempt at a replica.
 func (r *Relay) attempt(ctx context.Context, request *Request, target *Target) (*gypsum.LiveAnswer, error) {
 	replica, begun := target.Replica, time.Now()
-	left := request.Deadline.Sub(begun)
-	last := !request.Route.Repeatable() || request.handed+1 >= request.Route.MaxAttempts || len(r.State.Now().Services[request.Service]) < 2
-	patience := Patience(target.Latency, request.Route.Target, left, last)
+	patience := r.patience(request, target, begun)
 	attemptCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	r.begin(replica.ID)
-	answer, err := r.Replicas.Exchange(attemptCtx, replica, &request.LiveRequest, left)
+	seen := r.begin(replica)
+	answer, err := r.Replicas.Exchange(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(begun))
 	took := time.Since(begun)
-	r.end(replica.ID, took, err, ctx.Err() != nil)
+	r.end(seen, took, outcomeOf(ctx, answer, err))
 	status := 0
 	if answer != nil {
 		status = answer.Status
 	}
 	r.Logger.Info("attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "attempt", request.handed+1,
-		"open", target.Open, "latency_ms", target.Latency.Milliseconds(), "patience_ms", patience.Milliseconds(),
+		"open", target.Open, "latency_ms", target.Latency.Milliseconds(), "failing", target.Failing, "patience_ms", patience.Milliseconds(),
 		"took_ms", took.Milliseconds(), "status", status, "error", err)
 	r.note(request, replica, err)
 	return answer, err
--- a/relay/seen.go
+++ b/relay/seen.go
@@ -2,31 +2,24 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/state"
 )
 
-// tracked is what this host has seen of a replica.
+// tracked is what this host has seen of a replica since its start.
 type tracked struct {
+	born     gypsum.Incarnation
 	open     int
-	latency  time.Duration
-	failures int
-	ejected  time.Time
+	standing Standing
 }
 
-// Bounds of what is remembered of replicas and requests.
-const (
-	// latencyWeight is the weight of the newest answer time.
-	latencyWeight = 0.25
-	// firstEjection and longestEjection bound the time for which a replica that failed is
-	// taken only if all are.
-	firstEjection   = 200 * time.Millisecond
-	longestEjection = 3 * time.Second
-	// crashLimit is how many replicas a request may crash, from the users' pages.
-	crashLimit = 3
-)
+// crashLimit is how many replicas a request may crash, from the users' pages.
+const crashLimit = 3
 
 // targets returns the replicas of a request's service that may get it.
 func (r *Relay) targets(request *Request, now time.Time) []Target {
@@ -39,8 +32,9 @@
 			continue
 		}
 		target := Target{Replica: replica, Tried: request.tried[replica.ID]}
-		if seen := r.known[replica.ID]; seen != nil {
-			target.Open, target.Latency, target.Ejected = seen.open, seen.latency, now.Before(seen.ejected)
+		if seen := r.known[replica.ID]; seen != nil && seen.born == replica.Born {
+			target.Open, target.Latency = seen.open, seen.standing.Latency()
+			target.Failing, target.Full = seen.standing.Failing(now), seen.standing.IsFull(now)
 		}
 		targets = append(targets, target)
 	}
@@ -48,38 +42,60 @@
 }
 
 // begin counts a request at a replica.
-func (r *Relay) begin(id gypsum.BackendID) {
+func (r *Relay) begin(replica *gypsum.Replica) *tracked {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	seen := r.known[id]
-	if seen == nil {
-		seen = &tracked{}
-		r.known[id] = seen
+	seen := r.known[replica.ID]
+	if seen == nil || seen.born != replica.Born {
+		seen = &tracked{born: replica.Born}
+		r.known[replica.ID] = seen
 	}
 	seen.open++
+	return seen
 }
 
 // end counts the end of a request at a replica. Nothing is learned from one whose
 // client has left.
-func (r *Relay) end(id gypsum.BackendID, latency time.Duration, err error, left bool) {
+func (r *Relay) end(seen *tracked, took time.Duration, outcome outcome) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	seen := r.known[id]
 	seen.open--
-	if left {
-		return
+	switch outcome {
+	case outcomeAnswered:
+		seen.standing.Answered(took, now)
+	case outcomeFull:
+		seen.standing.Full(now)
+	case outcomeFailed:
+		seen.standing.Failed(now)
 	}
-	if err != nil {
-		seen.ejected = time.Now().Add(min(longestEjection, firstEjection<<min(seen.failures, 6)))
-		seen.failures++
-		return
-	}
-	seen.failures = 0
-	if seen.latency == 0 {
-		seen.latency = latency
-		return
+}
+
+// outcome is what an attempt says of its replica.
+type outcome int
+
+// The outcomes of attempts.
+const (
+	outcomeUnknown outcome = iota
+	outcomeAnswered
+	outcomeFull
+	outcomeFailed
+)
+
+// outcomeOf returns what an attempt says of its replica. A replica that is short of
+// time says so with 504, which is not its fault.
+func outcomeOf(ctx context.Context, answer *gypsum.LiveAnswer, err error) outcome {
+	switch {
+	case ctx.Err() != nil:
+		return outcomeUnknown
+	case errors.Is(err, gypsum.ErrNotExecuted):
+		return outcomeFull
+	case err != nil:
+		return outcomeFailed
+	case answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout:
+		return outcomeFailed
 	}
-	seen.latency += time.Duration(latencyWeight * float64(latency-seen.latency))
+	return outcomeAnswered
 }
 
 // Open returns the number of requests that are at replicas now.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,53 +53,88 @@
 	}
 }
 
+// streamSilence is how long a stream that may be resumed may pause before it is: half
+// of the shortest pause after which clients give a stream up, from the users' pages.
+const streamSilence = time.Second
+
+// errSilent is the cause of the end of a stream whose replica gave nothing in its time.
+var errSilent = errors.New("replica is silent")
+
+// errServerError is an error that a replica gave in place of a stream.
+var errServerError = errors.New("replica answered with an error")
+
 // streamOnce passes on the events of one replica.
 func (r *Relay) streamOnce(ctx context.Context, request *Request, target *Target, sink Sink, begun *bool, last *int64) error {
 	replica, started := target.Replica, time.Now()
-	streamCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	deadlineCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	r.begin(replica.ID)
-	err := r.passEvents(streamCtx, request, replica, sink, begun, last)
-	r.end(replica.ID, time.Since(started), err, ctx.Err() != nil)
+	streamCtx, silence := context.WithCancelCause(deadlineCtx)
+	defer silence(nil)
+	patience := r.patience(request, target, started)
+	watch := time.AfterFunc(patience, func() { silence(errSilent) })
+	defer watch.Stop()
+	final := r.final(request)
+	var first time.Duration
+	seen := r.begin(replica)
+	answer, err := r.passEvents(streamCtx, request, replica, sink, begun, last, func() {
+		if first == 0 {
+			first = time.Since(started)
+		}
+		if !final {
+			watch.Reset(streamSilence)
+		} else {
+			watch.Stop()
+		}
+	})
+	if cause := context.Cause(streamCtx); err != nil && errors.Is(cause, errSilent) {
+		err = cause
+	}
+	r.end(seen, first, outcomeOf(ctx, answer, err))
 	r.note(request, replica, err)
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
-		"attempt", request.handed, "last_event", *last, "took_ms", time.Since(started).Milliseconds(), "error", err)
+		"attempt", request.handed, "open", target.Open, "latency_ms", target.Latency.Milliseconds(), "failing", target.Failing,
+		"patience_ms", patience.Milliseconds(), "last_event", *last, "first_ms", first.Milliseconds(),
+		"took_ms", time.Since(started).Milliseconds(), "error", err)
 	return err
 }
 
-// passEvents passes on the answer of a replica.
-func (r *Relay) passEvents(ctx context.Context, request *Request, replica *gypsum.Replica, sink Sink, begun *bool, last *int64) error {
+// passEvents passes on the answer of a replica and calls heard at each sign of life.
+func (r *Relay) passEvents(ctx context.Context, request *Request, replica *gypsum.Replica, sink Sink, begun *bool, last *int64, heard func()) (*gypsum.LiveAnswer, error) {
 	stream, err := r.Replicas.Stream(ctx, replica, &request.LiveRequest, time.Until(request.Deadline), *last)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = stream.Close() }()
 	answer := stream.Answer()
 	if *begun && (answer.Status != http.StatusOK || !stream.Events()) {
-		return ErrBrokenOff
+		return answer, ErrBrokenOff
+	}
+	if !*begun && answer.Status >= http.StatusInternalServerError && request.Route.Repeatable() && !r.final(request) {
+		return answer, errServerError
 	}
 	if !*begun {
 		*begun = true
 		if err := sink.Begin(answer); err != nil {
-			return err
+			return answer, err
 		}
 		if !stream.Events() {
-			return nil
+			return answer, nil
 		}
 	}
 	for {
 		number, raw, err := stream.Next()
 		if err == io.EOF {
-			return nil
+			return answer, nil
 		}
 		if err != nil {
-			return err
+			return answer, err
 		}
+		heard()
 		if number > 0 && number != *last+1 {
-			return ErrBrokenOff
+			return answer, ErrBrokenOff
 		}
 		if err := sink.Event(raw); err != nil {
-			return err
+			return answer, err
 		}
 		*last = max(*last, number)
 	}
