Registrations: an update is one change; what says the same is not decoded again

Afterwards each heartbeat was decoded though only its counter had changed. Now an update is taken as one change, which lists only the services it touches anew; a record that says what it said before gives the replica that was decoded then. Ruled out: bytes of the first look (300 kB at 3,003). Tests: TestManyReplicas, TestRegistrations.

--- a/host/follow.go
+++ b/host/follow.go
@@ -50,24 +50,31 @@
 	}
 }
 
-// takeReplicas takes registrations.
+// takeReplicas takes registrations, all of an update as one change: at the first look
+// there are as many as replicas.
 func (h *Host) takeReplicas(update store.Update) {
 	named := make(map[gypsum.BackendID]bool)
+	var taken []*gypsum.Replica
 	for i := range update.Records {
 		record := &update.Records[i]
-		if len(record.Value) == 0 {
-			h.state.DropReplica(gypsum.BackendID(record.Key))
-			continue
-		}
-		replica, err := platform.DecodeReplica(record, h.Settings.Regions)
-		if err != nil {
+		id := gypsum.BackendID(record.Key)
+		if len(record.Value) > 0 {
+			replica, err := h.registrations.Decode(record)
+			if err == nil {
+				named[replica.ID] = true
+				taken = append(taken, replica)
+				continue
+			}
 			h.Logger.Warn("registration passed over", "key", record.Key, "offset", record.Offset, "error", err)
-			h.state.DropReplica(gypsum.BackendID(record.Key))
-			continue
 		}
-		named[replica.ID] = true
-		h.state.TakeReplica(replica)
+		h.registrations.Forget(record.Key)
+		// What came before it in the update is in force until here.
+		h.state.TakeReplicas(taken)
+		taken = nil
+		delete(named, id)
+		h.state.DropReplica(id)
 	}
+	h.state.TakeReplicas(taken)
 	if update.Whole {
 		h.state.KeepOnly(named)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -57,17 +57,19 @@
 	// Dropped returns the number of log lines that were dropped.
 	Dropped func() int64
 
-	boot    gypsum.Incarnation
-	store   *detour.Store
-	state   *state.Keeper
-	book    *batch.Book
-	batches *batch.Manager
-	relay   *relay.Relay
-	runner  *runner.Runner
-	front   *front.Front
-	follows []*store.Follower
-	writers map[writerKey]*store.Writer
-	tasks   tasks
+	boot  gypsum.Incarnation
+	store *detour.Store
+	state *state.Keeper
+	// Registrations belongs to the goroutine that follows them.
+	registrations *platform.Registrations
+	book          *batch.Book
+	batches       *batch.Manager
+	relay         *relay.Relay
+	runner        *runner.Runner
+	front         *front.Front
+	follows       []*store.Follower
+	writers       map[writerKey]*store.Writer
+	tasks         tasks
 }
 
 // writerKey names the partition that a writer appends to.
@@ -149,6 +151,7 @@
 	backends, closeBackends := platform.NewBackends()
 	peers, closePeers := wire.NewStorePeers()
 	h.state = state.NewKeeper(h.Logger)
+	h.registrations = platform.NewRegistrations(h.Settings.Regions)
 	h.book = batch.NewBook(h.Logger)
 	topics := batch.Topics{
 		State: platform.KeyedTopic("state"), Bodies: platform.KeyedTopic("body"), Texts: platform.KeyedTopic("text"),
--- a/site.go
+++ b/site.go
@@ -1,6 +1,9 @@
 package gypsum
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // RouteKind says what may be repeated of a route's requests.
 type RouteKind string
@@ -97,3 +100,10 @@
 	Born   Incarnation
 	Models map[EngineModel]WeightVersion
 }
+
+// Equal tells whether two registrations say the same.
+func (r *Replica) Equal(other *Replica) bool {
+	return r == other || (r.ID == other.ID && r.Service == other.Service && r.Address == other.Address &&
+		r.Location == other.Location && r.State == other.State && r.Slots == other.Slots && r.Born == other.Born &&
+		maps.Equal(r.Models, other.Models))
+}
--- a/state/state.go
+++ b/state/state.go
@@ -3,9 +3,9 @@
 package state
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
-	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -84,53 +84,88 @@
 }
 
 // TakeReplica takes a registration, unless it is older than the one known.
-func (k *Keeper) TakeReplica(replica *gypsum.Replica) {
+func (k *Keeper) TakeReplica(replica *gypsum.Replica) { k.TakeReplicas([]*gypsum.Replica{replica}) }
+
+// TakeReplicas takes registrations in their order, as one change.
+func (k *Keeper) TakeReplicas(replicas []*gypsum.Replica) {
 	k.mu.Lock()
-	delete(k.lapsed, replica.ID)
+	for _, replica := range replicas {
+		delete(k.lapsed, replica.ID)
+	}
 	k.mu.Unlock()
-	present := k.Now().Replicas[replica.ID]
-	if present != nil && (present.Born > replica.Born || reflect.DeepEqual(present, replica)) {
+	changed := make(map[gypsum.BackendID]*gypsum.Replica)
+	known := k.Now().Replicas
+	for _, replica := range replicas {
+		present, ok := changed[replica.ID]
+		if !ok {
+			present = known[replica.ID]
+		}
+		if present == nil || (present.Born <= replica.Born && !present.Equal(replica)) {
+			changed[replica.ID] = replica
+		}
+	}
+	if len(changed) == 0 {
 		return
 	}
-	k.change(func(s *Snapshot) { s.setReplica(replica.ID, replica) })
-	if present == nil || present.State != replica.State || present.Born != replica.Born || present.Address != replica.Address {
-		k.Logger.Info("replica registered", "replica", replica.ID, "service", replica.Service, "address", replica.Address,
-			"state", replica.State, "born", replica.Born)
+	k.change(func(s *Snapshot) { s.setReplicas(changed) })
+	for id, replica := range changed {
+		present := known[id]
+		if present == nil || present.State != replica.State || present.Born != replica.Born || present.Address != replica.Address {
+			k.Logger.Info("replica registered", "replica", id, "service", replica.Service, "address", replica.Address,
+				"state", replica.State, "born", replica.Born)
+		}
 	}
 }
 
 // DropReplica takes the end of a registration. One that may have lapsed because the
 // store was away is kept for a while.
-func (k *Keeper) DropReplica(id gypsum.BackendID) {
-	if k.Now().Replicas[id] == nil {
-		return
-	}
+func (k *Keeper) DropReplica(id gypsum.BackendID) { k.dropReplicas([]gypsum.BackendID{id}) }
+
+// dropReplicas takes the ends of registrations.
+func (k *Keeper) dropReplicas(ids []gypsum.BackendID) {
+	known := k.Now().Replicas
+	ids = slices.DeleteFunc(ids, func(id gypsum.BackendID) bool { return known[id] == nil })
 	k.mu.Lock()
 	wait := k.away || time.Since(k.back) < lapseGrace
 	if wait {
-		k.lapsed[id] = true
+		for _, id := range ids {
+			k.lapsed[id] = true
+		}
 	}
 	k.mu.Unlock()
-	if wait {
-		k.Logger.Info("registration lapsed, kept for now", "replica", id)
+	if !wait {
+		k.remove(ids, "registration removed")
 		return
 	}
-	k.remove(id, "registration removed")
+	for _, id := range ids {
+		k.Logger.Info("registration lapsed, kept for now", "replica", id)
+	}
 }
 
-// remove forgets a replica.
-func (k *Keeper) remove(id gypsum.BackendID, why string) {
-	k.change(func(s *Snapshot) { s.setReplica(id, nil) })
-	k.Logger.Info("replica gone", "replica", id, "why", why)
+// remove forgets replicas.
+func (k *Keeper) remove(ids []gypsum.BackendID, why string) {
+	if len(ids) == 0 {
+		return
+	}
+	gone := make(map[gypsum.BackendID]*gypsum.Replica, len(ids))
+	for _, id := range ids {
+		gone[id] = nil
+	}
+	k.change(func(s *Snapshot) { s.setReplicas(gone) })
+	for _, id := range ids {
+		k.Logger.Info("replica gone", "replica", id, "why", why)
+	}
 }
 
 // KeepOnly drops the replicas that are not among the ids.
 func (k *Keeper) KeepOnly(ids map[gypsum.BackendID]bool) {
+	var others []gypsum.BackendID
 	for id := range k.Now().Replicas {
 		if !ids[id] {
-			k.DropReplica(id)
+			others = append(others, id)
 		}
 	}
+	k.dropReplicas(others)
 }
 
 // Tick follows the store's outages: away tells whether the store does not answer.
@@ -148,25 +183,46 @@
 		clear(k.lapsed)
 	}
 	k.mu.Unlock()
-	for _, id := range gone {
-		k.remove(id, "registration did not come back")
-	}
+	k.remove(gone, "registration did not come back")
 }
 
-// setReplica adds, replaces or, with nil, removes a replica in a snapshot that is
-// still being made.
-func (s *Snapshot) setReplica(id gypsum.BackendID, replica *gypsum.Replica) {
-	s.Replicas = maps.Clone(s.Replicas)
+// setReplicas adds, replaces or, where it is nil, removes replicas in a snapshot that
+// is still being made.
+func (s *Snapshot) setReplicas(changed map[gypsum.BackendID]*gypsum.Replica) {
+	before := s.Replicas
+	s.Replicas = maps.Clone(before)
 	if s.Replicas == nil {
-		s.Replicas = make(map[gypsum.BackendID]*gypsum.Replica)
+		s.Replicas = make(map[gypsum.BackendID]*gypsum.Replica, len(changed))
 	}
-	delete(s.Replicas, id)
-	if replica != nil {
-		s.Replicas[id] = replica
+	touched := make(map[gypsum.ServiceName]bool)
+	for id, replica := range changed {
+		if present := before[id]; present != nil {
+			touched[present.Service] = true
+		}
+		delete(s.Replicas, id)
+		if replica != nil {
+			s.Replicas[id] = replica
+			touched[replica.Service] = true
+		}
+	}
+	s.setServices(touched)
+}
+
+// setServices lists the replicas of services anew, by name.
+func (s *Snapshot) setServices(touched map[gypsum.ServiceName]bool) {
+	s.Services = maps.Clone(s.Services)
+	if s.Services == nil {
+		s.Services = make(map[gypsum.ServiceName][]*gypsum.Replica, len(touched))
+	}
+	for service := range touched {
+		delete(s.Services, service)
+	}
+	for _, replica := range s.Replicas {
+		if touched[replica.Service] {
+			s.Services[replica.Service] = append(s.Services[replica.Service], replica)
+		}
 	}
-	s.Services = make(map[gypsum.ServiceName][]*gypsum.Replica)
-	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
-		known := s.Replicas[id]
-		s.Services[known.Service] = append(s.Services[known.Service], known)
+	for service := range touched {
+		slices.SortFunc(s.Services[service], func(a, b *gypsum.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -1,6 +1,7 @@
 package state_test
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -71,3 +72,48 @@
 		is.Equal(len(keeper.Now().Replicas), 0)
 	})
 }
+
+// A large service's first look is one change: its cost grows with the replicas, not
+// with their square.
+func TestManyReplicas(t *testing.T) {
+	is := is.New(t)
+	keeper := state.NewKeeper(slog.New(slog.DiscardHandler))
+	changes := 0
+	keeper.Changed = func() { changes++ }
+	many := make([]*gypsum.Replica, 3000)
+	for i := range many {
+		many[i] = &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprintf("r-%04d", i)), Service: gypsum.ServiceName(fmt.Sprint("s-", i%2)), State: gypsum.ReplicaReady}
+	}
+	keeper.TakeReplicas(many)
+	is.Equal(changes, 1)
+	snapshot := keeper.Now()
+	is.Equal(len(snapshot.Replicas), 3000)
+	is.Equal(len(snapshot.Services["s-1"]), 1500)
+	is.Equal(snapshot.Services["s-1"][0].ID, gypsum.BackendID("r-0001"))
+	keeper.TakeReplicas(many) // nothing new
+	is.Equal(changes, 1)
+	moved := *many[0]
+	moved.Service = "s-1"
+	newer, older := moved, moved
+	newer.Born, older.Born = 2, 1
+	keeper.TakeReplicas([]*gypsum.Replica{&newer, &older})
+	is.Equal(changes, 2)
+	is.Equal(keeper.Now().Replicas["r-0000"].Born, gypsum.Incarnation(2)) // an older start changes nothing
+	is.Equal([]int{len(keeper.Now().Services["s-0"]), len(keeper.Now().Services["s-1"])}, []int{1499, 1501})
+	is.Equal(len(snapshot.Services["s-0"]), 1500) // a snapshot that was made stays as it is
+	keeper.Tick(false, time.Now())
+	keeper.KeepOnly(map[gypsum.BackendID]bool{"r-0000": true})
+	is.Equal(changes, 3)
+	is.Equal(len(keeper.Now().Services["s-1"]), 1)
+}
+
+// BenchmarkFirstLook measures the first look at a large service.
+func BenchmarkFirstLook(b *testing.B) {
+	many := make([]*gypsum.Replica, 3000)
+	for i := range many {
+		many[i] = &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprintf("r-%04d", i)), Service: "s", State: gypsum.ReplicaReady}
+	}
+	for b.Loop() {
+		state.NewKeeper(slog.New(slog.DiscardHandler)).TakeReplicas(many)
+	}
+}
