--- a/host/metrics.go
+++ b/host/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/pkg/errors"
@@ -47,6 +48,8 @@
 	Orders       int64            `json:"orders"`
 	Claims       int64            `json:"claims"`
 	Takeovers    int64            `json:"takeovers"`
+	Rounds       int64            `json:"decision_rounds"`
+	DecideMS     int64            `json:"decision_ms"`
 }
 
 // publishMetrics publishes the host's metrics.
@@ -68,6 +71,7 @@
 		Started: ran.Started.Load(), Resumed: ran.Resumed.Load(), Moved: ran.Moved.Load(), Finished: ran.Finished.Load(),
 		Errored: ran.Errored.Load(), Broken: ran.Broken.Load(), Rejected: ran.Rejected.Load(),
 		Orders: ran.Orders.Load(), Claims: ran.Claims.Load(), Takeovers: ran.Takeovers.Load(),
+		Rounds: ran.Rounds.Load(), DecideMS: time.Duration(ran.DecideTime.Load()).Milliseconds(),
 	}
 	if snapshot.Config != nil {
 		current.Revision = snapshot.Config.Revision
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -88,6 +88,9 @@
 	Orders    atomic.Int64
 	Claims    atomic.Int64
 	Takeovers atomic.Int64
+	// Rounds counts rounds of decisions, DecideTime is the time that they took, in ns.
+	Rounds     atomic.Int64
+	DecideTime atomic.Int64
 }
 
 // eventsQueued is the room for news of runs: all items of some steps.
@@ -153,6 +156,8 @@
 		}
 		r.decide(ctx, begun)
 		now := time.Now()
+		r.Stats.Rounds.Add(1)
+		r.Stats.DecideTime.Add(int64(now.Sub(begun)))
 		rested = now.Add(min(longestRest, restTimes*now.Sub(begun)))
 	}
 }
