Results: long texts are read in portions, and what is there in time is answered

Some texts had 35 kB; all that one answer holds was read from the store in one call of twice its size, which did not pass a connection with small windows in the 1.5 s that readers wait; texts over 32 kB were not kept, so each repeat began anew. Now texts are read in portions of 24 kB, eight at a time; the answer holds what is there after 0.8 s, the first results at least; what is read is kept, also long texts and when the reader has left; records that stand together are read by their exact size. Ruled out: the store's limits (reads took 1.5 s with 139 kB asked, alone). The stand-in of the store now keeps the size that a read asks for. Test: TestFarReader, red before (no result in 1.2 s).

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -32,13 +32,6 @@
 
 // Sizes of what a manager keeps and returns.
 const (
-	// maxAnswer bounds the texts of one answer, below the pages' 1 MB with room for
-	// the encoding.
-	maxAnswer = 700 << 10
-	// textsKept and textSizeKept bound the texts kept for readers: some seconds of
-	// a site's results.
-	textsKept    = 512
-	textSizeKept = 32 << 10
 	// bodiesKept is how many batches' items are kept until they begin to run.
 	bodiesKept = 16
 	// fetchSlack is read beyond a value's size, for the records' keys.
@@ -62,15 +55,15 @@
 	Logger *slog.Logger
 
 	serial atomic.Int64
-	texts  *lru.Cache[string, string]
+	texts  keptTexts
 	bodies *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
 }
 
 // Start prepares the manager for use.
 func (m *Manager) Start() error {
 	var err error
-	if m.texts, err = lru.New[string, string](textsKept); err != nil {
-		return fmt.Errorf("make cache of texts: %w", err)
+	if m.texts, err = newKeptTexts(); err != nil {
+		return err
 	}
 	if m.bodies, err = lru.New[gypsum.BatchID, []gypsum.BatchItem](bodiesKept); err != nil {
 		return fmt.Errorf("make cache of items: %w", err)
@@ -185,27 +178,6 @@
 	}
 }
 
-// readTexts returns results with their texts, as many as one answer holds.
-func (m *Manager) readTexts(ctx context.Context, id gypsum.BatchID, results []Result) ([]gypsum.BatchResult, error) {
-	size, count := 0, 0
-	for count < len(results) && (count == 0 || size+results[count].Text.Size <= maxAnswer) {
-		size += results[count].Text.Size
-		count++
-	}
-	texts, err := m.readStored(ctx, id, results[:count])
-	if err != nil {
-		return nil, err
-	}
-	read := make([]gypsum.BatchResult, 0, count)
-	for i := range results[:count] {
-		result := &results[i]
-		read = append(read, gypsum.BatchResult{
-			Item: result.Item, State: result.State, Text: texts[result.Text.Key], Versions: result.Versions,
-		})
-	}
-	return read, nil
-}
-
 // Finish stores the result of an item. The first one stored counts.
 func (m *Manager) Finish(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
 	stored, err := m.storeText(ctx, id, result.Item, result.Text, true)
--- /dev/null
+++ b/batch/texts_test.go
@@ -0,0 +1,77 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
+)
+
+// farStore is a store behind connections with small windows: a read of texts takes a
+// round trip for each window of them.
+type farStore struct {
+	gypsum.KeyedStore
+	roundTrip time.Duration
+	window    int
+}
+
+// Read is part of gypsum.KeyedStore.
+func (f *farStore) Read(ctx context.Context, read gypsum.KeyedRead) (*gypsum.KeyedPage, error) {
+	page, err := f.KeyedStore.Read(ctx, read)
+	if err != nil || read.Topic != topics.Texts {
+		return page, err
+	}
+	size := 0
+	for i := range page.Records {
+		size += len(page.Records[i].Value)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("read: %w", ctx.Err())
+	case <-time.After(f.roundTrip * time.Duration(1+size/f.window)):
+		return page, nil
+	}
+}
+
+// A host far from the store reads a batch's long texts in several answers, each in the
+// time that a reader waits.
+func TestFarReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const (
+			items = 24
+			size  = 35 << 10
+		)
+		backing := fake.NewKeyedStore()
+		writer := startManager(t, backing, "near")
+		is.NoErr(writer.Accept(t.Context(), newBatch("b", items, 10)))
+		for i := range items {
+			finish(t, writer, "b", i, strings.Repeat(fmt.Sprint(i%10), size))
+		}
+		reader := startManager(t, &farStore{KeyedStore: backing, roundTrip: 180 * time.Millisecond, window: 16 << 10}, "far")
+		calls := 0
+		for from := 0; from < items; calls++ {
+			ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+			begun := time.Now()
+			total, results, err := reader.Read(ctx, "b", from, 0)
+			cancel()
+			is.NoErr(err)
+			is.Equal(total, items)
+			is.True(len(results) > 0)
+			is.True(time.Since(begun) <= 1200*time.Millisecond)
+			for i := range results {
+				is.Equal(results[i].Text, strings.Repeat(fmt.Sprint((from+i)%10), size))
+			}
+			from += len(results)
+		}
+		t.Logf("%d results of %d bytes in %d reads", items, size, calls)
+		is.True(calls <= 6)
+	})
+}
--- a/batch/value.go
+++ b/batch/value.go
@@ -45,8 +45,8 @@
 	}
 	key := string(id) + "/" + string(item) + "/" + m.unique()
 	stored, err := m.storeValues(ctx, m.Topics.Texts, id, key, values, len(text))
-	if err == nil && keep && len(text) <= textSizeKept {
-		m.texts.Add(key, text)
+	if err == nil && keep {
+		m.texts.add(key, text)
 	}
 	return stored, err
 }
@@ -118,32 +118,6 @@
 // Forget drops the kept items of a batch.
 func (m *Manager) Forget(id gypsum.BatchID) { m.bodies.Remove(id) }
 
-// readStored returns the texts of results by their keys: those kept, and the others
-// from the store.
-func (m *Manager) readStored(ctx context.Context, id gypsum.BatchID, results []Result) (map[string]string, error) {
-	texts := make(map[string]string, len(results))
-	var missing []Stored
-	for i := range results {
-		stored := results[i].Text
-		if stored.Count == 0 {
-			continue
-		}
-		if text, ok := m.texts.Get(stored.Key); ok {
-			texts[stored.Key] = text
-		} else {
-			missing = append(missing, stored)
-		}
-	}
-	values, err := m.fetch(ctx, m.Topics.Texts, id, missing...)
-	if err != nil {
-		return nil, err
-	}
-	for key, value := range values {
-		texts[key] = string(value)
-	}
-	return texts, nil
-}
-
 // PartialTexts returns the texts of a batch's checkpoints by their keys.
 func (m *Manager) PartialTexts(ctx context.Context, id gypsum.BatchID, partials map[gypsum.ItemID]Partial) (map[string][]byte, error) {
 	stored := make([]Stored, 0, len(partials))
--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -201,7 +201,7 @@
 	for {
 		s.mu.Lock()
 		log, changed := s.log(read.Topic, read.Part), s.changed
-		page, err := log.page(read.From)
+		page, err := log.page(read.From, read.Max)
 		s.mu.Unlock()
 		if err != nil || len(page.Records) > 0 || read.Wait == 0 {
 			return page, err
@@ -216,14 +216,29 @@
 	}
 }
 
-// page returns the records from an offset on.
-func (l *keyedLog) page(from gypsum.Offset) (*gypsum.KeyedPage, error) {
+// recordOverhead is what a record takes in a page beside its key and value.
+const recordOverhead = 5
+
+// pageSize bounds a page if a read asks for no size.
+const pageSize = 1 << 20
+
+// page returns the records from an offset on, one at the least and then as many as a
+// size holds, each with its key and some bytes more.
+func (l *keyedLog) page(from gypsum.Offset, size gypsum.Bytes) (*gypsum.KeyedPage, error) {
 	if from < l.first {
 		return nil, gypsum.ErrTruncated
 	}
 	page := &gypsum.KeyedPage{Next: l.next, First: l.first}
 	if skip := int(from - l.first); skip < len(l.records) {
-		page.Records = slices.Clone(l.records[skip:])
+		if size == 0 {
+			size = pageSize
+		}
+		for _, record := range l.records[skip:] {
+			if size -= gypsum.Bytes(len(record.Key) + len(record.Value) + recordOverhead); size < 0 && len(page.Records) > 0 {
+				break
+			}
+			page.Records = append(page.Records, record)
+		}
 	}
 	return page, nil
 }
--- a/store/fetch.go
+++ b/store/fetch.go
@@ -96,12 +96,16 @@
 	}
 }
 
-// size returns how much to read for what is missing.
+// size returns how much to read for what is missing. Other records may stand between.
 func (f *fetching) size() gypsum.Bytes {
 	size := recordSlack
 	for _, want := range f.missing {
 		size += want.size
 	}
+	first, last := f.missing[0].offset, f.missing[len(f.missing)-1].offset
+	if last-first == gypsum.Offset(len(f.missing)-1) {
+		return gypsum.Bytes(min(longestFetch, size))
+	}
 	return gypsum.Bytes(min(longestFetch, 2*size))
 }
 
