--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -360,7 +360,8 @@
 }
 
 // An engine that fails all that it is given, at once, draws no item to its end: each
-// batch is whole, though the engine has free slots all the time.
+// batch is whole, though the engine has free slots all the time, and after the first
+// batch it is given few.
 func TestGreyEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -374,11 +375,11 @@
 			}
 			return nil
 		}
-		lengths := make([]int64, 60)
+		lengths := make([]int64, 24)
 		for i := range lengths {
 			lengths[i] = int64(10 + i%7)
 		}
-		for number := range 2 {
+		for number := range 4 {
 			made := newBatch(fmt.Sprint("grey", number), 1, lengths...)
 			d.submit(0, made)
 			results, _ := d.await(0, made, 10*time.Second)
@@ -387,7 +388,7 @@
 			}
 		}
 		t.Logf("failed runs: %d", failed)
-		is.True(failed <= len(lengths))
+		is.True(failed <= len(lengths)/2)
 	})
 }
 
