--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -193,6 +194,9 @@
 		}
 	}
 	c.node.tracked.keep(c.backends)
+	maps.DeleteFunc(c.told, func(id gypsum.HostID, _ telling) bool {
+		return !slices.ContainsFunc(hosts, func(host gypsum.Host) bool { return host.ID == string(id) })
+	})
 }
 
 // publish makes a new view and lets the daemon's parts follow it.
--- a/relay/seen.go
+++ b/relay/seen.go
@@ -86,7 +86,7 @@
 // time says so with 504, which is not its fault.
 func outcomeOf(ctx context.Context, answer *gypsum.LiveAnswer, err error) outcome {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errClientGone):
 		return outcomeUnknown
 	case errors.Is(err, gypsum.ErrNotExecuted):
 		return outcomeFull
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -47,7 +48,7 @@
 			r.Stats.Answers.Add(1)
 			return nil
 		}
-		if ctx.Err() != nil || (begun && !request.Route.Resumable) {
+		if ctx.Err() != nil || errors.Is(err, errClientGone) || (begun && !request.Route.Resumable) {
 			return ErrBrokenOff
 		}
 	}
@@ -60,6 +61,9 @@
 // errSilent is the cause of the end of a stream whose replica gave nothing in its time.
 var errSilent = errors.New("replica is silent")
 
+// errClientGone is an answer that the client no longer takes.
+var errClientGone = errors.New("client takes no more of the answer")
+
 // errServerError is an error that a replica gave in place of a stream.
 var errServerError = errors.New("replica answered with an error")
 
@@ -89,6 +93,9 @@
 	if cause := context.Cause(streamCtx); err != nil && errors.Is(cause, errSilent) {
 		err = cause
 	}
+	if first == 0 {
+		first = time.Since(started) // an answer without events
+	}
 	r.end(seen, first, outcomeOf(ctx, answer, err))
 	r.note(request, replica, err)
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
@@ -115,7 +122,7 @@
 	if !*begun {
 		*begun = true
 		if err := sink.Begin(answer); err != nil {
-			return answer, err
+			return answer, fmt.Errorf("%w: %w", errClientGone, err)
 		}
 		if !stream.Events() {
 			return answer, nil
@@ -134,7 +141,7 @@
 			return answer, ErrBrokenOff
 		}
 		if err := sink.Event(raw); err != nil {
-			return answer, err
+			return answer, fmt.Errorf("%w: %w", errClientGone, err)
 		}
 		*last = max(*last, number)
 	}
