One way to find an engine for an item, also where one version must make the text

Found on reading the change: beside the heaps of engines the look at all engines for each item had stayed, for items whose text one version must make, with an order of its own; such services kept its cost. An engine that is to load the next version now comes last within the heap, and the second way is gone. A loop that slices.Contains says is that.

--- a/runner/task.go
+++ b/runner/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -113,10 +114,8 @@
 
 // withVersion returns the versions with one more.
 func withVersion(versions []gypsum.WeightVersion, version gypsum.WeightVersion) []gypsum.WeightVersion {
-	for _, known := range versions {
-		if known == version {
-			return versions
-		}
+	if slices.Contains(versions, version) {
+		return versions
 	}
 	return append(versions, version)
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -8,17 +8,21 @@
 	"github.com/gypsumhook/gypsum"
 )
 
-// pools find the engine with the least cost for each of many items without a look at
-// all engines for each: a large service has thousands of both.
+// pools find the engine on which an item's events are expected to come fastest, for each
+// of many items without a look at all engines for each: a large service has thousands of
+// both. Load: an engine may fail half of its runs at once, and would draw items with its
+// free slots. An engine that is to load the next version gets no item that would hold up
+// the load, unless no other may start it.
 type pools struct {
 	engines []*Engine
 	made    map[poolKey]*pool
 }
 
-// poolKey tells which engines serve an item.
+// poolKey tells which engines serve an item, and in which order.
 type poolKey struct {
 	model   gypsum.EngineModel
 	version gypsum.WeightVersion
+	single  bool
 }
 
 // newPools returns the pools of engines.
@@ -26,18 +30,16 @@
 	return &pools{engines: engines, made: make(map[poolKey]*pool)}
 }
 
-// quickest returns the engine for an item as the function of this name does.
+// quickest returns the engine for an item, nil if none may start it.
 func (p *pools) quickest(item *Item) *Engine {
-	if item.Single {
-		return quickest(item, p.engines) // its order is not by cost alone
-	}
-	key := poolKey{item.Model, item.MinVersion}
+	key := poolKey{item.Model, item.MinVersion, item.Single}
 	found, ok := p.made[key]
 	if !ok {
 		found = &pool{}
 		for order, engine := range p.engines {
 			if engine.serves(item) {
-				*found = append(*found, candidate{engine: engine, cost: engine.costTime(), order: order})
+				behind := item.Single && engine.Behind == item.Model
+				*found = append(*found, candidate{engine: engine, behind: behind, cost: engine.costTime(), order: order})
 			}
 		}
 		heap.Init(found)
@@ -49,10 +51,20 @@
 // candidate is an engine with its cost when it was last looked at.
 type candidate struct {
 	engine *Engine
+	// Behind means that the item would hold up a load.
+	behind bool
 	cost   time.Duration
 	order  int
 }
 
+// before tells whether a candidate goes before another.
+func (c *candidate) before(other *candidate) bool {
+	if c.behind != other.behind {
+		return other.behind
+	}
+	return cmp.Or(cmp.Compare(c.cost, other.cost), cmp.Compare(c.order, other.order)) < 0
+}
+
 // pool is a heap of the engines that serve items of one model from one version on. Runs
 // are only added while it is in use, so that costs only rise and slots only fill.
 type pool []candidate
@@ -87,9 +99,7 @@
 func (p pool) Len() int { return len(p) }
 
 // Less is part of heap.Interface.
-func (p pool) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(p[i].cost, p[j].cost), cmp.Compare(p[i].order, p[j].order)) < 0
-}
+func (p pool) Less(i, j int) bool { return p[i].before(&p[j]) }
 
 // Swap is part of heap.Interface.
 func (p pool) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -332,17 +332,24 @@
 			if random.IntN(4) == 0 {
 				engines[i].Loading = "b"
 			}
+			if random.IntN(3) == 0 {
+				engines[i].Behind = "a"
+			}
 			running[engines[i].ID] = engines[i].Running
 		}
 		items := make([]sched.Item, 30)
 		for i := range items {
 			items[i] = sched.Item{
 				ID: gypsum.ItemID(fmt.Sprint(i)), Model: []gypsum.EngineModel{"a", "b"}[i%2], MinVersion: gypsum.WeightVersion(random.IntN(3)), Left: 30 - i,
-				Due: time.Unix(9, 0), Avoid: gypsum.BackendID(fmt.Sprint(random.IntN(20))), Failed: random.IntN(2),
+				Due: time.Unix(9, 0), Avoid: gypsum.BackendID(fmt.Sprint(random.IntN(20))), Failed: random.IntN(2), Single: i%3 == 0,
 			}
 		}
-		cost := func(engine *sched.Engine) float64 {
-			return float64(engine.Pace) * (1 + perRun*float64(running[engine.ID]+1)) / (1 - engine.Failing)
+		cost := func(item *sched.Item, engine *sched.Engine) float64 {
+			cost := float64(engine.Pace) * (1 + perRun*float64(running[engine.ID]+1)) / (1 - engine.Failing)
+			if item.Single && engine.Behind == item.Model {
+				cost += 1e18 // only if no other may start it: it would hold up a load
+			}
+			return cost
 		}
 		for _, start := range sched.Starts(items, engines, time.Unix(0, 0)) {
 			var chosen *sched.Engine
@@ -351,13 +358,13 @@
 				version, ok := engine.Versions[start.Item.Model]
 				shunned := engine.ID == start.Item.Avoid || (start.Item.Failed > 0 && engine.Failing >= 0.25)
 				if ok && version >= start.Item.MinVersion && !engine.Closed && engine.Loading != start.Item.Model && !shunned && running[engine.ID] < engine.Slots {
-					least = min(least, cost(engine))
+					least = min(least, cost(start.Item, engine))
 				}
 				if engine.ID == start.Engine {
 					chosen = engine
 				}
 			}
-			is.True(cost(chosen) <= least*1.000001)
+			is.True(cost(start.Item, chosen) <= least*1.000001)
 			running[start.Engine]++
 			is.True(running[start.Engine] <= chosen.Slots)
 		}
--- a/sched/start.go
+++ b/sched/start.go
@@ -38,11 +38,6 @@
 	return time.Duration(float64(e.Pace) * (1 + SlowdownPerRun*float64(runs)))
 }
 
-// fits tells whether an engine may start an item now.
-func (e *Engine) fits(item *Item) bool {
-	return e.serves(item) && !e.Closed && e.Running < e.Slots && e.Loading != item.Model && !e.shunned(item)
-}
-
 // shunFrom is the part that an engine fails from which an item that failed before waits
 // for another: one failure lately.
 const shunFrom = 0.15
@@ -119,28 +114,6 @@
 	})
 }
 
-// quickest returns the engine on which an item's events are expected to come
-// fastest, nil if none may start it. Load: an engine may fail half of its runs at once,
-// and would draw items with its free slots. An engine that is to load the next version gets
-// no item that would hold up the load, unless no other may start it.
-func quickest(item *Item, engines []*Engine) *Engine {
-	var best *Engine
-	for _, engine := range engines {
-		if engine.fits(item) && (best == nil || engine.better(best, item)) {
-			best = engine
-		}
-	}
-	return best
-}
-
-// better tells whether an engine goes before another for an item.
-func (e *Engine) better(other *Engine, item *Item) bool {
-	if item.Single && (e.Behind == item.Model) != (other.Behind == item.Model) {
-		return other.Behind == item.Model
-	}
-	return e.costTime() < other.costTime()
-}
-
 // mostFailing bounds the part that an engine is expected to fail, so that one that
 // fails all still gets the items that no other engine may start.
 const mostFailing = 0.95
