fleet: a caller keeps its deadline through a daemon that was frozen

Cause: an order sent to a daemon that was frozen for up to 2 s already waits for its end, up to 4 s. The simulated connection then started the call with the whole budget and without the caller's own deadline, so that a slow backend server (frozen just then) took up to 4 s more. A real caller (client.Client.Run) closes its connection at its deadline, and the daemon cannot know how long a request waited while it was frozen. Ruled out: core, whose calls to other daemons all carry the remaining budget.

Change: the caller's deadline closes the connection if the daemon received the call late. A call that the daemon received at once still has to be ended by the daemon itself, so that the check of the deadline detects one that is not.

TestDeadlineKeptThroughFrozenDaemon: 7.5 s before, 4 s after.

--- a/fleet/connection.go
+++ b/fleet/connection.go
@@ -9,7 +9,8 @@
 )
 
 // connection is a caller's connection to a daemon. While the daemon is frozen, a call hangs
-// until the caller's own timeout. Killing the daemon closes the connection.
+// until the caller's own timeout, which then also ends a call that the daemon received late.
+// Killing the daemon closes the connection.
 type connection struct {
 	fleet     *Fleet
 	entryHost gypsum.HostID
@@ -32,12 +33,19 @@
 	if entryCore == nil {
 		return gypsum.NotRunRefusal(gypsum.ReasonPeerFailed, 0, 0, "entry host does not run")
 	}
+	sentAt := time.Now()
 	timeoutCtx, cancel := context.WithTimeout(ctx, call.Budget)
 	defer cancel()
 	if err := c.fleet.Network.AwaitRunning(timeoutCtx, c.entryHost); err != nil {
 		return connectionLostRefusal()
 	}
-	connCtx, closeConn := context.WithCancel(ctx)
+	// A daemon that was frozen starts the call with the whole budget, so the caller has to
+	// end it. In all other cases the daemon has to keep the deadline by itself.
+	callCtx := ctx
+	if time.Since(sentAt) > 0 {
+		callCtx = timeoutCtx
+	}
+	connCtx, closeConn := context.WithCancel(callCtx)
 	defer closeConn()
 	done := c.fleet.DaemonDone(c.entryHost)
 	go func() {
--- a/fleet/guarantees_test.go
+++ b/fleet/guarantees_test.go
@@ -541,3 +541,24 @@
 		}
 	})
 }
+
+// A caller closes its connection at its deadline, also if the daemon was frozen for most of
+// the time and would continue the call with the whole budget.
+func TestDeadlineKeptThroughFrozenDaemon(t *testing.T) {
+	runWithFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, caller *check.Caller) {
+		time.Sleep(warmupTime)
+		f.Network.Freeze(firstDaemon)
+		time.AfterFunc(callTimeout-500*time.Millisecond, func() {
+			f.Network.Unfreeze(firstDaemon)
+			for _, plain := range f.PlainServices {
+				plain.Freeze()
+			}
+		})
+		result := caller.PostOrder(t.Context(), firstDaemon, check.NewKey(), "crew of three")
+		is.True(result.Refusal != nil)
+		is.Equal(result.Duration, callTimeout)
+		for _, plain := range f.PlainServices {
+			plain.Unfreeze()
+		}
+	})
+}
