--- a/front/batch.go
+++ b/front/batch.go
@@ -41,7 +41,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	submitted.Route, submitted.HostName, submitted.Service = route.Name, r.Host, pickService(route)
+	submitted.Route, submitted.HostName, submitted.Service = route.Name, r.Host, route.PickService()
 	submitted.SingleVersion, submitted.MaxAttempts = route.SingleVersion, route.MaxAttempts
 	submitted.SubmittedAt = time.Now()
 	submitted.DueAt, submitted.ExpiresAt = submitted.SubmittedAt.Add(route.ResultDue), submitted.SubmittedAt.Add(route.Retention)
--- a/front/server.go
+++ b/front/server.go
@@ -4,11 +4,9 @@
 import (
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +65,7 @@
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
-	route := FindRoute(config.Routes, requestHostName(r), r.URL.EscapedPath())
+	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
 	switch {
 	case route == nil:
 		s.serveUnrouted(w, r, config)
@@ -109,39 +107,6 @@
 	return r.Host
 }
 
-// FindRoute returns the route with the given host name and the longest prefix of the
-// path. It returns nil if there is none.
-func FindRoute(routes []gypsum.Route, host, path string) *gypsum.Route {
-	var best *gypsum.Route
-	for i := range routes {
-		route := &routes[i]
-		if strings.EqualFold(route.HostName, host) && strings.HasPrefix(path, route.PathPrefix) &&
-			(best == nil || len(route.PathPrefix) > len(best.PathPrefix)) {
-			best = route
-		}
-	}
-	return best
-}
-
-// pickService returns a random service of a route, chosen by the services' weights. It
-// returns the empty name if the route has no services.
-func pickService(route *gypsum.Route) gypsum.ServiceName {
-	total := 0.0
-	for _, weighted := range route.Services {
-		total += max(0, weighted.Weight)
-	}
-	point := rand.Float64() * total
-	for _, weighted := range route.Services {
-		if point -= max(0, weighted.Weight); point < 0 {
-			return weighted.Service
-		}
-	}
-	if len(route.Services) == 0 {
-		return ""
-	}
-	return route.Services[0].Service
-}
-
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, arrived time.Time) {
 	body, release, ok := s.readBody(w, r, config.Limits.MaxBody)
@@ -156,7 +121,7 @@
 			ID: gypsum.RequestID(r.Header.Get(platform.HeaderRequestID)), Method: r.Method, Target: r.RequestURI,
 			HostName: r.Host, Header: header, Body: body,
 		},
-		Route: route, Service: pickService(route), Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
+		Route: route, Service: route.PickService(), Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
 	}
 	if route.Kind == gypsum.RouteStreaming {
 		s.serveStream(w, r, request)
--- a/routing.go
+++ b/routing.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math/rand/v2"
+	"strings"
 	"time"
 )
 
@@ -47,6 +49,25 @@
 	return r.Kind == RouteIdempotent || r.Kind == RouteRollout || (r.Kind == RouteStreaming && r.Resumable)
 }
 
+// PickService returns a random service of the route, chosen by the services' weights. It
+// returns the empty name if the route has no services.
+func (r *Route) PickService() ServiceName {
+	total := 0.0
+	for _, weighted := range r.Services {
+		total += max(0, weighted.Weight)
+	}
+	point := rand.Float64() * total
+	for _, weighted := range r.Services {
+		if point -= max(0, weighted.Weight); point < 0 {
+			return weighted.Service
+		}
+	}
+	if len(r.Services) == 0 {
+		return ""
+	}
+	return r.Services[0].Service
+}
+
 // EngineModel is the name of a model that engines of a service can load.
 type EngineModel string
 
@@ -78,6 +99,30 @@
 	Limits   ClientLimits
 }
 
+// MatchRoute returns the route with the given host name and the longest prefix of the
+// path. It returns nil if there is none.
+func (c *RoutingConfig) MatchRoute(hostName, path string) *Route {
+	var best *Route
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if strings.EqualFold(route.HostName, hostName) && strings.HasPrefix(path, route.PathPrefix) &&
+			(best == nil || len(route.PathPrefix) > len(best.PathPrefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// FindRoute returns the route with the given name, or nil if there is none.
+func (c *RoutingConfig) FindRoute(name string) *Route {
+	for i := range c.Routes {
+		if c.Routes[i].Name == name {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
 // ReplicaState is the state that a replica registers for itself.
 type ReplicaState string
 
