breaks: a mutation must build before its test may count as red

Cause: only outputs with 'vet: ' or '[build failed]' were told apart from a red test; a package that broke elsewhere, or a test name that matches nothing, counted as red. The mutated tree is now built and vetted first, and the test has to run.

--- a/scripts/breaks/main.go
+++ b/scripts/breaks/main.go
@@ -104,11 +104,20 @@
 	if err := os.WriteFile(path, []byte(mutated), 0o600); err != nil {
 		return false, fmt.Errorf("write mutated file: %w", err)
 	}
-	cmd := exec.Command("sh", "-c", "go vet ./"+filepath.Dir(m.file)+" && go test -count=1 "+m.test)
-	cmd.Dir = dir
-	out, err := cmd.CombinedOutput()
-	if strings.Contains(string(out), "vet: ") || strings.Contains(string(out), "[build failed]") {
-		return false, fmt.Errorf("mutated code does not build: %s", out)
+	if out, err := runIn(dir, "go build ./... && go vet ./"+filepath.Dir(m.file)); err != nil {
+		return false, fmt.Errorf("mutated code does not build: %w: %s", err, out)
+	}
+	out, err := runIn(dir, "go test -count=1 "+m.test)
+	if strings.Contains(out, "[build failed]") || strings.Contains(out, "no tests to run") {
+		return false, fmt.Errorf("test of the mutation does not run: %s", out)
 	}
 	return err != nil, nil
 }
+
+// runIn runs a shell command in a directory and returns its output.
+func runIn(dir, command string) (string, error) {
+	cmd := exec.Command("sh", "-c", command)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
