--- a/batch.go
+++ b/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,15 @@
 // GroupID identifies a group of items that share a prompt.
 type GroupID string
 
+// Scorer is the request that obtains the score of an item, once the item's text is
+// complete: its reward call. The score is the signature of the response.
+type Scorer struct {
+	ID       RequestID `cbor:"1,keyasint"`
+	HostName string    `cbor:"2,keyasint"`
+	Path     string    `cbor:"3,keyasint"`
+	Body     []byte    `cbor:"4,keyasint,omitempty"`
+}
+
 // BatchItem is one request of a batch.
 type BatchItem struct {
 	ID     ItemID            `cbor:"1,keyasint"`
@@ -25,6 +35,8 @@
 	Group  GroupID `cbor:"6,keyasint"`
 	// ExpectedTokens is the client's estimate of the response length, 0 for none.
 	ExpectedTokens int `cbor:"7,keyasint"`
+	// Scorer is nil for an item without a score.
+	Scorer *Scorer `cbor:"8,keyasint,omitempty"`
 }
 
 // Batch is a set of requests that are submitted together and run later.
@@ -48,6 +60,11 @@
 	ExpiresAt time.Time
 }
 
+// IsScored reports whether an item of the batch has a scorer.
+func (b *Batch) IsScored() bool {
+	return slices.ContainsFunc(b.Items, func(item BatchItem) bool { return item.Scorer != nil })
+}
+
 // ItemState is the state of an item that has a result.
 type ItemState string
 
@@ -63,6 +80,8 @@
 	State    ItemState
 	Text     string
 	Versions []WeightVersion
+	// Score is empty for an item without a scorer and for a failed one.
+	Score string
 }
 
 // StreamEvent is one event of a token stream.
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -94,7 +94,7 @@
 		ID: batch.ID, Route: batch.Route, HostName: batch.HostName, Service: batch.Service, Model: batch.Model,
 		MinVersion: batch.MinVersion, ItemCount: len(batch.Items), SingleVersion: batch.SingleVersion, MaxAttempts: batch.MaxAttempts,
 		SubmittedMS: batch.SubmittedAt.UnixMilli(), DueMS: batch.DueAt.UnixMilli(), ExpiresMS: batch.ExpiresAt.UnixMilli(),
-		Bodies: bodies, Origin: m.Host, Step: batch.Step,
+		Bodies: bodies, Origin: m.Host, Step: batch.Step, Scored: batch.IsScored(),
 	}
 	m.items.Add(batch.ID, batch.Items)
 	offset, err := m.appendRecord(ctx, header, kindHeader, string(batch.ID), m.uniqueKey())
@@ -185,22 +185,37 @@
 // StoreResult stores the result of an item. Only the first result stored for an item
 // counts.
 func (m *Manager) StoreResult(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult) error {
-	ref, err := m.storeText(ctx, id, result.Item, result.Text, true)
+	ref, err := m.StoreText(ctx, id, result.Item, result.Text)
 	if err != nil {
 		return err
 	}
-	_, err = m.appendRecord(ctx, Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: ref},
-		kindResult, string(id), string(result.Item), m.uniqueKey())
+	return m.RecordResult(ctx, id, result, ref)
+}
+
+// StoreText stores the complete text of an item and returns a reference to it.
+func (m *Manager) StoreText(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, text string) (ValueRef, error) {
+	return m.storeText(ctx, id, item, text, true)
+}
+
+// RecordResult stores the result of an item whose text is stored already.
+func (m *Manager) RecordResult(ctx context.Context, id gypsum.BatchID, result *gypsum.BatchResult, text ValueRef) error {
+	record := Result{Batch: id, Item: result.Item, State: result.State, Versions: result.Versions, Text: text, Score: result.Score}
+	_, err := m.appendRecord(ctx, record, kindResult, string(id), string(result.Item), m.uniqueKey())
 	return err
 }
 
-// StoreCheckpoint stores the events that an attempt of an item has produced so far.
-func (m *Manager) StoreCheckpoint(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID, lastEvent int64, versions []gypsum.WeightVersion, text string) error {
-	ref, err := m.storeText(ctx, id, item, text, false)
+// StoreCheckpoint stores a checkpoint with its text.
+func (m *Manager) StoreCheckpoint(ctx context.Context, checkpoint *Checkpoint, text string) error {
+	ref, err := m.storeText(ctx, checkpoint.Batch, checkpoint.Item, text, false)
 	if err != nil {
 		return err
 	}
-	_, err = m.appendRecord(ctx, Checkpoint{Batch: id, Item: item, LastEvent: lastEvent, Versions: versions, Text: ref},
-		kindCheckpoint, string(id), string(item))
+	checkpoint.Text = ref
+	return m.RecordCheckpoint(ctx, checkpoint)
+}
+
+// RecordCheckpoint stores a checkpoint whose text is stored already.
+func (m *Manager) RecordCheckpoint(ctx context.Context, checkpoint *Checkpoint) error {
+	_, err := m.appendRecord(ctx, checkpoint, kindCheckpoint, string(checkpoint.Batch), string(checkpoint.Item))
 	return err
 }
--- a/batch/record.go
+++ b/batch/record.go
@@ -46,6 +46,8 @@
 	// Origin is the daemon that accepted the batch.
 	Origin gypsum.HostID `cbor:"14,keyasint"`
 	Step   int           `cbor:"15,keyasint"`
+	// Scored means that an item of the batch has a scorer.
+	Scored bool `cbor:"16,keyasint,omitempty"`
 }
 
 // ValueRef refers to a value that is stored in one of the batch's own topics as Count
@@ -64,6 +66,7 @@
 	State    gypsum.ItemState       `cbor:"3,keyasint"`
 	Versions []gypsum.WeightVersion `cbor:"4,keyasint,omitempty"`
 	Text     ValueRef               `cbor:"5,keyasint"`
+	Score    string                 `cbor:"6,keyasint,omitempty"`
 }
 
 // Checkpoint is the record of the events that an attempt of an item has produced so far.
@@ -73,6 +76,8 @@
 	LastEvent int64                  `cbor:"3,keyasint"`
 	Versions  []gypsum.WeightVersion `cbor:"4,keyasint,omitempty"`
 	Text      ValueRef               `cbor:"5,keyasint"`
+	// Complete means that the text is complete and only its score is missing.
+	Complete bool `cbor:"6,keyasint,omitempty"`
 }
 
 // End is the record of the end of a batch.
@@ -87,6 +92,9 @@
 	Failed int            `cbor:"3,keyasint"`
 	// Crashed is the number of engines that crashed while they ran the item.
 	Crashed int `cbor:"4,keyasint"`
+	// RewardCallsFailed is the number of the item's reward calls that were answered with
+	// a server error.
+	RewardCallsFailed int `cbor:"5,keyasint,omitempty"`
 }
 
 // Claim is the record by which a daemon claims or releases a service.
@@ -99,6 +107,9 @@
 	Term int64 `cbor:"4,keyasint"`
 	// Released means that the daemon releases the service.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// MakesRewardCalls means that the daemon obtains the scores of items. Daemons of older
+	// versions, which do not, leave it out.
+	MakesRewardCalls bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat is the record by which a holder shows that it is alive.
--- a/batch/state.go
+++ b/batch/state.go
@@ -55,6 +55,8 @@
 	Term         int64
 	// Released means that the daemon has released the service.
 	Released bool
+	// MakesRewardCalls means that the daemon obtains the scores of items.
+	MakesRewardCalls bool
 	// PreviousHost is the previous holder, empty if there was none.
 	PreviousHost gypsum.HostID
 	// AppliedAt is when this daemon applied the claim.
@@ -181,8 +183,13 @@
 }
 
 func (s *State) applyCheckpoint(checkpoint Checkpoint, key string) {
-	if entry, ok := s.batches[checkpoint.Batch]; ok {
-		entry.keys, entry.texts = append(entry.keys, key), append(entry.texts, checkpoint.Text)
+	entry, ok := s.batches[checkpoint.Batch]
+	if !ok {
+		return
+	}
+	entry.keys, entry.texts = append(entry.keys, key), append(entry.texts, checkpoint.Text)
+	// The checkpoint of an attempt may be appended after that of the complete text.
+	if !entry.checkpoints[checkpoint.Item].Complete && !entry.hasResult[checkpoint.Item] {
 		entry.checkpoints[checkpoint.Item] = checkpoint
 	}
 }
@@ -244,7 +251,10 @@
 	if !ok {
 		return
 	}
-	entry.keys, entry.texts = append(entry.keys, key), append(entry.texts, result.Text)
+	entry.keys = append(entry.keys, key)
+	if entry.checkpoints[result.Item].Text != result.Text {
+		entry.texts = append(entry.texts, result.Text)
+	}
 	if entry.hasResult[result.Item] {
 		return
 	}
@@ -262,7 +272,8 @@
 		return
 	}
 	holder := &Holder{
-		Host: claim.Host, Incarnation: claim.Incarnation, FencingToken: record.Offset, Term: claim.Term, Released: claim.Released, AppliedAt: now,
+		Host: claim.Host, Incarnation: claim.Incarnation, FencingToken: record.Offset, Term: claim.Term, Released: claim.Released,
+		MakesRewardCalls: claim.MakesRewardCalls, AppliedAt: now,
 	}
 	if ok {
 		holder.PreviousHost = current.Host
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
@@ -190,7 +191,7 @@
 		for _, id := range []string{"ended", "whole", "open"} {
 			is.NoErr(a.AcceptBatch(t.Context(), newBatch(id, 1, 10)))
 			if id != "open" {
-				is.NoErr(a.StoreCheckpoint(t.Context(), gypsum.BatchID(id), "item-0", 1, nil, "some"))
+				is.NoErr(a.StoreCheckpoint(t.Context(), &batch.Checkpoint{Batch: gypsum.BatchID(id), Item: "item-0", LastEvent: 1}, "some"))
 				storeTextResult(t, a, gypsum.BatchID(id), 0, "text")
 			}
 		}
@@ -235,3 +236,75 @@
 		is.Equal(manager.State.CrashCount(7), 1)
 	})
 }
+
+// Records of the version before scores are still read, and that version reads the records of
+// this one, without the fields that it does not know.
+func TestRecordsOfOlderVersions(t *testing.T) {
+	is := is.New(t)
+	encode := func(key string, value any) gypsum.KeyedRecord {
+		content, err := cbor.Marshal(value)
+		is.NoErr(err)
+		return gypsum.KeyedRecord{Key: key, Value: content}
+	}
+	state := batch.NewState(slog.New(slog.DiscardHandler))
+	older := []gypsum.KeyedRecord{
+		encode("b/b1/k", map[int]any{1: "b1", 2: "train", 4: "motif", 7: 3, 9: 3}),
+		encode("p/b1/e1", map[int]any{1: "b1", 2: "e1", 3: 7, 4: []int{1}, 5: map[int]any{2: "text"}}),
+		encode("f/b1/e2", map[int]any{1: "b1", 2: "e2", 3: 1, 4: 2}),
+		encode("r/b1/e3/k", map[int]any{1: "b1", 2: "e3", 3: "completed", 4: []int{1}, 5: map[int]any{2: "text"}}),
+		encode("c/motif/k", map[int]any{1: "motif", 2: "host-1", 3: 5, 4: 1}),
+	}
+	for i := range older {
+		older[i].Offset = gypsum.Offset(i)
+	}
+	state.Apply(store.Update{Records: older})
+	snapshot, ok := state.Snapshot("b1")
+	is.True(ok)
+	is.True(!snapshot.Header.Scored)
+	is.Equal(snapshot.Checkpoints["e1"].LastEvent, int64(7))
+	is.True(!snapshot.Checkpoints["e1"].Complete)
+	is.Equal(snapshot.Failures["e2"], batch.Failures{Batch: "b1", Item: "e2", Failed: 1, Crashed: 2})
+	is.True(snapshot.HasResult["e3"])
+	holder, _, ok := state.Holder("motif")
+	is.True(ok)
+	is.True(!holder.MakesRewardCalls)
+
+	var result struct {
+		Batch string             `cbor:"1,keyasint"`
+		Item  string             `cbor:"2,keyasint"`
+		State string             `cbor:"3,keyasint"`
+		Text  struct{ _ string } `cbor:"5,keyasint"`
+	}
+	newer := encode("r/b1/e1/k", batch.Result{Batch: "b1", Item: "e1", State: gypsum.ItemCompleted, Score: "3e1b"})
+	is.NoErr(cbor.Unmarshal(newer.Value, &result))
+	is.Equal(result.Item, "e1")
+	var item struct {
+		ID   string `cbor:"1,keyasint"`
+		Path string `cbor:"2,keyasint"`
+	}
+	newer = encode("", gypsum.BatchItem{ID: "e1", Path: "/t", Scorer: &gypsum.Scorer{ID: "s1", HostName: "a.example", Path: "/r"}})
+	is.NoErr(cbor.Unmarshal(newer.Value, &item))
+	is.Equal(item.Path, "/t")
+}
+
+// The checkpoint of a complete text is not replaced by that of an attempt that was appended
+// later.
+func TestCompleteCheckpointStays(t *testing.T) {
+	is := is.New(t)
+	state := batch.NewState(slog.New(slog.DiscardHandler))
+	var records []gypsum.KeyedRecord
+	for i, value := range []any{
+		batch.Header{ID: "b1", ItemCount: 1},
+		batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 9, Complete: true},
+		batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 4},
+	} {
+		content, err := cbor.Marshal(value)
+		is.NoErr(err)
+		key := []string{"b/b1/k", "p/b1/e1", "p/b1/e1"}[i]
+		records = append(records, gypsum.KeyedRecord{Key: key, Value: content, Offset: gypsum.Offset(i)})
+	}
+	state.Apply(store.Update{Records: records})
+	snapshot, _ := state.Snapshot("b1")
+	is.Equal(snapshot.Checkpoints["e1"].LastEvent, int64(9))
+	is.True(snapshot.Checkpoints["e1"].Complete)
+}
--- a/batch/texts.go
+++ b/batch/texts.go
@@ -119,7 +119,7 @@
 		for j := range chunk.results {
 			result := &chunk.results[j]
 			read = append(read, gypsum.BatchResult{
-				Item: result.Item, State: result.State, Text: chunk.texts[result.Text.Key], Versions: result.Versions,
+				Item: result.Item, State: result.State, Text: chunk.texts[result.Text.Key], Versions: result.Versions, Score: result.Score,
 			})
 		}
 	}
--- a/batch/values.go
+++ b/batch/values.go
@@ -58,6 +58,9 @@
 	for name, value := range item.Header {
 		size += len(name) + len(value) + 8
 	}
+	if scorer := item.Scorer; scorer != nil {
+		size += len(scorer.ID) + len(scorer.HostName) + len(scorer.Path) + len(scorer.Body) + 32
+	}
 	return size
 }
 
--- a/fake/batchengines.go
+++ b/fake/batchengines.go
@@ -62,6 +62,8 @@
 	attempts     []BatchAttempt
 	loadOrders   []BatchLoadOrder
 	itemVersions map[gypsum.ItemID]map[gypsum.WeightVersion]bool
+	// completedAt is when the last event of an item was first generated.
+	completedAt map[gypsum.ItemID]time.Time
 }
 
 // slowdownPerAttempt is the fraction of EventTime by which each running attempt prolongs
@@ -73,7 +75,7 @@
 func NewBatchEngines(count, slots int, eventTime time.Duration, models ...gypsum.EngineModel) *BatchEngines {
 	engines := &BatchEngines{
 		LoadTime: 900 * time.Millisecond, engines: make(map[gypsum.BackendID]*BatchEngine),
-		itemVersions: make(map[gypsum.ItemID]map[gypsum.WeightVersion]bool),
+		itemVersions: make(map[gypsum.ItemID]map[gypsum.WeightVersion]bool), completedAt: make(map[gypsum.ItemID]time.Time),
 	}
 	for i := range count {
 		engine := &BatchEngine{
@@ -220,7 +222,7 @@
 			return errConnectionReset
 		case <-time.After(delay):
 		}
-		b.recordVersion(attempt.Item.ID, version)
+		b.recordEvent(attempt.Item.ID, eventNumber, version)
 		if err := sink(gypsum.StreamEvent{Number: eventNumber, Data: EventData(attempt.Item.ID, eventNumber), Version: version}); err != nil {
 			return err
 		}
@@ -228,10 +230,21 @@
 	return nil
 }
 
-// recordVersion records that a weight version generated an event of an item.
-func (b *BatchEngines) recordVersion(item gypsum.ItemID, version gypsum.WeightVersion) {
+// CompletedAt returns when the last event of an item was first generated, the zero time if
+// it was not.
+func (b *BatchEngines) CompletedAt(item gypsum.ItemID) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.completedAt[item]
+}
+
+// recordEvent records that a weight version generated an event of an item.
+func (b *BatchEngines) recordEvent(item gypsum.ItemID, number int64, version gypsum.WeightVersion) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if number == b.eventCount(item) && b.completedAt[item].IsZero() {
+		b.completedAt[item] = time.Now()
+	}
 	if b.itemVersions[item] == nil {
 		b.itemVersions[item] = make(map[gypsum.WeightVersion]bool)
 	}
--- a/live.go
+++ b/live.go
@@ -21,6 +21,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Signature is the replica's signature of the response.
+	Signature string
 }
 
 // LiveStream is a replica's response that is read event by event.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,7 @@
 	Arrived  time.Time
 	Deadline time.Time
 
+	isReward    bool
 	fingerprint gypsum.Fingerprint
 	tried       map[gypsum.BackendID]bool
 	// sentAttempts is the number of replicas that the request was sent to. mayHaveRun
@@ -64,7 +65,6 @@
 // prepareRequest initializes the state of a request. It refuses requests without remaining time
 // and those that crash replicas.
 func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
-	r.Stats.Requests.Add(1)
 	request.tried = make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
 	switch {
@@ -119,7 +119,11 @@
 		return nil, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
 	}
 	failureCost := FailureCost(request.Route.Retryable(), request.Route.LatencyTarget, remaining)
-	candidate := ChooseReplica(r.candidates(request, now), r.Location, failureCost)
+	candidates := r.candidates(request.Service, false, now)
+	for i := range candidates {
+		candidates[i].Tried = request.tried[candidates[i].Replica.ID]
+	}
+	candidate := ChooseReplica(candidates, r.Location, failureCost)
 	if candidate == nil {
 		return nil, r.requestRefusal(request, gypsum.ReasonNoBackend, maxRetryAfter, "the service has no replica now")
 	}
@@ -144,6 +148,7 @@
 // error is retried if the route allows it. If no further attempt is possible, Serve
 // returns the last response with a server error or, if there was none, a refusal.
 func (r *Relay) Serve(ctx context.Context, request *Request) (*gypsum.LiveResponse, *gypsum.Refusal) {
+	r.Stats.Requests.Add(1)
 	if refusal := r.prepareRequest(request); refusal != nil {
 		return nil, r.recordRefusal(request, refusal)
 	}
@@ -157,7 +162,7 @@
 			}
 			return nil, r.recordRefusal(request, refusal)
 		}
-		response, err := r.runAttempt(ctx, request, candidate)
+		response, err := r.runAttempt(ctx, request, candidate, r.attemptTimeout(request, candidate, time.Now()))
 		switch {
 		case ctx.Err() != nil:
 			return nil, r.recordRefusal(request, r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left"))
@@ -182,16 +187,15 @@
 	return AttemptTimeout(candidate.Latency, request.Route.LatencyTarget, request.Deadline.Sub(now), r.isLastAttempt(request))
 }
 
-// runAttempt sends the request to one replica.
-func (r *Relay) runAttempt(ctx context.Context, request *Request, candidate *Candidate) (*gypsum.LiveResponse, error) {
+// runAttempt sends the request to one replica, which has to respond within timeout.
+func (r *Relay) runAttempt(ctx context.Context, request *Request, candidate *Candidate, timeout time.Duration) (*gypsum.LiveResponse, error) {
 	replica, startedAt := candidate.Replica, time.Now()
-	timeout := r.attemptTimeout(request, candidate, startedAt)
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	tracked := r.beginAttempt(replica)
 	response, err := r.Transport.RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
 	elapsed := time.Since(startedAt)
-	r.endAttempt(tracked, elapsed, attemptResultOf(ctx, response, err))
+	r.endAttempt(tracked, request, elapsed, attemptResultOf(ctx, response, err))
 	status := 0
 	if response != nil {
 		status = response.Status
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -22,9 +22,10 @@
 // the user documentation.
 const crashLimit = 3
 
-// candidates returns the ready replicas of a request's service.
-func (r *Relay) candidates(request *Request, now time.Time) []Candidate {
-	replicas := r.Registry.Current().Services[request.Service]
+// candidates returns the ready replicas of a service, with the response times to live
+// requests or to reward calls.
+func (r *Relay) candidates(service gypsum.ServiceName, isReward bool, now time.Time) []Candidate {
+	replicas := r.Registry.Current().Services[service]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	candidates := make([]Candidate, 0, len(replicas))
@@ -32,9 +33,12 @@
 		if replica.State != gypsum.ReplicaReady {
 			continue
 		}
-		candidate := Candidate{Replica: replica, Tried: request.tried[replica.ID]}
+		candidate := Candidate{Replica: replica}
 		if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
 			candidate.InFlight, candidate.Latency = tracked.inFlight, tracked.estimator.Latency()
+			if isReward {
+				candidate.Latency = tracked.estimator.RewardLatency()
+			}
 			candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), tracked.estimator.IsFull(now)
 		}
 		candidates = append(candidates, candidate)
@@ -57,13 +61,17 @@
 
 // endAttempt ends a request in flight at a replica and records its result. An attempt
 // whose client has disconnected does not count.
-func (r *Relay) endAttempt(tracked *replicaState, elapsed time.Duration, result attemptResult) {
+func (r *Relay) endAttempt(tracked *replicaState, request *Request, elapsed time.Duration, result attemptResult) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tracked.inFlight--
 	switch result {
 	case resultSucceeded:
+		if request.isReward {
+			tracked.estimator.RecordRewardResponse(elapsed, now)
+			return
+		}
 		tracked.estimator.RecordResponse(elapsed, now)
 	case resultFull:
 		tracked.estimator.RecordFull(now)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,6 +28,7 @@
 // returns a *gypsum.Refusal if the response has not begun, and ErrStreamInterrupted if
 // it has or the client has disconnected.
 func (r *Relay) ServeStream(ctx context.Context, request *Request, sink Sink) error {
+	r.Stats.Requests.Add(1)
 	if refusal := r.prepareRequest(request); refusal != nil {
 		return r.recordRefusal(request, refusal)
 	}
@@ -99,7 +100,7 @@
 	if firstEvent == 0 {
 		firstEvent = time.Since(startedAt) // a response without events
 	}
-	r.endAttempt(tracked, firstEvent, attemptResultOf(ctx, response, err))
+	r.endAttempt(tracked, request, firstEvent, attemptResultOf(ctx, response, err))
 	r.recordAttempt(request, replica, err)
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
 		"attempt", request.sentAttempts, "open", candidate.InFlight, "latency_ms", candidate.Latency.Milliseconds(), "failing", candidate.FailureRate,
--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -21,6 +21,8 @@
 const (
 	phaseWaiting phase = iota
 	phaseRunning
+	// phaseScoring means that the text is complete and its score is missing.
+	phaseScoring
 	phaseStoring
 	phaseDone
 )
@@ -44,6 +46,10 @@
 	lost              bool
 	checkpointedEvent int64 // number of the last stored event
 	checkpointing     bool
+	// rewardCallsFailed is the number of reward calls answered with a server error. scoring
+	// is nil until the text is complete.
+	rewardCallsFailed int
+	scoring           *scoring
 
 	progress progress
 }
@@ -199,5 +205,7 @@
 	text      string
 	versions  []gypsum.WeightVersion
 	completed bool
-	savedAt   time.Time
+	// ref refers to the text in the topic of its batch, nil if it is not stored whole.
+	ref     *batch.ValueRef
+	savedAt time.Time
 }
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -17,7 +17,7 @@
 	for _, b := range s.batches {
 		for _, a := range b.items {
 			if a.phase == phaseWaiting && !now.Before(a.notBefore) && a.crashes < crashLimit {
-				items = append(items, a.schedItem())
+				items = append(items, a.schedItem(s.scoringTime))
 			}
 		}
 	}
@@ -35,7 +35,7 @@
 	for _, b := range s.batches {
 		for _, a := range b.items {
 			if a.phase == phaseRunning && a.moveTarget == "" {
-				item := a.schedItem()
+				item := a.schedItem(s.scoringTime)
 				activeItems[&item] = a
 				attempts = append(attempts, sched.Attempt{Item: &item, Engine: a.engine.replica.ID, RemainingEvents: a.remainingEvents()})
 			}
@@ -105,7 +105,7 @@
 	a.phase = phaseWaiting
 	if err == nil {
 		s.runner.Stats.ItemsCompleted.Add(1)
-		s.storeResult(a, gypsum.ItemCompleted)
+		s.completeText(a, nil, now)
 		return
 	}
 	last, _, gotEvent := a.progress.status()
@@ -177,7 +177,7 @@
 // they survive a change of the holder.
 func (s *heldService) storeFailures(a *activeItem) {
 	failures := batch.Failures{
-		Batch: a.batch.header.ID, Item: a.request.ID, Failed: a.failures, Crashed: a.crashes,
+		Batch: a.batch.header.ID, Item: a.request.ID, Failed: a.failures, Crashed: a.crashes, RewardCallsFailed: a.rewardCallsFailed,
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, ioTimeout)
--- a/runner/batches.go
+++ b/runner/batches.go
@@ -48,12 +48,12 @@
 // failExpiredItems fails the unfinished items of a batch that has expired or whose
 // route has been removed.
 func (s *heldService) failExpiredItems(snapshot *state.Snapshot, b *activeBatch, now time.Time) {
-	routeGone := findRoute(snapshot.Config, b.header.Route) == nil
+	routeGone := snapshot.Config.FindRoute(b.header.Route) == nil
 	if !routeGone && now.Before(b.header.ExpiresAt().Add(maxClockSkew)) {
 		return
 	}
 	for _, a := range b.items {
-		if a.phase == phaseWaiting || a.phase == phaseRunning {
+		if a.phase == phaseWaiting || a.phase == phaseRunning || a.phase == phaseScoring {
 			s.runner.Logger.Info("unfinished item failed", "batch", b.header.ID, "item", a.request.ID, "route_gone", routeGone)
 			s.failItem(a)
 		}
@@ -96,7 +96,10 @@
 		return texts
 	}
 	for item, checkpoint := range batchState.Checkpoints {
-		texts[item] = &savedText{lastEvent: checkpoint.LastEvent, text: string(stored[checkpoint.Text.Key]), versions: checkpoint.Versions}
+		texts[item] = &savedText{lastEvent: checkpoint.LastEvent, text: string(stored[checkpoint.Text.Key]), versions: checkpoint.Versions, completed: checkpoint.Complete}
+		if checkpoint.Complete {
+			texts[item].ref = &checkpoint.Text
+		}
 	}
 	return texts
 }
@@ -110,7 +113,7 @@
 		if batchState.HasResult[item.ID] {
 			continue
 		}
-		a := &activeItem{batch: b, request: item, failures: batchState.Failures[item.ID].Failed, crashes: batchState.Failures[item.ID].Crashed}
+		a := &activeItem{batch: b, request: item, failures: batchState.Failures[item.ID].Failed, crashes: batchState.Failures[item.ID].Crashed, rewardCallsFailed: batchState.Failures[item.ID].RewardCallsFailed}
 		b.items[item.ID] = a
 		s.resumeFromText(a, texts[item.ID], s.savedTexts[item.ID])
 	}
@@ -122,7 +125,8 @@
 func (s *heldService) resumeFromText(a *activeItem, texts ...*savedText) {
 	var longest *savedText
 	for _, text := range texts {
-		if text != nil && a.batch.versions.allowsAll(text.versions) && (longest == nil || text.lastEvent > longest.lastEvent) {
+		if text != nil && a.batch.versions.allowsAll(text.versions) &&
+			(longest == nil || text.lastEvent > longest.lastEvent || (text.completed && !longest.completed)) {
 			longest = text
 		}
 	}
@@ -134,7 +138,7 @@
 	s.runner.Stats.ItemsResumed.Add(1)
 	s.runner.Logger.Info("item resumed", "batch", a.batch.header.ID, "item", a.request.ID, "after", longest.lastEvent, "complete", longest.completed)
 	if longest.completed {
-		s.storeResult(a, gypsum.ItemCompleted)
+		s.completeText(a, longest.ref, time.Now())
 	}
 }
 
@@ -143,7 +147,7 @@
 func (s *heldService) dropBatch(b *activeBatch, now time.Time) {
 	for id, a := range b.items {
 		if last, text, versions := a.progress.text(); last > 0 && a.phase != phaseDone {
-			s.savedTexts[id] = &savedText{lastEvent: last, text: text, versions: versions, completed: a.phase == phaseStoring, savedAt: now}
+			s.savedTexts[id] = &savedText{lastEvent: last, text: text, versions: versions, completed: a.phase == phaseStoring || a.phase == phaseScoring, savedAt: now}
 		}
 		s.dropItem(a)
 	}
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -66,7 +66,7 @@
 		return
 	}
 	lastHeartbeat = r.silentSince(lastHeartbeat)
-	vacant := !holderKnown || holder.Released || (holder.Host == r.Host && holder.Incarnation != r.Incarnation)
+	vacant := !holderKnown || holder.Released || (holder.Host == r.Host && holder.Incarnation != r.Incarnation) || cannotScore(holder, headers)
 	if !vacant && now.Sub(lastHeartbeat) < holderTimeout {
 		delete(r.pendingClaims, service)
 		return
@@ -86,6 +86,12 @@
 	go r.claimService(ctx, service, holder.Term, vacant)
 }
 
+// cannotScore reports whether the holder is a daemon of an older version that makes no
+// reward calls while an open batch needs them.
+func cannotScore(holder *batch.Holder, headers []batch.Header) bool {
+	return !holder.MakesRewardCalls && slices.ContainsFunc(headers, func(header batch.Header) bool { return header.Scored })
+}
+
 // silentSince returns the time from which a holder counts as silent: its last heartbeat
 // or, if later, the time at which the store became reachable again, since no heartbeat
 // could be observed before.
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/proxy"
+	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/runner"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/store"
@@ -22,6 +25,9 @@
 	testService = gypsum.ServiceName("motif")
 	testModel   = gypsum.EngineModel("crew")
 	testLease   = 3 * time.Second
+	// The service and the host name of reward calls.
+	rewardService  = gypsum.ServiceName("desk")
+	rewardHostName = "reward.example"
 )
 
 // logOutput receives the logs of all daemons of a test.
@@ -32,6 +38,7 @@
 	t       *testing.T
 	store   *fake.KeyedStore
 	engines *fake.BatchEngines
+	rewards *fake.RewardService
 	daemons []*testDaemon
 	// useProxies lets daemons that cannot reach the store use it through others.
 	useProxies bool
@@ -73,6 +80,9 @@
 func startDeployment(d *deployment, shares []float64) *deployment {
 	d.proxies = make(map[string]gypsum.KeyedStore)
 	d.store.Latency = 5 * time.Millisecond
+	if d.rewards == nil {
+		d.rewards = fake.NewRewardService(rewardService, 3, 6, 200*time.Millisecond)
+	}
 	for i, share := range shares {
 		d.daemons = append(d.daemons, d.startDaemon(fmt.Sprintf("host-%d", i+1), share))
 	}
@@ -116,6 +126,9 @@
 	daemon.registry.ApplyConfig(&gypsum.RoutingConfig{
 		Revision: 1, Routes: []gypsum.Route{{
 			Name: "train", Kind: gypsum.RouteRollout, Services: []gypsum.WeightedService{{Service: testService, Weight: 1}},
+		}, {
+			Name: "reward", HostName: rewardHostName, PathPrefix: "/reward/", Kind: gypsum.RouteIdempotent, MaxAttempts: 4,
+			LatencyTarget: 250 * time.Millisecond, Services: []gypsum.WeightedService{{Service: rewardService, Weight: 1}},
 		}},
 		Services: map[gypsum.ServiceName]gypsum.ServiceConfig{
 			testService: {Name: testService, Slots: 16, TokensPerEvent: 1, Models: []gypsum.EngineModel{testModel}},
@@ -124,7 +137,14 @@
 	for _, replica := range d.engines.Replicas(testService) {
 		daemon.registry.ApplyReplica(replica)
 	}
+	for _, replica := range d.rewards.Replicas() {
+		daemon.registry.ApplyReplica(replica)
+	}
+	rewardRelay := relay.New()
+	rewardRelay.Transport, rewardRelay.Crashes, rewardRelay.Registry, rewardRelay.Logger = d.rewards, daemon.batches, daemon.registry, logger
+	daemon.startGoroutine(ctx, rewardRelay.Run)
 	daemon.runner = runner.New()
+	daemon.runner.Relay = rewardRelay
 	daemon.runner.Host, daemon.runner.Incarnation, daemon.runner.Batches, daemon.runner.Engines = gypsum.HostID(name), incarnation, daemon.batches, d.engines
 	daemon.runner.Registry, daemon.runner.CPUShare, daemon.runner.Lease = daemon.registry, share, testLease
 	daemon.runner.StoreUnavailable = func() bool { _, unavailable := daemon.follower.LastResponse(); return unavailable }
@@ -168,18 +188,29 @@
 	return gypsum.ItemID(fmt.Sprintf("%s.%d.%d", id, number, length))
 }
 
-// eventCountOf returns the number of events that itemID has encoded in an item's ID. It
-// returns 10 if it cannot decode the ID, which requires a batch ID of three characters.
+// eventCountOf returns the number of events that itemID has encoded in an item's ID, 10 if
+// it is not encoded there.
 func eventCountOf(item gypsum.ItemID) int64 {
-	var id string
-	var number int
-	var length int64
-	if _, err := fmt.Sscanf(string(item), "%3s.%d.%d", &id, &number, &length); err != nil {
+	id := string(item)
+	length, err := strconv.ParseInt(id[strings.LastIndex(id, ".")+1:], 10, 64)
+	if err != nil {
 		return 10
 	}
 	return length
 }
 
+// newScoredBatch returns a batch like newBatch, in groups of four items that have scorers.
+func newScoredBatch(id string, lengths ...int64) *gypsum.Batch {
+	b := newBatch(id, 1, lengths...)
+	for i := range b.Items {
+		b.Items[i].Group = gypsum.GroupID(fmt.Sprint(i / 4))
+		b.Items[i].Scorer = &gypsum.Scorer{
+			ID: gypsum.RequestID("score-" + b.Items[i].ID), HostName: rewardHostName, Path: "/reward/x?item=" + string(b.Items[i].ID), Body: []byte("rubric"),
+		}
+	}
+	return b
+}
+
 // submitBatch submits a batch to a daemon, which must accept it.
 func (d *deployment) submitBatch(daemon int, b *gypsum.Batch) {
 	d.t.Helper()
@@ -217,6 +248,7 @@
 	d.t.Helper()
 	listed := make(map[gypsum.ItemID]bool)
 	for _, result := range results {
+		d.checkScore(b, &result)
 		if listed[result.Item] {
 			d.t.Errorf("item %s has two results", result.Item)
 		}
@@ -232,6 +264,34 @@
 	}
 }
 
+// checkScore checks that a completed result of a scored item has the signature of a
+// successful reward call of its own, received after its text was generated, and that any
+// other result has no score.
+func (d *deployment) checkScore(b *gypsum.Batch, result *gypsum.BatchResult) {
+	d.t.Helper()
+	var scorer *gypsum.Scorer
+	for i := range b.Items {
+		if b.Items[i].ID == result.Item {
+			scorer = b.Items[i].Scorer
+		}
+	}
+	if scorer == nil || result.State != gypsum.ItemCompleted {
+		if result.Score != "" {
+			d.t.Errorf("item %s, %s, has an unexpected score %q", result.Item, result.State, result.Score)
+		}
+		return
+	}
+	for _, call := range d.rewards.Calls() {
+		if call.ID == scorer.ID && call.ReceivedAt.Before(d.engines.CompletedAt(result.Item)) {
+			d.t.Errorf("item %s was scored before its text was complete", result.Item)
+		}
+		if call.ID == scorer.ID && call.Signature != "" && call.Signature == result.Score {
+			return
+		}
+	}
+	d.t.Errorf("score %q of item %s is not the signature of a successful reward call", result.Score, result.Item)
+}
+
 // holderKnownTo returns the daemon that holds the service according to an observing one.
 func (d *deployment) holderKnownTo(observer int) gypsum.HostID {
 	holder, _, _ := d.daemons[observer].batches.State.Holder(testService)
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -59,6 +59,8 @@
 	assignedModels map[gypsum.BackendID]gypsum.EngineModel // see sched.AssignModels
 	expectedTokens map[gypsum.EngineModel]float64          // expected tokens of the newest batch
 	savedTexts     map[gypsum.ItemID]*savedText
+	// scoringTime is the moving average of the time from a complete text to its score.
+	scoringTime time.Duration
 }
 
 // newHeldService returns the state of a service whose claim by this daemon is holder.
@@ -85,6 +87,7 @@
 	s.markPendingLoads(snapshot, engines)
 	s.startItems(engines, now)
 	s.moveAttempts(engines)
+	s.sendRewardCalls(snapshot, now)
 	s.sendLoadOrders(snapshot, engines, now)
 }
 
@@ -121,9 +124,13 @@
 }
 
 // schedItem returns the scheduler's view of the item.
-func (a *activeItem) schedItem() sched.Item {
+func (a *activeItem) schedItem(scoringTime time.Duration) sched.Item {
+	if a.request.Scorer == nil {
+		scoringTime = 0
+	}
 	return sched.Item{
-		Batch: a.batch.header.ID, ID: a.request.ID, Model: a.batch.header.Model, MinVersion: a.batch.header.MinVersion,
+		ScoringTime: scoringTime,
+		Batch:       a.batch.header.ID, ID: a.request.ID, Model: a.batch.header.Model, MinVersion: a.batch.header.MinVersion,
 		DueAt: a.batch.header.DueAt(), RemainingEvents: a.remainingEvents(), AvoidedEngine: a.avoidedEngine, Failures: a.failures, SingleVersion: a.batch.header.SingleVersion,
 	}
 }
--- a/runner/results.go
+++ b/runner/results.go
@@ -5,21 +5,28 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
 )
 
-// dropItem ends the work on an item without storing a result.
-func (s *heldService) dropItem(a *activeItem) {
-	if a.phase == phaseRunning {
+// cancelWork cancels the attempt or the reward call in progress.
+func (a *activeItem) cancelWork() {
+	switch {
+	case a.phase == phaseRunning:
 		a.cancel(errResultNotNeeded)
+	case a.phase == phaseScoring && a.scoring.cancel != nil:
+		a.scoring.cancel()
 	}
+}
+
+// dropItem ends the work on an item without storing a result.
+func (s *heldService) dropItem(a *activeItem) {
+	a.cancelWork()
 	a.phase = phaseDone
 }
 
 // failItem ends an item with an errored result.
 func (s *heldService) failItem(a *activeItem) {
-	if a.phase == phaseRunning {
-		a.cancel(errResultNotNeeded)
-	}
+	a.cancelWork()
 	a.progress.reset()
 	s.runner.Stats.ItemsErrored.Add(1)
 	s.storeResult(a, gypsum.ItemErrored)
@@ -30,21 +37,27 @@
 func (s *heldService) storeResult(a *activeItem, state gypsum.ItemState) {
 	a.phase = phaseStoring
 	result := &gypsum.BatchResult{Item: a.request.ID, State: state}
+	id := a.batch.header.ID
+	store := func() error { return s.runner.Batches.StoreResult(s.processCtx, id, result) }
 	if state == gypsum.ItemCompleted {
 		_, result.Text, result.Versions = a.progress.text()
+		if a.scoring != nil {
+			result.Score = a.scoring.score
+			text := *a.scoring.text
+			store = func() error { return s.runner.Batches.RecordResult(s.processCtx, id, result, text) }
+		}
 	}
-	id := a.batch.header.ID
 	start := time.Now()
 	go func() {
-		err := s.runner.Batches.StoreResult(s.processCtx, id, result)
+		err := store()
 		for err != nil && s.processCtx.Err() == nil {
 			s.runner.Logger.Warn("failed to store result; retrying", "batch", id, "item", result.Item, "error", err)
 			time.Sleep(ioRetryDelay)
-			err = s.runner.Batches.StoreResult(s.processCtx, id, result)
+			err = store()
 		}
 		if err == nil {
 			s.runner.Logger.Info("result stored", "batch", id, "item", result.Item, "state", state,
-				"versions", result.Versions, "bytes", len(result.Text), "store_ms", time.Since(start).Milliseconds())
+				"versions", result.Versions, "bytes", len(result.Text), "score", result.Score, "store_ms", time.Since(start).Milliseconds())
 		}
 	}()
 }
@@ -57,7 +70,7 @@
 	go func() {
 		last, text, versions := a.progress.text()
 		ctx, cancel := context.WithTimeout(s.ctx, ioTimeout)
-		err := s.runner.Batches.StoreCheckpoint(ctx, id, item, last, versions, text)
+		err := s.runner.Batches.StoreCheckpoint(ctx, &batch.Checkpoint{Batch: id, Item: item, LastEvent: last, Versions: versions}, text)
 		cancel()
 		if err != nil {
 			s.runner.Logger.Warn("failed to store checkpoint", "batch", id, "item", item, "error", err)
@@ -75,24 +88,29 @@
 	}()
 }
 
-// checkpointAttempts cancels all attempts and stores their events, so that the next
-// holder can resume them.
+// checkpointAttempts cancels all attempts and reward calls and stores the events, so that
+// the next holder can resume them.
 func (s *heldService) checkpointAttempts(ctx context.Context) {
 	errs := make(chan error)
 	count := 0
 	for _, b := range s.batches {
 		for _, a := range b.items {
-			if a.phase != phaseRunning {
+			if a.phase != phaseRunning && a.phase != phaseScoring {
 				continue
 			}
-			a.cancel(errResultNotNeeded)
+			a.cancelWork()
+			isComplete, checkpointed := a.phase == phaseScoring, a.scoring != nil && a.scoring.checkpointed
 			a.phase = phaseDone
 			last, text, versions := a.progress.text()
-			if last <= a.checkpointedEvent {
+			if checkpointed || (!isComplete && last <= a.checkpointedEvent) {
 				continue
 			}
 			count++
-			go func() { errs <- s.runner.Batches.StoreCheckpoint(ctx, b.header.ID, a.request.ID, last, versions, text) }()
+			go func() {
+				errs <- s.runner.Batches.StoreCheckpoint(ctx, &batch.Checkpoint{
+					Batch: b.header.ID, Item: a.request.ID, LastEvent: last, Versions: versions, Complete: isComplete,
+				}, text)
+			}()
 		}
 	}
 	for range count {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -61,6 +62,8 @@
 	Batches     *batch.Manager
 	Engines     gypsum.EngineTransport
 	Registry    *state.Registry
+	// Relay sends the reward calls.
+	Relay *relay.Relay
 	// StoreUnavailable reports whether the store does not respond.
 	StoreUnavailable func() bool
 	// CPUShare is the host's share of a CPU core.
@@ -101,6 +104,17 @@
 	LoadOrders       atomic.Int64
 	Claims           atomic.Int64
 	Takeovers        atomic.Int64
+	// RewardCalls counts the reward calls sent, RewardResponses those that gave a score. The
+	// others were rejected, answered with a server error, not answered in time, or broken
+	// off or answered otherwise.
+	RewardCalls        atomic.Int64
+	RewardResponses    atomic.Int64
+	RewardsRejected    atomic.Int64
+	RewardServerErrors atomic.Int64
+	RewardTimeouts     atomic.Int64
+	RewardsBroken      atomic.Int64
+	// RewardWait is the total time from complete texts to their scores in nanoseconds.
+	RewardWait atomic.Int64
 	// Rounds counts the scheduling rounds.
 	Rounds atomic.Int64
 	// RoundTime is the total duration of all rounds in nanoseconds.
@@ -228,7 +242,7 @@
 	batches := make(map[gypsum.ServiceName][]batch.Header)
 	for _, header := range r.Batches.State.OpenBatches() {
 		service := header.Service
-		if route := findRoute(snapshot.Config, header.Route); route != nil && len(route.Services) > 0 {
+		if route := snapshot.Config.FindRoute(header.Route); route != nil && len(route.Services) > 0 {
 			service = route.Services[0].Service
 		}
 		batches[service] = append(batches[service], header)
@@ -236,16 +250,6 @@
 	return batches
 }
 
-// findRoute returns the route with the given name, or nil if there is none.
-func findRoute(config *gypsum.RoutingConfig, name string) *gypsum.Route {
-	for i := range config.Routes {
-		if config.Routes[i].Name == name {
-			return &config.Routes[i]
-		}
-	}
-	return nil
-}
-
 // runRound runs one round for all services: it updates claims, schedules attempts and
 // load orders of held services, and starts due heartbeats and cleanups.
 func (r *Runner) runRound(ctx context.Context, now time.Time) {
--- a/sched/items.go
+++ b/sched/items.go
@@ -65,6 +65,9 @@
 	DueAt      time.Time
 	// RemainingEvents is the expected number of events still to be generated.
 	RemainingEvents int
+	// ScoringTime is the expected time from the complete text to the score, 0 without a
+	// scorer.
+	ScoringTime time.Duration
 	// SingleVersion means that one weight version must generate the whole text, so
 	// that a load on the engine has to wait for the attempt to end.
 	SingleVersion bool
@@ -98,7 +101,7 @@
 		order = append(order, &items[i])
 	}
 	slack := func(item *Item) time.Duration {
-		return item.DueAt.Sub(now) - time.Duration(item.RemainingEvents)*eventTime
+		return item.DueAt.Sub(now) - item.ScoringTime - time.Duration(item.RemainingEvents)*eventTime
 	}
 	slices.SortStableFunc(order, func(a, b *Item) int { return cmp.Compare(slack(a), slack(b)) })
 	var placements []Placement
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -247,13 +247,13 @@
 	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": routeHost, "path_prefix": prefix, "kind": kind, "timeout_ms": 4000, "target_latency_ms": 250,
-			"service": service, "max_attempts": 3, "retention_s": 60, "result_due_ms": 7500,
+			"service": service, "max_attempts": maxAttempts, "retention_s": 60, "result_due_ms": 7500,
 		}
 	}
 	return map[string]any{
 		"version": revision, "limits": map[string]any{"max_body_bytes": 1 << 20},
 		"routes": []any{
-			route("/i/", "idempotent", plainService), route("/n/", "non_idempotent", plainService), route("/t/", "rollout", modelService),
+			route("/i/", "idempotent", plainService), route("/n/", "non_idempotent", plainService), route(rewardPrefix, "idempotent", plainService), route("/t/", "rollout", modelService),
 		},
 		"services": []any{
 			map[string]any{"name": plainService}, map[string]any{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -190,7 +190,7 @@
 	if !observed.accepted {
 		return
 	}
-	reread := &observedBatch{id: observed.id, items: observed.items, minVersion: observed.minVersion, endedEarly: observed.endedEarly}
+	reread := &observedBatch{id: observed.id, items: observed.items, minVersion: observed.minVersion, endedEarly: observed.endedEarly, scored: observed.scored}
 	for deadline := time.Now().Add(5 * time.Second); len(reread.results) < len(observed.results) && time.Now().Before(deadline); {
 		load.readResults(env.t.Context(), reread, daemon)
 	}
@@ -199,7 +199,7 @@
 		return
 	}
 	for i, previous := range observed.results {
-		if got := reread.results[i]; got.Item != previous.Item || got.Text != previous.Text {
+		if got := reread.results[i]; got.Item != previous.Item || got.Text != previous.Text || got.Score != previous.Score {
 			env.t.Errorf("batch %s: result %d is %s at %s, but was %s", observed.id, i, got.Item, daemon.name, previous.Item)
 		}
 	}
@@ -216,11 +216,16 @@
 	if status != http.StatusOK || string(body) != mimic.PlainResponseBody("q1", "/i/x", []byte("x")) {
 		t.Fatalf("live request: status %d, body %q", status, body)
 	}
-	observed := &observedBatch{id: "b", minVersion: 1}
+	observed := &observedBatch{id: "b", minVersion: 1, scored: true}
 	load.submitBatch(t.Context(), observed, rng)
 	for deadline := time.Now().Add(10 * time.Second); len(observed.results) < len(observed.items) && time.Now().Before(deadline); time.Sleep(readPause) {
 		load.readResults(t.Context(), observed, env.daemons[0])
 	}
+	for _, result := range observed.results {
+		if result.State != gypsum.ItemCompleted {
+			t.Errorf("item %s is %s", result.Item, result.State)
+		}
+	}
 	if !observed.accepted || len(observed.results) != len(observed.items) {
 		t.Fatalf("batch: accepted %t, %d of %d results", observed.accepted, len(observed.results), len(observed.items))
 	}
--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -17,11 +17,15 @@
 // Timing of the workload, and sizes of its batches. callTimeout is longer than the
 // deadline of 3 s that requests state.
 const (
-	callPause     = 15 * time.Millisecond
-	callTimeout   = 4500 * time.Millisecond
-	readPause     = 150 * time.Millisecond
-	stepPause     = 200 * time.Millisecond
-	itemsPerStep  = 12
+	callPause    = 15 * time.Millisecond
+	callTimeout  = 4500 * time.Millisecond
+	readPause    = 150 * time.Millisecond
+	stepPause    = 200 * time.Millisecond
+	itemsPerStep = 12
+	// rewardPrefix is the path prefix of reward calls, which every second batch has.
+	rewardPrefix = "/r/"
+	// maxAttempts is the number of attempts that the routes allow.
+	maxAttempts   = 3
 	maxItemTokens = 120
 )
 
@@ -50,6 +54,7 @@
 	// outcomeUnknown is set if it is not known whether the batch was stored: a submission
 	// failed other than by a refusal, or ctx ended before a response came.
 	outcomeUnknown bool
+	scored         bool
 	// endedEarly is set if the trainer has ended the batch before all items had results.
 	endedEarly bool
 	results    []gypsum.BatchResult
@@ -123,7 +128,7 @@
 // results. It ends some batches early, and publishes a weight version every second step.
 func (w *workload) runTrainer(ctx context.Context, name string, rng *rand.Rand) {
 	for step := 0; ctx.Err() == nil; step++ {
-		observed := &observedBatch{id: fmt.Sprintf("%s-%d", name, step), minVersion: max(1, w.version-1)}
+		observed := &observedBatch{id: fmt.Sprintf("%s-%d", name, step), minVersion: max(1, w.version-1), scored: step%2 == 0}
 		w.mu.Lock()
 		w.batches = append(w.batches, observed)
 		w.mu.Unlock()
@@ -160,9 +165,13 @@
 		}
 		id := fmt.Sprintf("%s.%d.%d", observed.id, i, tokens+1)
 		observed.items = append(observed.items, id)
-		batch.Items = append(batch.Items, gypsum.BatchItem{
+		item := gypsum.BatchItem{
 			ID: gypsum.ItemID(id), Path: "/t/x", Body: []byte(id), Tokens: tokens, Group: gypsum.GroupID(fmt.Sprint(i / 4)), ExpectedTokens: tokens,
-		})
+		}
+		if observed.scored {
+			item.Scorer = &gypsum.Scorer{ID: rewardID(item.ID), HostName: routeHost, Path: rewardPrefix + id, Body: []byte("rubric")}
+		}
+		batch.Items = append(batch.Items, item)
 	}
 	body, err := mimic.EncodeBatch(batch)
 	if err != nil {
@@ -208,7 +217,7 @@
 	}
 	for i, result := range results {
 		if position := offset + i; position < len(observed.results) {
-			if previous := observed.results[position]; previous.Item != result.Item || previous.Text != result.Text || previous.State != result.State {
+			if previous := observed.results[position]; previous.Item != result.Item || previous.Text != result.Text || previous.State != result.State || previous.Score != result.Score {
 				w.env.t.Errorf("batch %s: result %d was %s, but is %s at %s", observed.id, position, previous.Item, result.Item, daemon.name)
 			}
 			continue
@@ -218,12 +227,48 @@
 	}
 }
 
-// checkResult checks the text, the state and the weight versions of a result.
+// rewardID returns the ID of an item's reward call.
+func rewardID(item gypsum.ItemID) gypsum.RequestID { return gypsum.RequestID("w-" + item) }
+
+// rewardErrors returns how many reward calls of an item were answered with a server error.
+func (w *workload) rewardErrors(item gypsum.ItemID) int {
+	count := 0
+	for _, replica := range w.env.replicas {
+		count += replica.ErrorCount(string(rewardID(item)))
+	}
+	return count
+}
+
+// checkScore checks that the score of a completed item is the signature of a successful
+// response to its own reward call, which arrived after the text was complete, and that no
+// other result has a score.
+func (w *workload) checkScore(observed *observedBatch, result *gypsum.BatchResult) {
+	if !observed.scored || result.State != gypsum.ItemCompleted {
+		if result.Score != "" {
+			w.env.t.Errorf("item %s, %s, has an unexpected score %q", result.Item, result.State, result.Score)
+		}
+		return
+	}
+	for _, replica := range w.env.replicas {
+		answer, ok := replica.Answer(string(rewardID(result.Item)))
+		if !ok || answer.Signature != result.Score {
+			continue
+		}
+		if answer.ReceivedAt.Before(w.env.engines.CompletedAt(result.Item)) {
+			w.env.t.Errorf("item %s was scored before its text was complete", result.Item)
+		}
+		return
+	}
+	w.env.t.Errorf("score %q of item %s is not the signature of a successful reward call", result.Score, result.Item)
+}
+
+// checkResult checks the text, the state, the score and the weight versions of a result.
 func (w *workload) checkResult(observed *observedBatch, result *gypsum.BatchResult) {
+	w.checkScore(observed, result)
 	if result.State == gypsum.ItemCompleted && result.Text != w.env.engines.FullText(result.Item) {
 		w.env.t.Errorf("item %s has the wrong text: %q", result.Item, result.Text)
 	}
-	if result.State != gypsum.ItemCompleted && !observed.endedEarly {
+	if result.State != gypsum.ItemCompleted && !observed.endedEarly && w.rewardErrors(result.Item) < maxAttempts {
 		w.env.t.Errorf("item %s is %s, but its batch was not ended early", result.Item, result.State)
 	}
 	servedVersions := w.env.engines.ItemVersions(result.Item)
