runner: claims need a sign of the store, and one without a response is not the last

Two faults, each shown by a test that was red.

A store that stops responding also ends the heartbeats, and each daemon notices only when its own read times out, up to 1.8 s later. On 195 hosts 42 daemons claimed the service at the same moment. A holder now counts as silent only if the store responded after two heartbeats were due (TestNoClaimsDuringOutage: 7 claims of 7 daemons before, none after). The stand-in answered reads that had waited for records since before the fault; it no longer does.

The end of a claim was posted under the claim's own context: once that had timed out, the post was dropped at random, and the daemon never claimed the service again (TestClaimIsRepeated: no result after 30 s before; done within 14 s after).

--- a/fake/keyedstore.go
+++ b/fake/keyedstore.go
@@ -17,7 +17,8 @@
 const (
 	// KeyedRefused refuses each call without executing it.
 	KeyedRefused KeyedFault = iota + 1
-	// KeyedHang executes no call and responds to none until the caller's context ends.
+	// KeyedHang executes no call and responds to none until the caller's context ends, also
+	// to reads that were waiting for records before.
 	KeyedHang
 	// KeyedResponseLost executes appends and loses their responses.
 	KeyedResponseLost
@@ -216,7 +217,13 @@
 		case <-ctx.Done():
 			return nil, fmt.Errorf("wait for records: %w: %w", gypsum.ErrStoreUnknown, ctx.Err())
 		case <-deadline:
-			return page, nil
+			s.mu.Lock()
+			hang := s.fault == KeyedHang
+			s.mu.Unlock()
+			if !hang {
+				return page, nil
+			}
+			<-ctx.Done()
 		case <-changed:
 		}
 	}
--- a/fake/storeclient.go
+++ b/fake/storeclient.go
@@ -14,6 +14,14 @@
 	gypsum.KeyedStore
 	mu           sync.Mutex
 	disconnected bool
+	appendsHang  bool
+}
+
+// SetAppendsHang sets whether appends get no response, while reads are served.
+func (c *StoreClient) SetAppendsHang(hang bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.appendsHang = hang
 }
 
 // SetDisconnected disconnects the client from the store, or connects it again.
@@ -41,6 +49,13 @@
 	if err := c.awaitConnected(ctx); err != nil {
 		return 0, err
 	}
+	c.mu.Lock()
+	hang := c.appendsHang
+	c.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return 0, fmt.Errorf("append to store: %w: %w", gypsum.ErrStoreUnknown, ctx.Err())
+	}
 	return c.KeyedStore.Append(ctx, req)
 }
 
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -67,7 +67,8 @@
 	}
 	lastHeartbeat = r.silentSince(lastHeartbeat)
 	vacant := !holderKnown || holder.Released || (holder.Host == r.Host && holder.Incarnation != r.Incarnation) || cannotScore(holder, headers)
-	if !vacant && now.Sub(lastHeartbeat) < holderTimeout {
+	lastResponse, _ := r.Batches.Follower.LastResponse()
+	if !vacant && !isHolderSilent(lastHeartbeat, lastResponse, now) {
 		delete(r.pendingClaims, service)
 		return
 	}
@@ -86,6 +87,15 @@
 	go r.claimService(ctx, service, holder.Term, vacant)
 }
 
+// isHolderSilent reports whether a holder has sent no heartbeat for holderTimeout while the
+// store responded. A store that stops responding also ends the heartbeats, and each daemon
+// finds out only when its read times out. The store must therefore have responded after two
+// heartbeats were due: otherwise, in a large deployment, dozens of daemons would claim the
+// service at the same moment.
+func isHolderSilent(lastHeartbeat, lastResponse, now time.Time) bool {
+	return now.Sub(lastHeartbeat) >= holderTimeout && lastResponse.Sub(lastHeartbeat) >= 2*heartbeatInterval
+}
+
 // cannotScore reports whether the holder is a daemon of an older version that makes no
 // reward calls while an open batch needs them.
 func cannotScore(holder *batch.Holder, headers []batch.Header) bool {
@@ -120,6 +130,8 @@
 // claimService catches up with the store and claims the service if it still has no live
 // holder in the given term.
 func (r *Runner) claimService(ctx context.Context, service gypsum.ServiceName, term int64, vacant bool) {
+	// The end of the claim must be posted even if the claim timed out.
+	defer r.postUpdate(ctx, func() { delete(r.pendingClaims, service) })
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	err := r.Batches.Follower.CatchUp(ctx)
@@ -132,7 +144,6 @@
 	if err != nil {
 		r.Logger.Warn("failed to claim service", "service", service, "term", term+1, "error", err)
 	}
-	r.postUpdate(ctx, func() { delete(r.pendingClaims, service) })
 }
 
 // releaseToStrongHosts releases the services of a daemon on a weak host if one on a strong host
