--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -45,6 +45,7 @@
 	ItemsErrored     int64            `json:"items_errored"`
 	AttemptsBroken   int64            `json:"item_runs_broken"`
 	AttemptsRejected int64            `json:"item_runs_rejected"`
+	RewardCalls      rewardMetrics    `json:"reward_calls"`
 	LoadOrders       int64            `json:"orders"`
 	Claims           int64            `json:"claims"`
 	Takeovers        int64            `json:"takeovers"`
@@ -52,6 +53,18 @@
 	DecisionMS       int64            `json:"decision_ms"`
 }
 
+// rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
+// texts to their scores.
+type rewardMetrics struct {
+	Sent         int64 `json:"sent"`
+	Answered     int64 `json:"answered"`
+	Rejected     int64 `json:"rejected"`
+	ServerErrors int64 `json:"server_errors"`
+	TimedOut     int64 `json:"timed_out"`
+	Broken       int64 `json:"broken"`
+	WaitMS       int64 `json:"wait_ms"`
+}
+
 // publishMetrics publishes the daemon's metrics with expvar.
 func (d *Daemon) publishMetrics() {
 	publishOnce.Do(func() {
@@ -69,6 +82,11 @@
 		RelayResumes: relayStats.Resumes.Load(), RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
+		RewardCalls: rewardMetrics{
+			Sent: runnerStats.RewardCalls.Load(), Answered: runnerStats.RewardResponses.Load(), Rejected: runnerStats.RewardsRejected.Load(),
+			ServerErrors: runnerStats.RewardServerErrors.Load(), TimedOut: runnerStats.RewardTimeouts.Load(), Broken: runnerStats.RewardsBroken.Load(),
+			WaitMS: time.Duration(runnerStats.RewardWait.Load()).Milliseconds(),
+		},
 		LoadOrders: runnerStats.LoadOrders.Load(), Claims: runnerStats.Claims.Load(), Takeovers: runnerStats.Takeovers.Load(),
 		DecisionRounds: runnerStats.Rounds.Load(), DecisionMS: time.Duration(runnerStats.RoundTime.Load()).Milliseconds(),
 	}
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -125,7 +125,7 @@
 		a.notBefore = now.Add(tickInterval)
 		e.recordFailure(now)
 	case errors.Is(err, gypsum.ErrItemInvalid):
-		s.failItem(a)
+		s.failItem(a, reasonInvalid)
 	case errors.Is(err, gypsum.ErrItemFailed):
 		// Either the engine or the item may be at fault: the failure counts against both,
 		// and an attempt on another engine decides.
@@ -134,7 +134,7 @@
 		a.failures++
 		s.storeFailures(a)
 		if a.failures >= max(1, a.batch.header.MaxAttempts) {
-			s.failItem(a)
+			s.failItem(a, reasonAttemptsFailed)
 		}
 	case errors.Is(err, errVersionNotAllowed):
 		// The engine generated with an older version than it reported, or with a second
--- a/runner/batches.go
+++ b/runner/batches.go
@@ -52,10 +52,13 @@
 	if !routeGone && now.Before(b.header.ExpiresAt().Add(maxClockSkew)) {
 		return
 	}
+	reason := reasonExpired
+	if routeGone {
+		reason = reasonRouteRemoved
+	}
 	for _, a := range b.items {
 		if a.phase == phaseWaiting || a.phase == phaseRunning || a.phase == phaseScoring {
-			s.runner.Logger.Info("unfinished item failed", "batch", b.header.ID, "item", a.request.ID, "route_gone", routeGone)
-			s.failItem(a)
+			s.failItem(a, reason)
 		}
 	}
 }
--- a/runner/results.go
+++ b/runner/results.go
@@ -24,9 +24,20 @@
 	a.phase = phaseDone
 }
 
+// Reasons why an item fails.
+const (
+	reasonRouteRemoved      = "route_removed"
+	reasonExpired           = "expired"
+	reasonInvalid           = "invalid"
+	reasonAttemptsFailed    = "attempts_failed"
+	reasonRewardCallsFailed = "reward_calls_failed"
+)
+
 // failItem ends an item with an errored result.
-func (s *heldService) failItem(a *activeItem) {
+func (s *heldService) failItem(a *activeItem, reason string) {
 	a.cancelWork()
+	s.runner.Logger.Info("item failed", "batch", a.batch.header.ID, "item", a.request.ID, "reason", reason,
+		"failed_attempts", a.failures, "failed_reward_calls", a.rewardCallsFailed)
 	a.progress.reset()
 	s.runner.Stats.ItemsErrored.Add(1)
 	s.storeResult(a, gypsum.ItemErrored)
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -267,9 +267,7 @@
 		a.rewardCallsFailed++
 		s.storeFailures(a)
 		if a.rewardCallsFailed >= maxAttempts {
-			s.runner.Logger.Info("item failed: its reward calls were answered with server errors", "batch", a.batch.header.ID,
-				"item", a.request.ID, "request", a.request.Scorer.ID, "calls", a.rewardCallsFailed)
-			s.failItem(a)
+			s.failItem(a, reasonRewardCallsFailed)
 			return
 		}
 	case errors.Is(err, gypsum.ErrNotSent) || errors.Is(err, gypsum.ErrNotRun):
