runner: items that move are checkpointed too

Cause: a checkpoint was due 1.2 s after the start of the current attempt. The time now counts from the item's first attempt by this holder. A text that is discarded because of its versions is checkpointed anew.

TestMovedItemIsCheckpointed: resumed after event 0 before.

--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -36,11 +36,12 @@
 	// engine runs the current or last attempt.
 	engine *engine
 	// moveTarget is the engine on which the item continues after a move, empty for none.
-	moveTarget        gypsum.BackendID
-	cancel            context.CancelCauseFunc
-	avoidedEngine     gypsum.BackendID
-	notBefore         time.Time
-	startedAt         time.Time
+	moveTarget    gypsum.BackendID
+	cancel        context.CancelCauseFunc
+	avoidedEngine gypsum.BackendID
+	notBefore     time.Time
+	// firstStartedAt is when the item's first attempt by this holder started.
+	firstStartedAt    time.Time
 	failures          int
 	crashes           int
 	lost              bool
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -56,7 +56,10 @@
 func (s *heldService) startAttempt(a *activeItem, e *engine, attempts int, now time.Time) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	header := &a.batch.header
-	a.phase, a.engine, a.cancel, a.startedAt, a.avoidedEngine, a.moveTarget = phaseRunning, e, cancel, now, "", ""
+	a.phase, a.engine, a.cancel, a.avoidedEngine, a.moveTarget = phaseRunning, e, cancel, "", ""
+	if a.firstStartedAt.IsZero() {
+		a.firstStartedAt = now
+	}
 	e.running++
 	e.attempts.Store(int64(e.running))
 	e.awaitingFirstEvent[header.Model]++
@@ -140,6 +143,7 @@
 		// The engine generated with an older version than it reported, or with a second
 		// version within one text.
 		a.progress.reset()
+		a.checkpointedEvent = 0
 		a.notBefore = now.Add(tickInterval)
 	case errors.Is(err, gypsum.ErrNotSent):
 		e.recordFailure(now)
@@ -203,7 +207,7 @@
 			if now.Sub(lastActivity) > timeout && a.moveTarget == "" {
 				a.cancel(errAttemptStalled)
 			}
-			if now.Sub(a.startedAt) > checkpointAfter && last > a.checkpointedEvent && !a.checkpointing {
+			if now.Sub(a.firstStartedAt) > checkpointAfter && last > a.checkpointedEvent && !a.checkpointing {
 				s.checkpointItem(a)
 			}
 		}
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -25,8 +25,8 @@
 	// is the delay before a failed access is retried.
 	ioTimeout    = 3 * time.Second
 	ioRetryDelay = 200 * time.Millisecond
-	// checkpointAfter is the duration of an attempt after which its events are stored,
-	// and checkpointInterval the time between two checkpoints. Only long items are
+	// checkpointAfter is the time since an item's first attempt after which its events are
+	// stored, and checkpointInterval the time between two checkpoints. Only long items are
 	// worth it: they determine when a step is complete.
 	checkpointAfter    = 1200 * time.Millisecond
 	checkpointInterval = 1500 * time.Millisecond
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -471,3 +471,28 @@
 		}
 	})
 }
+
+// An item that moves from engine to engine is checkpointed like any other, so that it does
+// not start from the beginning when its holder is lost.
+func TestMovedItemIsCheckpointed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.8, 0.8)
+		submitted := newBatch("bat", 1, 200)
+		d.submitBatch(0, submitted)
+		for range 5 {
+			time.Sleep(600 * time.Millisecond)
+			attempts := d.engines.Attempts()
+			for _, replica := range d.engines.Replicas(testService) {
+				d.engines.SetEventTime(replica.ID, idleEventTime)
+			}
+			d.engines.SetEventTime(attempts[len(attempts)-1].Engine, 8*idleEventTime)
+		}
+		moves := d.daemons[0].runner.Stats.ItemsMoved.Load()
+		is.True(moves >= 3)
+		before := len(d.engines.Attempts())
+		d.daemons[0].killAndWait()
+		d.awaitResults(1, submitted, 30*time.Second)
+		is.True(d.engines.Attempts()[before].AfterEvent > 10)
+	})
+}
