Event times of engines: a mean over half a second, not over the last two events

Cause: the moving average gave the newest round a weight of 0.3, whatever time it covered. EventTimer is a ratio of sums that decay with time: unbiased, independent of how often it is updated; a slow engine is still noticed within half a second (TestEventTimer, which the old average failed).

--- a/runner/engine.go
+++ b/runner/engine.go
@@ -14,8 +14,6 @@
 	// initialEventTime is the assumed time per event on an engine without measurements:
 	// 39 tokens of 0.723 ms each.
 	initialEventTime = 28 * time.Millisecond
-	// eventTimeWeight is the weight of the newest measurement in the moving average.
-	eventTimeWeight = 0.3
 	// minCooldown and maxCooldown bound the time for which an engine gets no new
 	// attempts after it failed one.
 	minCooldown = 150 * time.Millisecond
@@ -33,20 +31,17 @@
 	// awaitingFirstEvent counts the attempts of each model without an event so far.
 	awaitingFirstEvent map[gypsum.EngineModel]int
 	// loadOrder is the load order in progress, nil if there is none.
-	loadOrder *loadOrder
-	// idleEventTime is the measured time per event, scaled to an otherwise idle engine;
-	// 0 if nothing has been measured.
-	idleEventTime       time.Duration
+	loadOrder           *loadOrder
 	consecutiveFailures int
 	cooldownUntil       time.Time
 	health              health.FailureEstimator
 	// loadOrderSequence is the number of load orders that the engine has accepted.
 	loadOrderSequence int64
 
-	// The fields below are shared with the goroutines of attempts. gaps has the times between
-	// events since the last updateEventTime.
-	attempts atomic.Int64
-	gaps     sched.Gaps
+	// The fields below are shared with the goroutines of attempts. eventTimer measures the
+	// time per event, scaled to an otherwise idle engine.
+	attempts   atomic.Int64
+	eventTimer sched.EventTimer
 }
 
 // newEngine returns the state of a newly registered engine.
@@ -61,7 +56,8 @@
 func (e *engine) updateReplica(replica *gypsum.Replica) {
 	if e.replica != nil && e.replica.Incarnation != replica.Incarnation {
 		clear(e.versions)
-		e.loadOrderSequence, e.idleEventTime, e.consecutiveFailures, e.cooldownUntil = unknownSequence, 0, 0, time.Time{}
+		e.loadOrderSequence, e.consecutiveFailures, e.cooldownUntil = unknownSequence, 0, time.Time{}
+		e.eventTimer.Reset()
 		e.health = health.FailureEstimator{}
 	}
 	e.replica = replica
@@ -77,20 +73,7 @@
 func (e *engine) observeEventGap(gap time.Duration, attemptsBefore int64) {
 	attempts := max(attemptsBefore, e.attempts.Load())
 	idleGap := float64(gap) / (1 + sched.SlowdownPerAttempt*float64(attempts))
-	e.gaps.Add(time.Duration(idleGap))
-}
-
-// updateEventTime updates the moving average with the gaps observed since the last call.
-func (e *engine) updateEventTime() {
-	mean, ok := e.gaps.TakeMean()
-	if !ok {
-		return
-	}
-	if e.idleEventTime == 0 {
-		e.idleEventTime = mean
-		return
-	}
-	e.idleEventTime += time.Duration(eventTimeWeight * float64(mean-e.idleEventTime))
+	e.eventTimer.Add(time.Duration(idleGap))
 }
 
 // recordSuccess records an attempt that the engine completed.
@@ -113,7 +96,7 @@
 // schedEngine returns the scheduler's view of the engine.
 func (e *engine) schedEngine(now time.Time) *sched.Engine {
 	view := &sched.Engine{
-		ID: e.replica.ID, Slots: e.replica.Slots, Running: e.running, Versions: e.versions, IdleEventTime: e.idleEventTime,
+		ID: e.replica.ID, Slots: e.replica.Slots, Running: e.running, Versions: e.versions, IdleEventTime: e.eventTimer.EventTime(),
 		FailureRate: e.health.FailureRate(now),
 		Unusable:    e.replica.State != gypsum.ReplicaReady || now.Before(e.cooldownUntil),
 	}
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -117,7 +117,7 @@
 func (s *heldService) schedEngines(now time.Time) []*sched.Engine {
 	views := make([]*sched.Engine, 0, len(s.engines))
 	for _, e := range s.engines {
-		e.updateEventTime()
+		e.eventTimer.Update(now)
 		views = append(views, e.schedEngine(now))
 	}
 	return views
