--- a/adapt/plain.go
+++ b/adapt/plain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/gypsumhook/gypsum"
 )
@@ -58,12 +59,17 @@
 }
 
 // WithoutHopByHopHeaders returns a copy of header without the headers that apply to a
-// single connection.
+// single connection, also those that the Connection header names.
 func WithoutHopByHopHeaders(header http.Header) http.Header {
 	copied := header.Clone()
 	if copied == nil {
 		copied = make(http.Header)
 	}
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopByHopHeaders {
 		copied.Del(name)
 	}
--- a/client/trainer.go
+++ b/client/trainer.go
@@ -49,8 +49,8 @@
 // PullStep returns all samples of a step, by slot. The version is the weight version of the
 // trainer; received are samples that it already has, for example from a checkpoint. Failed
 // pulls are retried until ctx is done; then the samples received so far are returned with the
-// error of the last pull, nil if that succeeded. A refusal of a pull that can never succeed is
-// returned at once.
+// error of the last pull or, if that succeeded, the error of ctx. A refusal of a pull that can
+// never succeed is returned at once.
 func (t *Trainer) PullStep(ctx context.Context, step int, version gypsum.WeightVersion, prompts []string, received map[gypsum.Slot]*gypsum.Sample) (map[gypsum.Slot]*gypsum.Sample, error) {
 	samples := maps.Clone(received)
 	if samples == nil {
@@ -58,20 +58,26 @@
 	}
 	for {
 		response, err := t.pull(ctx, step, version, prompts, samples)
-		if isPermanentRefusal(err) || ctx.Err() != nil {
+		if isPermanentRefusal(err) {
 			return samples, err
 		}
-		if err != nil {
-			sleep(ctx, pullRetryDelay)
-			continue
-		}
-		for _, sample := range response.Samples {
-			if _, ok := samples[sample.Slot]; !ok && sample.Slot.Step == step {
-				samples[sample.Slot] = sample
+		if err == nil {
+			for _, sample := range response.Samples {
+				if _, ok := samples[sample.Slot]; !ok && sample.Slot.Step == step {
+					samples[sample.Slot] = sample
+				}
+			}
+			if response.Missing == 0 {
+				return samples, nil
 			}
 		}
-		if response.Missing == 0 {
-			return samples, nil
+		switch {
+		case ctx.Err() != nil && err != nil:
+			return samples, err
+		case ctx.Err() != nil:
+			return samples, fmt.Errorf("step %d is incomplete: %w", step, ctx.Err())
+		case err != nil:
+			sleep(ctx, pullRetryDelay)
 		}
 	}
 }
--- a/client/trainer_test.go
+++ b/client/trainer_test.go
@@ -1,6 +1,9 @@
 package client_test
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -77,3 +80,39 @@
 	is.True(err != nil)
 	is.Equal(gypsum.AsRefusal(err).Reason, gypsum.ReasonBadRequest)
 }
+
+// cancelAfterResponse is an HTTP transport that calls cancel once it has received a whole
+// response.
+type cancelAfterResponse struct{ cancel context.CancelFunc }
+
+// RoundTrip implements http.RoundTripper.
+func (c *cancelAfterResponse) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(content))
+	c.cancel()
+	return response, err
+}
+
+// TestIncompleteStep checks that PullStep returns an error if its context ends before the
+// step is complete, although every pull succeeded.
+func TestIncompleteStep(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var pull client.PullRequest
+		is.NoErr(json.NewDecoder(r.Body).Decode(&pull))
+		response, err := json.Marshal(gypsum.PullResponse{Session: pull.Session, Number: pull.Number, Missing: 4})
+		is.NoErr(err)
+		_, _ = w.Write(response)
+	}))
+	defer server.Close()
+	httpClient := &http.Client{Transport: &cancelAfterResponse{cancel: cancel}}
+	trainer := &client.Trainer{Plan: "p", Session: 1, Clients: []*client.Client{{BaseURL: server.URL, HTTPClient: httpClient}}}
+	_, err := trainer.PullStep(ctx, 0, 1, nil, nil)
+	is.True(errors.Is(err, context.Canceled))
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -239,7 +239,7 @@
 	case !idempotent && key == "":
 		return nil, badRequestRefusal(http.StatusBadRequest, "a "+r.Method+" request needs the header "+client.IdempotencyKeyHeader)
 	case len(key) > maxKeyLength:
-		return nil, badRequestRefusal(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d characters", client.IdempotencyKeyHeader, maxKeyLength))
+		return nil, badRequestRefusal(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", client.IdempotencyKeyHeader, maxKeyLength))
 	}
 	body, refusal := s.readBody(w, r)
 	if refusal != nil {
