relay: a client that leaves a stream before it begins is counted and logged

Cause: ServeStream returned without recordRefusal when the client had left, or when a replica broke off a stream that cannot be resumed. TestClientCancels covers streams too (0 of 1 failed requests counted before).

--- a/front/server_test.go
+++ b/front/server_test.go
@@ -231,15 +231,22 @@
 }
 
 // TestClientCancels checks that the attempt at the replica ends when the client disconnects,
-// and that this does not count as a failure of the replica.
+// that the request counts as failed and that this does not count as a failure of the
+// replica. The response of a stream has not begun yet.
 func TestClientCancels(t *testing.T) {
+	for _, target := range []string{"/i/a", "/i/stream/a"} {
+		t.Run(target, func(t *testing.T) { testClientCancels(t, target) })
+	}
+}
+
+func testClientCancels(t *testing.T, target string) {
 	is := is.New(t)
 	s := newTestServer(t, 2)
 	s.applyConfig()
 	s.preferFirstReplica()
 	s.replicas[0].SetFault(mimic.FaultSilent)
 	ctx, cancel := context.WithCancel(t.Context())
-	request, err := http.NewRequestWithContext(ctx, "POST", s.url+"/i/a", strings.NewReader("x"))
+	request, err := http.NewRequestWithContext(ctx, "POST", s.url+target, strings.NewReader("x"))
 	is.NoErr(err)
 	request.Host = "a.example"
 	request.Header.Set(platform.HeaderRequestID, "q1")
@@ -256,6 +263,10 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(s.frontend.Relay.InFlightCount(), 0)
+	for s.frontend.Relay.Stats.Failed.Load() == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.frontend.Relay.Stats.Failed.Load(), int64(1))
 	s.replicas[0].SetFault("")
 	executedBefore := len(s.replicas[0].ExecutedRequests())
 	status, _, _ := s.sendRequest("POST", "/i/b", "q2", "x")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -50,7 +50,12 @@
 			r.Stats.Responses.Add(1)
 			return nil
 		}
-		if ctx.Err() != nil || errors.Is(err, errClientDisconnected) || (begun && !request.Route.Resumable) {
+		switch {
+		case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
+			r.recordRefusal(request, r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left"))
+			return ErrStreamInterrupted
+		case begun && !request.Route.Resumable:
+			r.recordRefusal(request, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its stream"))
 			return ErrStreamInterrupted
 		}
 	}
