The end of a batch is answered as unknown unless the store refused it

Cause: the append of the end got no response, was answered with 503, which says that it will not take effect, and took effect later. An end is now answered with 504 unless the store refused it or nothing was appended (TestEndWithUnknownOutcome, 503 before).

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -141,10 +141,11 @@
 }
 
 // EndBatch ends a batch: the attempts at its items are cancelled and no others are started. It
-// returns nil once the end is known to be in the store.
+// returns nil once the end is known to be in the store, gypsum.ErrStoreRefused if it is not
+// stored and never will be, and gypsum.ErrStoreUnknown if it may be.
 func (m *Manager) EndBatch(ctx context.Context, id gypsum.BatchID) error {
 	if err := m.checkBatchExists(ctx, id); err != nil {
-		return err
+		return fmt.Errorf("end batch: %w: %w", gypsum.ErrStoreRefused, err)
 	}
 	ended := false
 	m.State.VisitProgress(id, func(_ map[gypsum.ItemID]bool, done bool) { ended = done })
--- a/front/batch.go
+++ b/front/batch.go
@@ -84,6 +84,10 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
+	if batchRequest.Kind == platform.BatchRequestEndBatch && !errors.Is(err, gypsum.ErrStoreRefused) {
+		writeRefusal(w, gypsum.UnknownRefusal(gypsum.ReasonLogUnavailable, http.StatusGatewayTimeout, 0, "it is not known whether the end was stored"))
+		return
+	}
 	writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, uncertainRetryAfter, "the batch cannot be read now"))
 }
 
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -377,6 +377,27 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestEndWithUnknownOutcome checks that the end of a batch is answered with 503, not run, only
+// if it will not take effect: an append without a response may, one that the store refused
+// will not.
+func TestEndWithUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 1)
+	s.applyConfig()
+	encoded, err := mimic.EncodeBatch(&gypsum.Batch{Step: 1, Model: "m", Items: []gypsum.BatchItem{{ID: "e1", Path: "/t/1", Group: "g"}}})
+	is.NoErr(err)
+	status, _, _ := s.sendRequest("POST", "/t/b1", "b1", string(encoded))
+	is.Equal(status, http.StatusAccepted)
+	s.recordStore.SetFault(fake.KeyedRefused)
+	status, _, _ = s.sendRequest("DELETE", mimic.BatchTarget("b1"), "c1", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	s.recordStore.SetFault(fake.KeyedHang)
+	status, _, _ = s.sendRequest("DELETE", mimic.BatchTarget("b1"), "c2", "")
+	is.Equal(status, http.StatusGatewayTimeout)
+	status, _, _ = s.sendRequest("DELETE", mimic.BatchTarget("unknown"), "c3", "")
+	is.Equal(status, http.StatusServiceUnavailable) // nothing was appended
+}
+
 // TestIncompleteRequestBody checks that a request whose connection is closed before the
 // body is complete reaches no replica.
 func TestIncompleteRequestBody(t *testing.T) {
