Tests: no data races in batch, proxy, runner and store under -race

Found with go test -race: maps and slices that a test's goroutines read while the test still filled them, a counter, and a comparison before the goroutine had ended. No race was found in the daemons' code (batch, front, health, proxy, relay, runner, sched, store).

--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -28,8 +28,9 @@
 	ended := make(chan error, 4)
 	writers := make(map[gypsum.Topic]*store.Writer)
 	for _, topic := range []gypsum.Topic{topics.State, topics.Bodies, topics.Texts} {
-		writers[topic] = &store.Writer{Store: backing, Topic: topic, Producer: name, MaxCallBytes: 1 << 20, Logger: logger}
-		go func() { ended <- writers[topic].Run(ctx) }()
+		writer := &store.Writer{Store: backing, Topic: topic, Producer: name, MaxCallBytes: 1 << 20, Logger: logger}
+		writers[topic] = writer
+		go func() { ended <- writer.Run(ctx) }()
 	}
 	state := batch.NewState(logger)
 	follower := &store.Follower{Store: backing, Topic: topics.State, Handle: state.Apply, Logger: logger}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -38,14 +38,19 @@
 	for _, name := range names {
 		location := gypsum.Location{DataCentre: gypsum.DataCentre(name[:1]), Region: "r"}
 		peers = append(peers, proxy.Peer{Host: gypsum.HostID(name), Address: name, Location: location})
+	}
+	for i, name := range names {
+		location := peers[i].Location
 		n.paths[name] = &fake.StoreClient{KeyedStore: n.store}
 		n.daemons[name] = &proxy.Store{
 			DirectStore: n.paths[name], PeerStores: n, ListPeers: func() []proxy.Peer { return peers }, Location: location,
 			Self: gypsum.HostID(name), ProbeRead: gypsum.KeyedRead{Topic: topic, Max: 1}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}
+	}
+	for _, daemon := range n.daemons {
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
-		go func() { ended <- n.daemons[name].Run(ctx) }()
+		go func() { ended <- daemon.Run(ctx) }()
 		t.Cleanup(func() { stop(); <-ended })
 	}
 	return n
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -505,19 +506,19 @@
 		engines := newEngines(4)
 		d := newDeployment(t, engines, 0.8, 0.8)
 		submitted := newBatch("bat", 1, 12)
-		attempts := 0
+		var attempts atomic.Int64
 		engines.AttemptError = func(gypsum.BackendID, gypsum.ItemID) error {
-			if attempts++; attempts > 2 {
+			if attempts.Add(1) > 2 {
 				time.Sleep(time.Second) // the holder is killed during the third attempt
 			}
 			return gypsum.ErrItemFailed
 		}
 		d.submitBatch(0, submitted)
 		time.Sleep(500 * time.Millisecond)
-		is.Equal(attempts, 3)
+		is.Equal(attempts.Load(), int64(3))
 		d.daemons[0].killAndWait()
 		results, _ := d.awaitResults(1, submitted, 15*time.Second)
 		is.Equal(results[0].State, gypsum.ItemErrored)
-		is.Equal(attempts, 4) // the killed attempt was not counted
+		is.Equal(attempts.Load(), int64(4)) // the killed attempt was not counted
 	})
 }
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -155,9 +155,9 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		is.Equal(handled, records)
-		is.True(backing.CallCount()-callsBefore <= 24) // 5 s at four reads per second
 		stop()
 		<-ended
+		is.Equal(handled, records)
+		is.True(backing.CallCount()-callsBefore <= 24) // 5 s at four reads per second
 	})
 }
