Replicas that announce their leave in a response get no new work

Cause: a leaving replica says so in all its responses before its registration reaches the daemon; the header was not read, so that requests and items went on to it until the registration said draining, and again if it registered as ready afterwards.

Change: every response of a replica (live, stream, item, reward call, refusal, report, load order) is examined by the replica client; the registry treats that start of the replica as draining until another one registers, also after its registration lapsed. A move to such an engine is not started. When all replicas are leaving, requests are refused as not run.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -157,9 +157,9 @@
 	d.incarnation = gypsum.Incarnation(time.Now().UnixMilli())
 	d.tasks.done = make(chan error, 256)
 	client, closeStore := platform.NewStore(d.Settings.StoreAddr)
-	backends, closeBackends := platform.NewReplicaClient()
-	peers, closePeers := wire.NewPeerStores()
 	d.registry = state.NewRegistry(d.Logger)
+	backends, closeBackends := platform.NewReplicaClient(d.registry)
+	peers, closePeers := wire.NewPeerStores()
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
 	topics := batch.Topics{
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -26,6 +26,7 @@
 	StoreDowntimeMS  int64            `json:"store_away_ms"`
 	ProxiedCalls     int64            `json:"store_detours"`
 	Replicas         int              `json:"replicas"`
+	ReplicasLeaving  int64            `json:"replicas_leaving"`
 	DroppedLogLines  int64            `json:"log_lines_dropped"`
 	LiveRequests     map[string]int64 `json:"live_requests"`
 	BatchSubmissions map[string]int64 `json:"batch_submissions"`
@@ -75,7 +76,7 @@
 func (d *Daemon) currentMetrics() metrics {
 	snapshot, relayStats, runnerStats := d.registry.Current(), &d.relay.Stats, &d.runner.Stats
 	current := metrics{
-		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), Replicas: len(snapshot.Replicas), DroppedLogLines: d.DroppedLines(),
+		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,7 @@
 func newTestServer(t *testing.T, replicaCount int) *testServer {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	s := &testServer{t: t, recordStore: fake.NewKeyedStore(), registry: state.NewRegistry(logger)}
-	backends, closeBackends := platform.NewReplicaClient()
+	backends, closeBackends := platform.NewReplicaClient(s.registry)
 	t.Cleanup(closeBackends)
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	ctx, stop := context.WithCancel(t.Context())
@@ -449,3 +450,29 @@
 	status, _, _ := s.sendRequest("POST", "/i/other", "q1", "x")
 	is.Equal(status, http.StatusOK)
 }
+
+// TestLeavingReplicas checks that a replica that announces in a response that it is leaving
+// gets no further request, although it is still registered as ready, and that requests are
+// refused as not run, with a retry delay, once all replicas are leaving.
+func TestLeavingReplicas(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 2)
+	s.applyConfig()
+	s.preferFirstReplica()
+	s.replicas[0].SetLeaving(true)
+	status, _, _ := s.sendRequest(http.MethodGet, "/i/x", "first", "")
+	is.Equal(status, http.StatusOK) // the response with the announcement is delivered
+	for i := range 10 {
+		id := fmt.Sprintf("later-%d", i)
+		status, _, _ = s.sendRequest(http.MethodGet, "/i/x", id, "")
+		is.Equal(status, http.StatusOK)
+		is.True(!slices.Contains(s.replicas[0].ExecutedRequests(), id))
+	}
+	s.replicas[1].SetLeaving(true)
+	status, _, _ = s.sendRequest(http.MethodGet, "/i/x", "last", "")
+	is.Equal(status, http.StatusOK)
+	status, header, _ := s.sendRequest(http.MethodGet, "/i/x", "refused", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(s.executionCount("refused"), 0)
+}
--- a/live.go
+++ b/live.go
@@ -37,7 +37,17 @@
 	Close() error
 }
 
-// ReplicaTransport sends live requests to replicas.
+// LeaveObserver is told of replicas that announce in a response that they are leaving.
+// Whatever their registrations say afterwards, such replicas get no new work until they
+// restart: they may exit before the registration reaches the daemon.
+type LeaveObserver interface {
+	// MarkLeaving is called before the response is passed on. It may be called
+	// concurrently, and again for each further response.
+	MarkLeaving(replica *Replica)
+}
+
+// ReplicaTransport sends live requests to replicas. Transports pass the announcements of
+// leaving replicas to a LeaveObserver.
 type ReplicaTransport interface {
 	// RoundTrip sends a request and returns the complete response. It returns ErrNotSent
 	// if no byte was sent, ErrNotRun if the replica has not run the request,
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -116,7 +116,7 @@
 		"events", last, "error", err, "cause", cause)
 	switch {
 	case errors.Is(cause, errAttemptMoved):
-		if target := s.engines[a.moveTarget]; target != nil && target.running < target.replica.Slots {
+		if target := s.engines[a.moveTarget]; target != nil && target.replica.State == gypsum.ReplicaReady && target.running < target.replica.Slots {
 			s.startAttempt(a, target, target.running, now)
 		}
 		return
--- a/state/state.go
+++ b/state/state.go
@@ -19,6 +19,16 @@
 // within about 2 s.
 const lapseGracePeriod = 2300 * time.Millisecond
 
+// leaveRetention is how long the announcement of a leaving replica is kept. It is far longer
+// than a replica takes to exit, and its registration may lapse and return meanwhile.
+const leaveRetention = time.Hour
+
+// leave is the announcement of one start of a replica that it is leaving.
+type leave struct {
+	incarnation gypsum.Incarnation
+	announcedAt time.Time
+}
+
 // Snapshot is the state at one moment. It is immutable.
 type Snapshot struct {
 	Config   *gypsum.RoutingConfig
@@ -41,11 +51,15 @@
 	lapsedReplicas   map[gypsum.BackendID]bool
 	storeRecoveredAt time.Time
 	storeUnavailable bool
+	// leavingReplicas are the starts of replicas that announced in a response that they are
+	// leaving.
+	leavingReplicas map[gypsum.BackendID]leave
+	leavingCount    atomic.Int64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(logger *slog.Logger) *Registry {
-	registry := &Registry{Logger: logger, OnChange: func() {}, lapsedReplicas: make(map[gypsum.BackendID]bool)}
+	registry := &Registry{Logger: logger, OnChange: func() {}, lapsedReplicas: make(map[gypsum.BackendID]bool), leavingReplicas: make(map[gypsum.BackendID]leave)}
 	registry.snapshot.Store(&Snapshot{})
 	return registry
 }
@@ -95,8 +109,10 @@
 // ApplyReplicas applies registrations in order, as one change.
 func (r *Registry) ApplyReplicas(replicas []*gypsum.Replica) {
 	r.mu.Lock()
-	for _, replica := range replicas {
+	replicas = slices.Clone(replicas)
+	for i, replica := range replicas {
 		delete(r.lapsedReplicas, replica.ID)
+		replicas[i] = r.withLeaveApplied(replica)
 	}
 	r.mu.Unlock()
 	changed := make(map[gypsum.BackendID]*gypsum.Replica)
@@ -123,6 +139,44 @@
 	}
 }
 
+// withLeaveApplied returns a registration with the state draining if that start of the
+// replica has announced that it is leaving. The caller holds mu.
+func (r *Registry) withLeaveApplied(replica *gypsum.Replica) *gypsum.Replica {
+	left, ok := r.leavingReplicas[replica.ID]
+	if !ok {
+		return replica
+	}
+	if left.incarnation < replica.Incarnation {
+		delete(r.leavingReplicas, replica.ID)
+		return replica
+	}
+	draining := *replica
+	draining.State = gypsum.ReplicaDraining
+	return &draining
+}
+
+// MarkLeaving implements gypsum.LeaveObserver: the replica is draining from now on, whatever
+// its registration says, until it restarts.
+func (r *Registry) MarkLeaving(replica *gypsum.Replica) {
+	now := time.Now()
+	r.mu.Lock()
+	if left, known := r.leavingReplicas[replica.ID]; known && left.incarnation >= replica.Incarnation {
+		r.mu.Unlock()
+		return
+	}
+	maps.DeleteFunc(r.leavingReplicas, func(_ gypsum.BackendID, left leave) bool { return now.Sub(left.announcedAt) > leaveRetention })
+	r.leavingReplicas[replica.ID] = leave{incarnation: replica.Incarnation, announcedAt: now}
+	r.mu.Unlock()
+	r.leavingCount.Add(1)
+	r.Logger.Info("replica announced that it is leaving", "replica", replica.ID, "service", replica.Service, "born", replica.Incarnation)
+	if current := r.Current().Replicas[replica.ID]; current != nil && current.Incarnation == replica.Incarnation {
+		r.ApplyReplica(current)
+	}
+}
+
+// LeavingCount returns how many replicas have announced in a response that they are leaving.
+func (r *Registry) LeavingCount() int64 { return r.leavingCount.Load() }
+
 // RemoveReplica applies the end of a registration. A registration that may have lapsed
 // because the store was unavailable is kept for a grace period after the outage.
 func (r *Registry) RemoveReplica(id gypsum.BackendID) { r.endRegistrations([]gypsum.BackendID{id}) }
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -119,3 +119,27 @@
 		state.NewRegistry(slog.New(slog.DiscardHandler)).ApplyReplicas(replicas)
 	}
 }
+
+// TestAnnouncedLeave checks that a replica that announced in a response that it is leaving
+// stays draining whatever its registration says, also after a lapse, until it restarts.
+func TestAnnouncedLeave(t *testing.T) {
+	is := is.New(t)
+	registry := newRegistry("r", "other")
+	stateOf := func(id gypsum.BackendID) gypsum.ReplicaState { return registry.Current().Replicas[id].State }
+	registry.MarkLeaving(newReplica("r", 1))
+	registry.MarkLeaving(newReplica("r", 1))
+	is.Equal(stateOf("r"), gypsum.ReplicaDraining)
+	is.Equal(registry.Current().Services["desk"][1].State, gypsum.ReplicaDraining)
+	is.Equal(stateOf("other"), gypsum.ReplicaReady)
+	is.Equal(registry.LeavingCount(), int64(1))
+	unchanged := registry.Current()
+	registry.ApplyReplica(newReplica("r", 1)) // registers as ready again
+	is.Equal(registry.Current(), unchanged)
+	registry.RemoveReplica("r")
+	registry.ApplyReplica(newReplica("r", 1))
+	is.Equal(stateOf("r"), gypsum.ReplicaDraining)
+	registry.ApplyReplica(newReplica("r", 2)) // a new start under the same id
+	is.Equal(stateOf("r"), gypsum.ReplicaReady)
+	registry.MarkLeaving(newReplica("r", 1)) // a late response of the start before
+	is.Equal(stateOf("r"), gypsum.ReplicaReady)
+}
