Trainers' calls wait where the load is lowest

When every data centre was full, all trainers' calls went to the plan owner's own one, and the affinity bound, relative to the mean load, let them wait at the engine that has their prefix.

Change: among full data centres, trainers' calls choose the least loaded; affinity holds only while the engine has a free slot; half as many attempts as free slots wait, not an eighth, so that an engine finds one when a live call ends.

--- a/core/ownedplans.go
+++ b/core/ownedplans.go
@@ -69,7 +69,7 @@
 }
 
 // planConcurrency returns how many attempts of a plan may run or be queued at the same
-// time: the number of slots not used by live calls, and an eighth more, since an
+// time: the number of slots not used by live calls, and half as many more, since an
 // attempt queued at one engine cannot use a slot that becomes free at another.
 func (c *Core) planConcurrency(name gypsum.PlanName) int {
 	view := c.View()
@@ -78,7 +78,7 @@
 		return 0
 	}
 	slots := view.trainerSlotCount(spec.Service)
-	return max(1, slots+slots/8)
+	return max(1, slots+slots/2)
 }
 
 // planNewestVersion returns the newest weight version reported by the engines of a
--- a/route/datacentre.go
+++ b/route/datacentre.go
@@ -46,8 +46,10 @@
 // ChooseDataCentre returns the data centre for a call from a region, and the rule that
 // decided. It prefers the local data centre while it has capacity, then others of the
 // region, then those of other regions if allowCrossRegion is set. If none has capacity,
-// it prefers them in the same order. Of equally preferred data centres, it returns the
-// least loaded. It returns nil if no data centre can serve the call.
+// it prefers them in the same order for live calls; trainers' calls wait where the load is
+// lowest, since otherwise all of them would wait in the local data centre while slots of
+// the others are free. Of equally preferred data centres, it returns the least loaded. It
+// returns nil if no data centre can serve the call.
 func ChooseDataCentre(dataCentres []DataCentre, class gypsum.Class, region gypsum.Region, allowCrossRegion bool) (*DataCentre, string) {
 	var best *DataCentre
 	bestRule := ""
@@ -58,7 +60,7 @@
 			continue
 		}
 		rank, rule := dataCentreRank(dataCentre, class, region)
-		if !allowCrossRegion && (rank == rankRemote || rank == rankRemoteFull) {
+		if !allowCrossRegion && dataCentre.Location.Region != region {
 			continue
 		}
 		if best == nil || rank < bestRank || (rank == bestRank && dataCentre.Load(class) < best.Load(class)) {
@@ -99,6 +101,7 @@
 	rankLocal = iota
 	rankRegion
 	rankRemote
+	rankTrainerFull
 	rankLocalFull
 	rankRegionFull
 	rankRemoteFull
@@ -118,6 +121,8 @@
 		return rankRegion, "own_region"
 	case !full:
 		return rankRemote, "other_region"
+	case class != gypsum.ClassLive:
+		return rankTrainerFull, "least_loaded"
 	case dataCentre.Local:
 		return rankLocalFull, "own_data_centre_full"
 	case near:
--- a/route/placer.go
+++ b/route/placer.go
@@ -8,7 +8,8 @@
 )
 
 // Bounds of affinity: a backend server that has the prompt's prefix is chosen up to the
-// load maxAffinityLoad, or up to maxAffinityLoadFactor times the mean load.
+// load maxAffinityLoad, or up to maxAffinityLoadFactor times the mean load, but only while
+// it has a free slot.
 // maxAffinityProbes is the number of points of the hash ring that are examined.
 const (
 	maxAffinityLoad       = 0.75
@@ -53,7 +54,7 @@
 func placeByAffinity(call *gypsum.Call, pool gypsum.CandidatePool) (gypsum.Placement, bool) {
 	bound := maxAffinityLoad
 	if loader, ok := pool.(meanLoader); ok {
-		bound = max(bound, maxAffinityLoadFactor*loader.MeanLoad(call.Class))
+		bound = min(max(bound, maxAffinityLoadFactor*loader.MeanLoad(call.Class)), 1)
 	}
 	for n := range maxAffinityProbes {
 		index := pool.Successor(call.PrefixHash, n)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -51,6 +51,26 @@
 	is.True(elsewhere.Backend != first.Backend)
 }
 
+// TestAffinityUnderOverload checks that no call waits at the backend server that has its
+// prompt's prefix while others have free slots, whatever the mean load.
+func TestAffinityUnderOverload(t *testing.T) {
+	is := is.New(t)
+	call := &gypsum.Call{Class: gypsum.ClassTrainer, PrefixHash: 12345}
+	placer := route.NewAffinityPlacer()
+	first, _ := placer.Place(call, newPool(50, func(_ int, b *route.Backend) { b.Status.Running = 0 }))
+	overloaded := newPool(50, func(_ int, b *route.Backend) {
+		b.Status.Running = b.Status.Slots + 2
+		if gypsum.BackendID(b.Host.ID) == first.Backend {
+			b.Status.Running++
+		}
+	})
+	for range 20 {
+		placement, ok := placer.Place(call, overloaded)
+		is.True(ok)
+		is.True(placement.Reason != "prefix_affinity")
+	}
+}
+
 // TestUnusableBackends checks that no placer chooses closed or excluded backend servers,
 // or those with outdated weights.
 func TestUnusableBackends(t *testing.T) {
@@ -125,6 +145,10 @@
 		// engine does.
 		{"far is half full, for a trainer", 10, 10, 5, true, true, "far"},
 		{"all full, for a trainer", 10, 10, 10, true, true, "own"},
+		// Where all are full, a trainer's call waits where the fewest calls wait.
+		{"own has the longest queue, for a trainer", 20, 13, 12, true, true, "far"},
+		{"own has the longest queue, no budget, for a trainer", 20, 13, 12, false, true, "near"},
+		{"own has the longest queue", 20, 13, 12, true, false, "own"},
 		{"no budget to cross, for a trainer", 10, 10, 0, false, true, "own"},
 	}
 	for _, row := range rows {
