emul: an emulator of batch deployments on the product's own decisions

gypsumhook emulate runs scenarios x policies x seeds on all cores in virtual time: engines, scores, trainers in a closed loop, the store, loss of the holder. It calls the functions of package sched that the daemons call. Lengths and speeds depend on the seed alone, so policies are compared in pairs (gonum: Student's t); results as CSV, plots with go-echarts.

--- /dev/null
+++ b/cmd/gypsumhook/emulate.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gypsumhook/gypsum/emul"
+)
+
+// emulateCommand returns the command that runs emulated deployments.
+func emulateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "emulate", Usage: "run emulated deployments of batches and compare policies", ArgsUsage: "SCENARIO...", Action: runEmulate,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Usage: "number of `SEEDS` of each scenario and policy", Value: 20},
+			&cli.StringFlag{Name: "policies", Usage: "comma-separated `NAMES`, the first is the base of the comparison, or all", Value: emul.CurrentPolicy},
+			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` for results.csv and report.html"},
+		},
+	}
+}
+
+// runEmulate runs the scenarios and writes the comparison.
+func runEmulate(ctx context.Context, command *cli.Command) error {
+	seeds := command.Int("seeds")
+	if command.NArg() == 0 || seeds < 1 {
+		return fmt.Errorf("name at least one scenario file, and at least one seed: %w", errInvalidCommandLine)
+	}
+	policies, err := selectPolicies(command.String("policies"))
+	if err != nil {
+		return err
+	}
+	var scenarios []*emul.Scenario
+	for _, path := range command.Args().Slice() {
+		scenario, err := emul.ReadScenario(path)
+		if err != nil {
+			return err
+		}
+		scenarios = append(scenarios, scenario)
+	}
+	out := command.Root().Writer
+	results, err := emul.RunAll(ctx, scenarios, policies, seeds, func(done, total int) {
+		fmt.Fprintf(command.Root().ErrWriter, "\r%d of %d runs", done, total)
+	})
+	fmt.Fprintln(command.Root().ErrWriter)
+	if err != nil {
+		return err
+	}
+	if err := emul.WriteSummary(out, results); err != nil {
+		return err
+	}
+	if len(policies) > 1 {
+		base := policies[0].Name
+		if err := emul.WriteComparison(out, emul.Compare(results, base), base); err != nil {
+			return err
+		}
+	}
+	return writeEmulation(command.String("out"), results)
+}
+
+// selectPolicies returns the policies with the given names.
+func selectPolicies(names string) ([]*emul.Policy, error) {
+	if names == "all" {
+		return emul.Policies(), nil
+	}
+	var policies []*emul.Policy
+	for _, name := range strings.Split(names, ",") {
+		policy := emul.FindPolicy(name)
+		if policy == nil {
+			return nil, fmt.Errorf("unknown policy %q: %w", name, errInvalidCommandLine)
+		}
+		policies = append(policies, policy)
+	}
+	return policies, nil
+}
+
+// writeEmulation writes the results to files in a directory, unless it is empty.
+func writeEmulation(directory string, results []*emul.Result) error {
+	if directory == "" {
+		return nil
+	}
+	writers := map[string]func(io.Writer, []*emul.Result) error{"results.csv": emul.WriteCSV, "report.html": emul.WriteHTML}
+	for name, write := range writers {
+		file, err := os.Create(filepath.Join(directory, name))
+		if err != nil {
+			return fmt.Errorf("create %s: %w", name, err)
+		}
+		err = write(file, results)
+		if closeErr := file.Close(); err == nil && closeErr != nil {
+			err = fmt.Errorf("write %s: %w", name, closeErr)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/emul/policy.go
@@ -0,0 +1,117 @@
+package emul
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/sched"
+)
+
+// CurrentPolicy is the name of the policy that daemons use.
+const CurrentPolicy = "current"
+
+// Policy is a set of decisions. Those of the other policies are for comparison.
+type Policy struct {
+	Name string
+	// Place decides which items start, as sched.ScheduleItems.
+	Place func(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement
+	// Move decides which attempts move, as sched.ScheduleMoves.
+	Move func(attempts []sched.Attempt, engines []*sched.Engine) []sched.Placement
+	// AnswerRead decides when a read is answered, as sched.AnswerRead.
+	AnswerRead func(state *sched.ReadState) bool
+	// KnowsLengths means that the lengths of the texts are known to Place and Move.
+	KnowsLengths bool
+}
+
+// Policies returns all policies, the current one first.
+func Policies() []*Policy {
+	current := Policy{Name: CurrentPolicy, Place: sched.ScheduleItems, Move: sched.ScheduleMoves, AnswerRead: sched.AnswerRead}
+	vary := func(name string, change func(*Policy)) *Policy {
+		policy := current
+		policy.Name = name
+		change(&policy)
+		return &policy
+	}
+	return []*Policy{
+		&current,
+		vary("oracle", func(p *Policy) { p.KnowsLengths = true }),
+		vary("no_moves", func(p *Policy) { p.Move = func([]sched.Attempt, []*sched.Engine) []sched.Placement { return nil } }),
+		vary("reads_at_once", func(p *Policy) {
+			p.AnswerRead = func(state *sched.ReadState) bool {
+				return state.NewResults > 0 || state.Final || state.Waited >= state.Wait
+			}
+		}),
+		vary("least_loaded", func(p *Policy) { p.Place = placeBy(byOrder, leastLoaded) }),
+		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
+		vary("longest_hint_first", func(p *Policy) { p.Place = placeBy(longestFirst, leastLoaded) }),
+	}
+}
+
+// FindPolicy returns the policy with a name, nil if there is none.
+func FindPolicy(name string) *Policy {
+	for _, policy := range Policies() {
+		if policy.Name == name {
+			return policy
+		}
+	}
+	return nil
+}
+
+// byOrder keeps the order of items.
+func byOrder(_, _ *sched.Item) int { return 0 }
+
+// longestFirst orders items by their expected length, the longest first.
+func longestFirst(a, b *sched.Item) int { return cmp.Compare(b.RemainingEvents, a.RemainingEvents) }
+
+// placeBy returns a placement that starts items in an order, each on the engine that choose
+// returns among those with a free slot that may run it.
+func placeBy(order func(a, b *sched.Item) int, choose func([]*sched.Engine) *sched.Engine) func([]sched.Item, []*sched.Engine, time.Time) []sched.Placement {
+	return func(items []sched.Item, engines []*sched.Engine, _ time.Time) []sched.Placement {
+		sorted := make([]*sched.Item, 0, len(items))
+		for i := range items {
+			sorted = append(sorted, &items[i])
+		}
+		slices.SortStableFunc(sorted, order)
+		var placements []sched.Placement
+		for _, it := range sorted {
+			var candidates []*sched.Engine
+			for _, e := range engines {
+				if version, ok := e.Versions[it.Model]; ok && version >= it.MinVersion && !e.Unusable && e.Loading != it.Model && e.Running < e.Slots && e.ID != it.AvoidedEngine {
+					candidates = append(candidates, e)
+				}
+			}
+			if len(candidates) == 0 {
+				continue
+			}
+			chosen := choose(candidates)
+			placements = append(placements, sched.Placement{Item: it, Engine: chosen.ID, EngineAttempts: chosen.Running})
+			chosen.Running++
+		}
+		return placements
+	}
+}
+
+// leastLoaded returns the engine with the fewest attempts.
+func leastLoaded(engines []*sched.Engine) *sched.Engine {
+	return slices.MinFunc(engines, func(a, b *sched.Engine) int {
+		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// newRoundRobin returns a choice that takes the engines in turn.
+func newRoundRobin() func([]*sched.Engine) *sched.Engine {
+	last := gypsum.BackendID("")
+	return func(engines []*sched.Engine) *sched.Engine {
+		next := engines[0]
+		for _, e := range engines {
+			if e.ID > last {
+				next = e
+				break
+			}
+		}
+		last = next.ID
+		return next
+	}
+}
--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/sched"
 )
 
 // phase is the state of an active item.
@@ -177,16 +178,14 @@
 // defaultEventCount is the expected number of events of an item without an estimate.
 const defaultEventCount = 20
 
-// remainingEvents returns the expected number of events still to be generated. An item
-// close to or past its estimate is expected to produce at least half as many events
-// again as so far, since long items are underestimated the most.
+// remainingEvents returns the expected number of events still to be generated.
 func (a *activeItem) remainingEvents() int {
 	last, _, _ := a.progress.status()
 	expected := defaultEventCount
 	if tokens := a.request.ExpectedTokens; tokens > 0 {
 		expected = (tokens + a.batch.tokensPerEvent - 1) / a.batch.tokensPerEvent
 	}
-	return max(expected-int(last), int(last)/2, 1)
+	return sched.RemainingEvents(expected, int(last))
 }
 
 // activeBatch is an open batch of a held service.
--- a/sched/items.go
+++ b/sched/items.go
@@ -78,6 +78,14 @@
 	Failures int
 }
 
+// RemainingEvents returns the expected number of events still to be generated, from the
+// expected number of all events and the number generated so far. An item close to or past
+// its estimate is expected to produce at least half as many events again as so far, since
+// long items are underestimated the most.
+func RemainingEvents(expected, generated int) int {
+	return max(expected-generated, generated/2, 1)
+}
+
 // Placement is a decision to start or continue an item on an engine.
 type Placement struct {
 	Item   *Item
