A member that restarts after a failed call gets work at once

Cause: after a failed call, a member stayed suspect until its heartbeat passed the count at the failure; a new start counts from 1, so a daemon that had run for long stayed suspect for as long again. Incarnations were compared everywhere else.

Change: the failure belongs to the incarnation that it was seen of. Red before: member.TestRestartAfterFailedCall.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -168,3 +168,19 @@
 	a.Merge(updates, startTime)
 	is.Equal(a.ReachableSummaries(startTime)[0].Members, members)
 }
+
+// TestRestartAfterFailedCall checks that a member that restarts soon after a call to it failed
+// gets work again with the first status of its new start, although its heartbeats begin anew.
+func TestRestartAfterFailedCall(t *testing.T) {
+	is := is.New(t)
+	a := newTable("a")
+	b := gypsum.Member{ID: "b", Location: localLocation, Incarnation: 1, Heartbeat: 100}
+	a.Merge([]gypsum.Member{b}, startTime)
+	a.RecordCallFailure("b")
+	b.Heartbeat = 101
+	a.Merge([]gypsum.Member{b}, startTime.Add(time.Second))
+	is.Equal(stateOf(a, "b", startTime.Add(time.Second)), gypsum.MemberSuspect) // may have been sent before the failure
+	b.Incarnation, b.Heartbeat = 2, 1
+	a.Merge([]gypsum.Member{b}, startTime.Add(2*time.Second))
+	is.Equal(stateOf(a, "b", startTime.Add(2*time.Second)), gypsum.MemberAlive)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -33,10 +33,11 @@
 	// confirmed is false for a member that is known only from the platform's host list:
 	// no status of it has arrived yet.
 	confirmed bool
-	// callFailed means that a call to the member failed. heartbeatAtFailure is the newest
-	// heartbeat known at that time.
-	callFailed         bool
-	heartbeatAtFailure int64
+	// callFailed means that a call to the member failed. incarnationAtFailure and
+	// heartbeatAtFailure are the newest ones known at that time.
+	callFailed           bool
+	incarnationAtFailure gypsum.Incarnation
+	heartbeatAtFailure   int64
 }
 
 // Status is a member and its state as determined by this daemon.
@@ -72,10 +73,10 @@
 }
 
 // update replaces the status by a newer one. From the second heartbeat after a failed
-// call on, the failure no longer counts.
+// call on, or after a restart, the failure no longer counts.
 func (e *memberEntry) update(member gypsum.Member, updatedAt time.Time) {
 	e.member, e.updatedAt, e.confirmed = member, updatedAt, true
-	if e.callFailed && member.Heartbeat > e.heartbeatAtFailure+1 {
+	if member.Incarnation > e.incarnationAtFailure || member.Heartbeat > e.heartbeatAtFailure+1 {
 		e.callFailed = false
 	}
 }
@@ -142,7 +143,7 @@
 func (t *Table) RecordCallFailure(id gypsum.HostID) {
 	if known, ok := t.entries[id]; ok {
 		known.callFailed = true
-		known.heartbeatAtFailure = known.member.Heartbeat
+		known.incarnationAtFailure, known.heartbeatAtFailure = known.member.Incarnation, known.member.Heartbeat
 	}
 }
 
