Remove dead code

Fields that nothing reads (runner activeItem.lost, core Stats.GossipSent, fake Engine.startedCount, fleet Workload.Rand with its seed), a threshold without effect (a mean below 0.01 reserves no slot anyway), and the twin cases of the load report poll.

--- a/core/backendworker.go
+++ b/core/backendworker.go
@@ -92,14 +92,11 @@
 		slots = defaultPlainSlots
 	}
 	w.queue.SetSlots(slots)
-	switch {
-	case report.Leaving:
-		w.queue.Close(gypsum.ReasonNoBackend)
-	case report.LoadingWeights:
-		w.queue.Close(gypsum.ReasonNoBackend)
-	default:
-		w.queue.Close("")
+	reason := gypsum.Reason("")
+	if report.Leaving || report.LoadingWeights {
+		reason = gypsum.ReasonNoBackend
 	}
+	w.queue.Close(reason)
 }
 
 // recordPollFailure counts a failed poll. After Tuning.LoadPollFailures in a row, or at once
--- a/core/core.go
+++ b/core/core.go
@@ -142,7 +142,6 @@
 	Retries          atomic.Int64
 	Resumes          atomic.Int64
 	CrossRegionCalls atomic.Int64
-	GossipSent       atomic.Int64
 	Refusals         reasonCounts
 }
 
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -85,7 +85,6 @@
 	leaving          bool
 	responseFault    ResponseFault
 	loadsToFail      int
-	startedCount     int
 	loadOrders       []gypsum.LoadOrder
 	report           gypsum.LoadReport
 	reportTime       time.Time
--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -244,7 +244,7 @@
 	f.SetTuning = tc.setTuning
 	defer f.Close()
 	is.NoErr(f.Start(t.Context()))
-	workload := fleet.NewWorkload(f, 1)
+	workload := fleet.NewWorkload(f)
 	workload.Start(t.Context())
 	time.Sleep(warmupTime)
 	injectedAt := time.Now()
--- a/fleet/soak_test.go
+++ b/fleet/soak_test.go
@@ -55,7 +55,7 @@
 		f.SetTuning = func(tuning *core.Tuning) { tuning.SnapshotRecords, tuning.SnapshotInterval = 20, 5*time.Second }
 		defer f.Close()
 		is.NoErr(f.Start(t.Context()))
-		workload := fleet.NewWorkload(f, seed)
+		workload := fleet.NewWorkload(f)
 		random := rand.New(rand.NewPCG(seed, 7))
 		workload.Start(t.Context())
 		for range soakRounds {
--- a/fleet/workload.go
+++ b/fleet/workload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -35,7 +34,6 @@
 	Fleet    *Fleet
 	Recorder *check.Recorder
 	Caller   *check.Caller
-	Rand     *rand.Rand
 	// CallersPerKind is the number of callers that send orders, and also the number of
 	// those that request completions.
 	CallersPerKind int
@@ -56,11 +54,11 @@
 }
 
 // NewWorkload returns a workload for a started fleet.
-func NewWorkload(f *Fleet, seed uint64) *Workload {
+func NewWorkload(f *Fleet) *Workload {
 	recorder := &check.Recorder{}
 	return &Workload{
 		Fleet: f, Recorder: recorder, Caller: f.NewCaller(recorder, callTimeout),
-		Rand: rand.New(rand.NewPCG(seed, seed)), CallersPerKind: 2,
+		CallersPerKind: 2,
 		isolated: make(map[gypsum.HostID]bool), leavingSince: make(map[string]time.Time),
 	}
 }
--- a/queue/slotreserve.go
+++ b/queue/slotreserve.go
@@ -8,9 +8,6 @@
 // reserveTimeConstant is the time constant of the average number of running live calls.
 const reserveTimeConstant = 2 * time.Second
 
-// minReserveMean is the average number of live calls below which no slot is reserved.
-const minReserveMean = 0.01
-
 // slotReserve determines how many slots to keep free of trainers' calls.
 type slotReserve struct {
 	meanLive    float64
@@ -48,8 +45,5 @@
 // calls.
 func (r *slotReserve) reservedSlots(now time.Time, slots int) int {
 	r.updateMean(now)
-	if r.meanLive < minReserveMean && r.runningLive == 0 {
-		return 0
-	}
 	return min(int(r.meanLive), slots/2)
 }
--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -45,7 +45,6 @@
 	firstStartedAt    time.Time
 	failures          int
 	crashes           int
-	lost              bool
 	checkpointedEvent int64 // number of the last stored event
 	checkpointing     bool
 	// rewardCallsFailed is the number of reward calls answered with a server error. scoring
