--- a/fleet/workload.go
+++ b/fleet/workload.go
@@ -59,7 +59,7 @@
 	return &Workload{
 		Fleet: f, Recorder: recorder, Caller: f.NewCaller(recorder, callTimeout),
 		CallersPerKind: 2,
-		isolated: make(map[gypsum.HostID]bool), leavingSince: make(map[string]time.Time),
+		isolated:       make(map[gypsum.HostID]bool), leavingSince: make(map[string]time.Time),
 	}
 }
 
