Long texts move to faster engines, at the measured cost of a move

A move needed a gain of 1.6 and counted 250 ms for itself, so that engines that differ by 15% were never left.

Change: a gain of 1.1 suffices if the target is faster by 1.05 when idle (attempts beside change within a second), and the cost of a move is the measured time from the start of an attempt to its first event, 250 ms until some are measured.

Not kept either: reads of results kept open until the step is complete. The rule stays as a policy of the emulator (reads_held), which does not model the readers' outage.

--- a/emul/holder.go
+++ b/emul/holder.go
@@ -129,7 +129,7 @@
 			byID[it.id] = it
 		}
 	}
-	for _, move := range s.policy.Move(attempts, views) {
+	for _, move := range s.policy.Move(attempts, views, s.scenario.Engines.StartTime) {
 		it := byID[move.Item.ID]
 		s.stopAttempt(it)
 		s.start(it, s.byID[move.Engine])
--- a/emul/policy.go
+++ b/emul/policy.go
@@ -18,16 +18,16 @@
 	// Place decides which items start, as sched.ScheduleItems.
 	Place func(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement
 	// Move decides which attempts move, as sched.ScheduleMoves.
-	Move func(attempts []sched.Attempt, engines []*sched.Engine) []sched.Placement
-	// AnswerRead decides when a read is answered, as sched.AnswerRead.
-	AnswerRead func(state *sched.ReadState) bool
+	Move func(attempts []sched.Attempt, engines []*sched.Engine, overhead time.Duration) []sched.Placement
+	// AnswerRead reports whether a read is answered now.
+	AnswerRead func(state *ReadState) bool
 	// KnowsLengths means that the lengths of the texts are known to Place and Move.
 	KnowsLengths bool
 }
 
 // Policies returns all policies, the current one first.
 func Policies() []*Policy {
-	current := Policy{Name: CurrentPolicy, Place: sched.ScheduleItems, Move: sched.ScheduleMoves, AnswerRead: sched.AnswerRead}
+	current := Policy{Name: CurrentPolicy, Place: sched.ScheduleItems, Move: sched.ScheduleMoves, AnswerRead: answerAtOnce}
 	vary := func(name string, change func(*Policy)) *Policy {
 		policy := current
 		policy.Name = name
@@ -37,12 +37,10 @@
 	return []*Policy{
 		&current,
 		vary("oracle", func(p *Policy) { p.KnowsLengths = true }),
-		vary("no_moves", func(p *Policy) { p.Move = func([]sched.Attempt, []*sched.Engine) []sched.Placement { return nil } }),
-		vary("reads_at_once", func(p *Policy) {
-			p.AnswerRead = func(state *sched.ReadState) bool {
-				return state.NewResults > 0 || state.Final || state.Waited >= state.Wait
-			}
+		vary("no_moves", func(p *Policy) {
+			p.Move = func([]sched.Attempt, []*sched.Engine, time.Duration) []sched.Placement { return nil }
 		}),
+		vary("reads_held", func(p *Policy) { p.AnswerRead = holdTail }),
 		vary("least_loaded", func(p *Policy) { p.Place = placeBy(byOrder, leastLoaded) }),
 		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
 		vary("longest_hint_first", func(p *Policy) { p.Place = placeBy(longestFirst, leastLoaded) }),
--- a/emul/sim.go
+++ b/emul/sim.go
@@ -480,8 +480,8 @@
 			visible++
 		}
 	}
-	state := &sched.ReadState{
-		NewResults: visible - b.received, Sufficient: b.sufficientAt != 0 && b.sufficientAt+spec.LinkTime <= s.now, Final: visible == len(b.items),
+	state := &ReadState{
+		NewResults: visible - b.received, MissingResults: len(b.items) - visible, TotalResults: len(b.items), Sufficient: b.sufficientAt != 0 && b.sufficientAt+spec.LinkTime <= s.now, Final: visible == len(b.items),
 		Waited: s.now - started, Wait: spec.ReadWait, UntilDue: b.submittedAt + spec.Due - s.now,
 	}
 	if !s.policy.AnswerRead(state) {
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	for _, move := range sched.ScheduleMoves(attempts, engines) {
+	for _, move := range sched.ScheduleMoves(attempts, engines, s.startTime) {
 		a := activeItems[move.Item]
 		s.runner.Logger.Info("item moved", "batch", a.batch.header.ID, "item", a.request.ID, "from", a.engine.replica.ID,
 			"to", move.Engine, "runs_there", move.EngineAttempts, "left", a.remainingEvents())
@@ -78,7 +78,11 @@
 			err := a.progress.appendEvent(event, e, &a.batch.versions)
 			if first && err == nil {
 				first = false
-				s.runner.postUpdate(s.ctx, func() { e.awaitingFirstEvent[header.Model]-- })
+				startTime := time.Since(now)
+				s.runner.postUpdate(s.ctx, func() {
+					e.awaitingFirstEvent[header.Model]--
+					s.startTime += time.Duration(startTimeWeight * float64(startTime-s.startTime))
+				})
 			}
 			return err
 		})
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -30,6 +30,11 @@
 	// worth it: they determine when a step is complete.
 	checkpointAfter    = 1200 * time.Millisecond
 	checkpointInterval = 1500 * time.Millisecond
+	// initialStartTime is the assumed time from the start of an attempt to its first event
+	// until some are measured: a round trip between regions, the prompt, and an event.
+	// startTimeWeight is the weight of the latest measurement in the average.
+	initialStartTime = 250 * time.Millisecond
+	startTimeWeight  = 0.05
 	// crashLimit is how many engines an item may crash before it is no longer started,
 	// as the users specified.
 	crashLimit = 3
@@ -61,6 +66,9 @@
 	savedTexts     map[gypsum.ItemID]*savedText
 	// scoringTime is the moving average of the time from a complete text to its score.
 	scoringTime time.Duration
+	// startTime is the moving average of the time from the start of an attempt to its first
+	// event.
+	startTime time.Duration
 }
 
 // newHeldService returns the state of a service whose claim by this daemon is holder.
@@ -71,7 +79,7 @@
 		runner: r, ctx: ctx, processCtx: processCtx, cancel: cancel, service: service, fencingToken: holder.FencingToken, term: holder.Term,
 		engines: make(map[gypsum.BackendID]*engine), batches: make(map[gypsum.BatchID]*activeBatch),
 		assignedModels: make(map[gypsum.BackendID]gypsum.EngineModel), expectedTokens: make(map[gypsum.EngineModel]float64),
-		savedTexts: make(map[gypsum.ItemID]*savedText),
+		savedTexts: make(map[gypsum.ItemID]*savedText), startTime: initialStartTime,
 	}
 }
 
--- a/sched/items.go
+++ b/sched/items.go
@@ -170,23 +170,28 @@
 
 // Limits of moves.
 const (
-	// minMoveSpeedup is the least factor by which a move must shorten the remaining time.
-	minMoveSpeedup = 1.6
-	// moveOverhead is the cost of a move: a round trip between regions, processing the
-	// prompt and the text so far again, and the first event.
-	moveOverhead = 250 * time.Millisecond
+	// minMoveSpeedup is the least factor by which a move must shorten the remaining time. It
+	// is above the errors of the measured event times, so that attempts do not move back
+	// and forth.
+	minMoveSpeedup = 1.1
+	// minIdleSpeedup is the least factor by which the target must be faster when idle. The
+	// attempts beside change within a second, so that moves to engines that merely run fewer
+	// attempts now are not worth their cost.
+	minIdleSpeedup = 1.05
 	// maxMovesPerRound bounds the moves of one round, so that their effect on the
 	// target engines is observed before more attempts move.
 	maxMovesPerRound = 8
 )
 
-// ScheduleMoves decides which attempts continue on another engine. When an engine
-// becomes several times slower while it runs part of each step, the step waits for
-// its longest item there. An attempt moves if it is expected to end much sooner on
-// another engine, the longest attempts first.
+// ScheduleMoves decides which attempts continue on another engine. A step waits for its
+// longest item, whose length shows only while it is generated, on whichever engine it
+// started; and an engine may become several times slower while it runs part of a step. An
+// attempt moves if it is expected to end sooner on another engine, the longest attempts
+// first. overhead is the cost of a move: the time from the start of an attempt to its first
+// event.
 //
 // ScheduleMoves updates Running of the engines that it moves attempts between.
-func ScheduleMoves(attempts []Attempt, engines []*Engine) []Placement {
+func ScheduleMoves(attempts []Attempt, engines []*Engine, overhead time.Duration) []Placement {
 	byID := make(map[gypsum.BackendID]*Engine, len(engines))
 	for _, engine := range engines {
 		byID[engine.ID] = engine
@@ -201,7 +206,7 @@
 			continue
 		}
 		stayTime := time.Duration(attempt.RemainingEvents) * current.eventTime(current.Running)
-		if float64(stayTime) <= minMoveSpeedup*float64(moveOverhead) {
+		if float64(stayTime) <= minMoveSpeedup*float64(overhead) {
 			continue
 		}
 		item := *attempt.Item
@@ -210,8 +215,9 @@
 		if target == nil {
 			continue
 		}
-		moveTime := time.Duration(attempt.RemainingEvents)*target.eventTime(target.Running+1) + moveOverhead
-		if float64(stayTime) > minMoveSpeedup*float64(moveTime) {
+		moveTime := time.Duration(attempt.RemainingEvents)*target.eventTime(target.Running+1) + overhead
+		isFaster := float64(current.IdleEventTime) > minIdleSpeedup*float64(target.IdleEventTime)
+		if isFaster && float64(stayTime) > minMoveSpeedup*float64(moveTime) {
 			moves = append(moves, Placement{Item: attempt.Item, Engine: target.ID, EngineAttempts: target.Running})
 			target.Running++
 			current.Running--
