emulate is a program of its own; its report needs no other file

The libraries for plots would have been linked into every daemon, and the charts of go-echarts load a script from the network.

--- a/cmd/gypsumhook/emulate.go
+++ b/cmd/emulate/main.go
@@ -1,3 +1,5 @@
+// Command emulate runs emulated deployments of batches and compares policies. It is a program of
+// its own, since the libraries for plots would cost every daemon memory.
 package main
 
 import (
@@ -5,18 +7,52 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/gypsumhook/gypsum/emul"
 )
 
-// emulateCommand returns the command that runs emulated deployments.
-func emulateCommand() *cli.Command {
+// Exit codes, as those of gypsumhook.
+const (
+	exitFailure         = 1
+	exitUsage           = 2
+	exitInvalidScenario = 3
+)
+
+var errInvalidCommandLine = errors.New("invalid command line")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := newCommand().Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "emulate:", err)
+	stop()
+	os.Exit(exitCode(err)) //nolint:gocritic // stop has been called.
+}
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, errInvalidCommandLine):
+		return exitUsage
+	case errors.Is(err, emul.ErrScenario):
+		return exitInvalidScenario
+	}
+	return exitFailure
+}
+
+// newCommand returns the command.
+func newCommand() *cli.Command {
 	return &cli.Command{
-		Name: "emulate", Usage: "run emulated deployments of batches and compare policies", ArgsUsage: "SCENARIO...", Action: runEmulate,
+		Name: "emulate", HideHelpCommand: true, ExitErrHandler: func(context.Context, *cli.Command, error) {}, Usage: "run emulated deployments of batches and compare policies", ArgsUsage: "SCENARIO...", Action: runEmulate,
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Usage: "number of `SEEDS` of each scenario and policy", Value: 20},
 			&cli.StringFlag{Name: "policies", Usage: "comma-separated `NAMES`, the first is the base of the comparison, or all", Value: emul.CurrentPolicy},
--- a/emul/report.go
+++ b/emul/report.go
@@ -1,30 +1,61 @@
 package emul
 
 import (
+	"bytes"
 	"fmt"
+	"html/template"
 	"io"
 	"slices"
 
-	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
-	"github.com/go-echarts/go-echarts/v2/opts"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // format svg
 )
 
+// Sizes of the plots.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	barWidth   = 0.8 * vg.Centimeter
+)
+
+// reportPage is the page with the plots. It needs no other file.
+var reportPage = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+<html><head><meta charset="utf-8"><title>Emulated batches</title></head><body>
+{{range .}}<h1>{{.Scenario}}</h1>{{.Phases}}{{.Durations}}
+{{end}}</body></html>
+`))
+
+// scenarioPlots are the plots of a scenario as SVG.
+type scenarioPlots struct {
+	Scenario          string
+	Phases, Durations template.HTML
+}
+
 // WriteHTML writes a page with plots: for each scenario the mean phases of a step by policy, and
-// the distribution of the durations of steps.
+// the quantiles of the durations of steps.
 func WriteHTML(w io.Writer, results []*Result) error {
-	page := components.NewPage()
-	page.SetPageTitle("Emulated batches")
 	var scenarios []string
 	for _, r := range results {
 		if !slices.Contains(scenarios, r.Scenario) {
 			scenarios = append(scenarios, r.Scenario)
 		}
 	}
+	var plots []scenarioPlots
 	for _, scenario := range scenarios {
-		page.AddCharts(newPhaseChart(results, scenario), newDurationChart(results, scenario))
+		phases, err := plotPhases(results, scenario)
+		if err != nil {
+			return fmt.Errorf("plot phases of %s: %w", scenario, err)
+		}
+		durations, err := plotDurations(results, scenario)
+		if err != nil {
+			return fmt.Errorf("plot durations of %s: %w", scenario, err)
+		}
+		plots = append(plots, scenarioPlots{Scenario: scenario, Phases: phases, Durations: durations})
 	}
-	if err := page.Render(w); err != nil {
+	if err := reportPage.Execute(w, plots); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
 	return nil
@@ -45,49 +76,79 @@
 	return names, byPolicy
 }
 
-// newPhaseChart returns stacked bars of the mean phases of the steps.
-func newPhaseChart(results []*Result, scenario string) *charts.Bar {
+// plotPhases returns stacked bars of the mean phases of the steps.
+func plotPhases(results []*Result, scenario string) (template.HTML, error) {
 	names, byPolicy := policiesOf(results, scenario)
-	chart := charts.NewBar()
-	chart.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: scenario, Subtitle: "mean phases of a step in ms"}),
-		charts.WithLegendOpts(opts.Legend{Right: "5%"}),
-	)
-	chart.SetXAxis(names)
-	for _, phase := range phases {
-		var data []opts.BarData
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "mean phases of a step", "s"
+	p.Legend.Top = true
+	var below *plotter.BarChart
+	for i, phase := range phases {
+		var means plotter.Values
 		for _, name := range names {
 			total := 0.0
 			for _, r := range byPolicy[name] {
-				total += float64(r.meanPhase(phase.value).Milliseconds())
+				total += r.meanPhase(phase.value).Seconds()
 			}
-			data = append(data, opts.BarData{Value: int(total / float64(len(byPolicy[name])))})
+			means = append(means, total/float64(len(byPolicy[name])))
+		}
+		bars, err := plotter.NewBarChart(means, barWidth)
+		if err != nil {
+			return "", fmt.Errorf("create bars: %w", err)
 		}
-		chart.AddSeries(phase.name, data, charts.WithBarChartOpts(opts.BarChart{Stack: "phases"}))
+		bars.Color = plotutil.Color(i)
+		if below != nil {
+			bars.StackOn(below)
+		}
+		below = bars
+		p.Add(bars)
+		p.Legend.Add(phase.name, bars)
 	}
-	return chart
+	p.NominalX(names...)
+	return renderSVG(p)
 }
 
-// newDurationChart returns lines of the quantiles of the durations of steps.
-func newDurationChart(results []*Result, scenario string) *charts.Line {
+// plotDurations returns a line a policy of the durations of steps by quantile.
+func plotDurations(results []*Result, scenario string) (template.HTML, error) {
 	names, byPolicy := policiesOf(results, scenario)
-	quantiles := []float64{0.05, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99}
-	chart := charts.NewLine()
-	chart.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: scenario, Subtitle: "duration of a step in ms by quantile"}),
-		charts.WithLegendOpts(opts.Legend{Right: "5%"}),
-	)
-	chart.SetXAxis(quantiles)
-	for _, name := range names {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "duration of a step by quantile", "quantile", "s"
+	p.Legend.Top, p.Legend.Left = true, true
+	for i, name := range names {
 		merged := &Result{}
 		for _, r := range byPolicy[name] {
 			merged.Steps = append(merged.Steps, r.Steps...)
 		}
-		var data []opts.LineData
-		for _, quantile := range quantiles {
-			data = append(data, opts.LineData{Value: merged.StepTime(quantile).Milliseconds()})
+		var points plotter.XYs
+		for percent := range 100 {
+			quantile := float64(percent) / 100
+			points = append(points, plotter.XY{X: quantile, Y: merged.StepTime(quantile).Seconds()})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", fmt.Errorf("create line: %w", err)
 		}
-		chart.AddSeries(name, data)
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	return renderSVG(p)
+}
+
+// renderSVG returns a plot as an SVG element.
+func renderSVG(p *plot.Plot) (template.HTML, error) {
+	canvas, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", fmt.Errorf("create canvas: %w", err)
+	}
+	var svg bytes.Buffer
+	if _, err := canvas.WriteTo(&svg); err != nil {
+		return "", fmt.Errorf("render plot: %w", err)
+	}
+	content := svg.Bytes()
+	// The XML declaration has no place within a page.
+	if start := bytes.Index(content, []byte("<svg")); start > 0 {
+		content = content[start:]
 	}
-	return chart
+	return template.HTML(content), nil //nolint:gosec // The plot library made it.
 }
