--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 REVIVE := github.com/mgechev/revive@v1.17.0
 
-.PHONY: build demo test lint bench soak soak50 breaks policies generate
+.PHONY: build demo test lint bench soak soak50 breaks fuzz policies generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,6 +34,16 @@
 breaks:
 	go run ./scripts/breaks
 
+# Runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 1m
+fuzz:
+	@go list ./... | while read -r package; do \
+		for target in $$(go test -list '^Fuzz' "$$package" | grep '^Fuzz'); do \
+			echo "$$package $$target"; \
+			go test "$$package" -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; \
+		done; \
+	done
+
 # Benchmarks the policies and writes docs/POLICIES.md with its plots.
 policies:
 	go test ./bench -run TestAll -timeout 60m -count=1 -args -write ../docs
