--- a/emul/sim.go
+++ b/emul/sim.go
@@ -152,6 +152,7 @@
 type sim struct {
 	scenario *Scenario
 	policy   *Policy
+	seed     uint64
 	now      time.Duration
 	queue    eventQueue
 	serial   int
@@ -174,20 +175,20 @@
 // texts' lengths and engines' speeds do not depend on the policy.
 func Run(scenario *Scenario, policy *Policy, seed uint64) *Result {
 	s := &sim{
-		scenario: scenario, policy: policy, byID: make(map[gypsum.BackendID]*engine), assigned: make(map[gypsum.BackendID]gypsum.EngineModel),
+		scenario: scenario, policy: policy, seed: seed, byID: make(map[gypsum.BackendID]*engine), assigned: make(map[gypsum.BackendID]gypsum.EngineModel),
 		storeUp: true, result: Result{Scenario: scenario.Name, Policy: policy.Name, Seed: seed},
 	}
-	s.addEngines(seed)
+	s.addEngines()
 	for i := range scenario.Scoring.Replicas {
 		s.rewards = append(s.rewards, &sched.RewardReplica{ID: gypsum.BackendID(fmt.Sprintf("score-%d", i)), Slots: scenario.Scoring.Slots, ResponseTime: scenario.Scoring.Time})
 	}
 	for i := range scenario.Trainers {
 		t := &trainer{spec: &scenario.Trainers[i], model: gypsum.EngineModel(fmt.Sprintf("model-%d", i)), index: i, latest: 1}
 		s.trainers = append(s.trainers, t)
-		s.submitDue(t, seed)
+		s.submitDue(t)
 	}
 	for i := range scenario.Faults {
-		s.planFault(&scenario.Faults[i], rand.New(rand.NewPCG(seed, uint64(1000+i))))
+		s.planFault(&scenario.Faults[i], rand.New(rand.NewPCG(s.seed, uint64(1000+i))))
 	}
 	s.tick()
 	for s.queue.Len() > 0 && s.queue[0].at < scenario.Duration {
@@ -206,8 +207,8 @@
 }
 
 // addEngines creates the engines with their speeds.
-func (s *sim) addEngines(seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 1))
+func (s *sim) addEngines() {
+	rng := rand.New(rand.NewPCG(s.seed, 1))
 	spec := &s.scenario.Engines
 	for i := range spec.Count {
 		deviation := spec.SpeedSpread * (2*rng.Float64() - 1)
@@ -225,7 +226,7 @@
 
 // submitDue submits the trainer's next step at its time, if the version that the trainer waits
 // for has been announced: step k needs version k, and two steps may be in progress.
-func (s *sim) submitDue(t *trainer, seed uint64) {
+func (s *sim) submitDue(t *trainer) {
 	step := t.nextStep
 	if step > 1 && t.latest < gypsum.WeightVersion(step) {
 		return
@@ -233,15 +234,15 @@
 	t.nextStep++
 	due := time.Duration(step) * t.spec.Interval
 	s.after(due-s.now, func() {
-		s.submit(t, step, seed)
-		s.submitDue(t, seed)
+		s.submit(t, step)
+		s.submitDue(t)
 	})
 }
 
 // submit submits a step.
-func (s *sim) submit(t *trainer, step int, seed uint64) {
+func (s *sim) submit(t *trainer, step int) {
 	b := &batch{trainer: t, id: gypsum.BatchID(fmt.Sprintf("batch-%d-%d", t.index, step)), step: step, submittedAt: s.now}
-	rng := rand.New(rand.NewPCG(seed, uint64(10+t.index)<<32|uint64(step)))
+	rng := rand.New(rand.NewPCG(s.seed, uint64(10+t.index)<<32|uint64(step)))
 	for group := range t.spec.Groups {
 		b.missing = append(b.missing, t.spec.GroupSize)
 		for index := range t.spec.GroupSize {
@@ -252,8 +253,8 @@
 	b.groupWholeAt = make([]time.Duration, t.spec.Groups)
 	t.batches = append(t.batches, b)
 	// A submission takes two appends.
-	s.append(func() {
-		s.append(func() { s.open = append(s.open, b); s.planRound(); s.read(b, s.now+t.spec.ReadInterval, seed) })
+	s.appendRecord(func() {
+		s.appendRecord(func() { s.open = append(s.open, b); s.planRound(); s.read(b, s.now+t.spec.ReadInterval) })
 	})
 }
 
@@ -268,10 +269,10 @@
 	return math.Max(1, math.Min(math.Round(body), limit)), max(1, int(estimate))
 }
 
-// append runs an action once the store has appended a record.
-func (s *sim) append(run func()) {
+// appendRecord runs an action once the store has appended a record.
+func (s *sim) appendRecord(run func()) {
 	if !s.storeUp {
-		s.delayed = append(s.delayed, func() { s.append(run) })
+		s.delayed = append(s.delayed, func() { s.appendRecord(run) })
 		return
 	}
 	s.after(s.scenario.Store.AppendTime, run)
@@ -425,7 +426,7 @@
 // storeResult stores the result of an item.
 func (s *sim) storeResult(it *item) {
 	it.phase = itemStored
-	s.append(func() {
+	s.appendRecord(func() {
 		b := it.batch
 		if it.storedAt != 0 {
 			s.result.Violations = append(s.result.Violations, fmt.Sprintf("item %s has two results", it.id))
@@ -443,15 +444,14 @@
 }
 
 // read starts a read of a batch's results at a time, as the trainer does at each interval.
-func (s *sim) read(b *batch, at time.Duration, seed uint64) {
+func (s *sim) read(b *batch, at time.Duration) {
 	s.after(at-s.now, func() {
 		// The trainer looks at what it has before it reads again.
-		if b.received >= b.neededResults() && b.neededResults() > 0 {
-			s.end(b, seed)
+		if needed := b.neededResults(); needed > 0 && b.received >= needed {
+			s.end(b)
 			return
 		}
-		started := s.now
-		s.awaitResults(b, started, seed)
+		s.awaitResults(b, s.now)
 	})
 }
 
@@ -471,7 +471,7 @@
 }
 
 // awaitResults answers a read once the policy says so.
-func (s *sim) awaitResults(b *batch, started time.Duration, seed uint64) {
+func (s *sim) awaitResults(b *batch, started time.Duration) {
 	const checkInterval = 10 * time.Millisecond
 	spec := b.trainer.spec
 	visible := 0
@@ -485,15 +485,15 @@
 		Waited: s.now - started, Wait: spec.ReadWait, UntilDue: b.submittedAt + spec.Due - s.now,
 	}
 	if !s.policy.AnswerRead(state) {
-		s.after(checkInterval, func() { s.awaitResults(b, started, seed) })
+		s.after(checkInterval, func() { s.awaitResults(b, started) })
 		return
 	}
 	b.received, b.readAt = visible, s.now
-	s.read(b, max(s.now, started+spec.ReadInterval), seed)
+	s.read(b, max(s.now, started+spec.ReadInterval))
 }
 
 // end ends a batch: its trainer trains and announces the next version.
-func (s *sim) end(b *batch, seed uint64) {
+func (s *sim) end(b *batch) {
 	if b.ended {
 		return
 	}
@@ -510,7 +510,7 @@
 	t := b.trainer
 	s.after(t.spec.TrainTime, func() {
 		t.latest = max(t.latest, gypsum.WeightVersion(b.step+2))
-		s.submitDue(t, seed)
+		s.submitDue(t)
 		s.planRound()
 	})
 }
