steps, emul: remove fields that nothing reads

Starts, attempts and failed reward calls of items that no report shows, a time that stands at the last item as well, and the delay of an emulated step. The comment of the least gain of a move claimed what was not measured.

--- a/emul/holder.go
+++ b/emul/holder.go
@@ -249,7 +249,7 @@
 	}
 	last := b.lastNeeded()
 	s.result.Steps = append(s.result.Steps, Step{
-		Trainer: b.trainer.index, Step: b.step, Total: b.endedAt - b.submittedAt, Behind: max(0, b.submittedAt-time.Duration(b.step)*spec.Interval),
+		Trainer: b.trainer.index, Step: b.step, Total: b.endedAt - b.submittedAt,
 		Waiting: last.firstStart - b.submittedAt, Generation: last.completedAt - last.firstStart, Storing: last.storedAt - last.completedAt,
 		Reading: b.readAt - last.storedAt, Ending: b.endedAt - b.readAt, Length: int(last.length),
 	})
--- a/emul/result.go
+++ b/emul/result.go
@@ -12,11 +12,9 @@
 
 // Step is a completed step of a trainer. Its phases are those of the item that completed it.
 type Step struct {
-	Trainer int
-	Step    int
-	Total   time.Duration
-	// Behind is the delay of the submission after its scheduled time.
-	Behind     time.Duration
+	Trainer    int
+	Step       int
+	Total      time.Duration
 	Waiting    time.Duration
 	Generation time.Duration
 	Storing    time.Duration // including the score
--- a/sched/items.go
+++ b/sched/items.go
@@ -171,8 +171,7 @@
 // Limits of moves.
 const (
 	// minMoveSpeedup is the least factor by which a move must shorten the remaining time. It
-	// is above the errors of the measured event times, so that attempts do not move back
-	// and forth.
+	// leaves room for errors of the measured event times.
 	minMoveSpeedup = 1.1
 	// minIdleSpeedup is the least factor by which the target must be faster when idle. The
 	// attempts beside change within a second, so that moves to engines that merely run fewer
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -27,16 +27,12 @@
 	Items int
 	// SubmittedAt is when the submission was received.
 	SubmittedAt time.Time
-	FirstStart  time.Time
-	LastStart   time.Time
-	// LastStored is when the last result was stored before the batch ended.
-	LastStored time.Time
-	// LastRead is when LastStored, or more, had been read.
+	// LastRead is when the result of Last had been read.
 	LastRead time.Time
 	EndedAt  time.Time
 	// Results is the number of results stored before the batch ended.
 	Results int
-	// Last is the item of the result at LastStored, nil without one.
+	// Last is the item whose result was stored last before the batch ended, nil without one.
 	Last *Item
 
 	items map[gypsum.ItemID]*Item
@@ -48,23 +44,20 @@
 	// Engine ran the last attempt.
 	Engine      gypsum.BackendID
 	FirstStart  time.Time
-	LastStart   time.Time
 	CompletedAt time.Time
 	StoredAt    time.Time
 	// StoreTime is the part of the time before StoredAt in which the result was stored.
 	StoreTime time.Duration
-	// EventTime is the expected time per event of the idle engine at LastStart.
+	// EventTime is the expected time per event of the idle engine at the start of the last
+	// attempt.
 	EventTime time.Duration
-	// Neighbours is the number of attempts that ran on the engine at LastStart.
+	// Neighbours is the number of attempts that ran on the engine at that start.
 	Neighbours int
-	Attempts   int
 	Moves      int
 	// Broken is the number of attempts that ended early other than by a move.
 	Broken int
 	// Loads is the number of load orders to Engine between FirstStart and CompletedAt.
 	Loads int
-	// RewardFailures is the number of reward calls that gave no score.
-	RewardFailures int
 }
 
 // Phases is the time of a batch on the path of its last item, divided into its parts.
@@ -267,8 +260,6 @@
 		}
 	case "text complete; waiting for its score":
 		a.item(e).CompletedAt = e.Time
-	case "reward call gave no score; it will be repeated":
-		a.item(e).RewardFailures++
 	case "result stored":
 		item := a.item(e)
 		if item.StoredAt.IsZero() {
@@ -285,17 +276,12 @@
 
 // applyStart applies the start of an attempt.
 func (a *analyzer) applyStart(e *entry) {
-	b, item := a.batch(e.Batch), a.item(e)
+	item := a.item(e)
 	if item.FirstStart.IsZero() {
 		item.FirstStart = e.Time
-		b.LastStart = e.Time
-	}
-	if b.FirstStart.IsZero() {
-		b.FirstStart = e.Time
 	}
-	item.Engine, item.LastStart, item.Neighbours = e.Replica, e.Time, e.Others
+	item.Engine, item.Neighbours = e.Replica, e.Others
 	item.EventTime = time.Duration(e.PaceMS * float64(time.Millisecond))
-	item.Attempts++
 }
 
 // finish computes what depends on the whole log.
@@ -311,7 +297,6 @@
 			}
 		}
 		if b.Last != nil {
-			b.LastStored = b.Last.StoredAt
 			a.finishLast(b)
 		}
 		if !b.SubmittedAt.IsZero() {
@@ -327,7 +312,7 @@
 // finishLast computes when the last result was read and the loads beside its item.
 func (a *analyzer) finishLast(b *Batch) {
 	for _, read := range a.reads[b.ID] {
-		if read.count >= b.Results && !read.at.Before(b.LastStored) {
+		if read.count >= b.Results && !read.at.Before(b.Last.StoredAt) {
 			b.LastRead = read.at
 			break
 		}
