Log and count the request rate limits that replicas state

Callers saw: nothing yet; a replica in need states Server-Limit, and no log line or metric mentioned it, so that the hypotheses of the incident could not be told apart. The contract is gypsum.RateObserver; the header's name stays in platform. Every response is examined (live, streams, items, reports, load orders, refusals).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/relay"
@@ -66,6 +67,7 @@
 	incarnation gypsum.Incarnation
 	store       *proxy.Store
 	registry    *state.Registry
+	rateLimits  *limit.Table
 	// registrations is used only by the goroutine that follows the registrations.
 	registrations *platform.RegistrationDecoder
 	batchState    *batch.State
@@ -158,7 +160,8 @@
 	d.tasks.done = make(chan error, 256)
 	client, closeStore := platform.NewStore(d.Settings.StoreAddr)
 	d.registry = state.NewRegistry(d.Logger)
-	backends, closeBackends := platform.NewReplicaClient(d.registry)
+	d.rateLimits = limit.NewTable(d.Logger)
+	backends, closeBackends := platform.NewReplicaClient(d.registry, d.rateLimits)
 	peers, closePeers := wire.NewPeerStores()
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -27,6 +27,9 @@
 	ProxiedCalls     int64            `json:"store_detours"`
 	Replicas         int              `json:"replicas"`
 	ReplicasLeaving  int64            `json:"replicas_leaving"`
+	ReplicasLimited  int              `json:"replicas_rate_limited"`
+	LimitsStated     int64            `json:"rate_limits_stated"`
+	LimitsLifted     int64            `json:"rate_limits_lifted"`
 	DroppedLogLines  int64            `json:"log_lines_dropped"`
 	LiveRequests     map[string]int64 `json:"live_requests"`
 	BatchSubmissions map[string]int64 `json:"batch_submissions"`
@@ -78,6 +81,7 @@
 	current := metrics{
 		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
+		ReplicasLimited: d.rateLimits.Count(), LimitsStated: d.rateLimits.Stats.Stated.Load(), LimitsLifted: d.rateLimits.Stats.Lifted.Load(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -21,6 +21,7 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/front"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 	"github.com/gypsumhook/gypsum/relay"
@@ -42,7 +43,7 @@
 func newTestServer(t *testing.T, replicaCount int) *testServer {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	s := &testServer{t: t, recordStore: fake.NewKeyedStore(), registry: state.NewRegistry(logger)}
-	backends, closeBackends := platform.NewReplicaClient(s.registry)
+	backends, closeBackends := platform.NewReplicaClient(s.registry, limit.NewTable(logger))
 	t.Cleanup(closeBackends)
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	ctx, stop := context.WithCancel(t.Context())
