Tests: replicas get more requests than the rate that they state (red)

Stand-ins of engines and plain replicas that state a limit of their request rate, and two tests that fail on the present code: items, moves, load orders and reports of one holder (64 requests within 4 s where 23 are allowed), and live requests of many daemons (300 where 65 are allowed).

--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/runner"
@@ -39,6 +40,8 @@
 	store   *fake.KeyedStore
 	engines *fake.BatchEngines
 	rewards *fake.RewardService
+	// limits are the request rate limits of engines and of replicas that answer reward calls.
+	limits  fake.RateLimits
 	daemons []*testDaemon
 	// useProxies lets daemons that cannot reach the store use it through others.
 	useProxies bool
@@ -140,12 +143,15 @@
 	for _, replica := range d.rewards.Replicas() {
 		daemon.registry.ApplyReplica(replica)
 	}
+	rateLimits := limit.NewTable(logger)
 	rewardRelay := relay.New()
-	rewardRelay.Transport, rewardRelay.Crashes, rewardRelay.Registry, rewardRelay.Logger = d.rewards, daemon.batches, daemon.registry, logger
+	rewardRelay.Transport = &fake.LimitedReplicas{ReplicaTransport: d.rewards, Limits: &d.limits, Observer: rateLimits}
+	rewardRelay.Crashes, rewardRelay.Registry, rewardRelay.Logger = daemon.batches, daemon.registry, logger
 	daemon.startGoroutine(ctx, rewardRelay.Run)
 	daemon.runner = runner.New()
 	daemon.runner.Relay = rewardRelay
-	daemon.runner.Host, daemon.runner.Incarnation, daemon.runner.Batches, daemon.runner.Engines = gypsum.HostID(name), incarnation, daemon.batches, d.engines
+	daemon.runner.Host, daemon.runner.Incarnation, daemon.runner.Batches = gypsum.HostID(name), incarnation, daemon.batches
+	daemon.runner.Engines = &fake.LimitedEngines{EngineTransport: d.engines, Limits: &d.limits, Observer: rateLimits}
 	daemon.runner.Registry, daemon.runner.CPUShare, daemon.runner.Lease = daemon.registry, share, testLease
 	daemon.runner.StoreUnavailable = func() bool { _, unavailable := daemon.follower.LastResponse(); return unavailable }
 	daemon.runner.Logger = logger
