Keep the requests of all daemons within the rate that a replica states

Callers saw: a replica that is short of capacity and says so got up to three times the requests that it accepts, from all daemons together. Cause: the stated rate was not part of any decision. Why this works: one daemon, the holder of the service or the first by rendezvous hashing, gives the permits for a replica; every request takes one first. The limit itself is shared through the state topic, so that a new holder knows it.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -40,6 +40,17 @@
 	return m.State.CrashCount(fingerprint)
 }
 
+// RecordRateLimit implements gypsum.RateLimitStore.
+func (m *Manager) RecordRateLimit(ctx context.Context, limit gypsum.RateLimit) error {
+	_, err := m.appendRecord(ctx, limit, kindRateLimit, string(limit.Replica))
+	return err
+}
+
+// RecordedRateLimit implements gypsum.RateLimitStore.
+func (m *Manager) RecordedRateLimit(replica gypsum.BackendID) (limit gypsum.RateLimit, receivedAt time.Time, ok bool) {
+	return m.State.RateLimit(replica)
+}
+
 // RecordDaemon stores the address and location of this daemon and its share of a CPU core,
 // for other daemons.
 func (m *Manager) RecordDaemon(ctx context.Context, address string, location gypsum.Location, cpuShare float64) error {
--- a/batch/clean.go
+++ b/batch/clean.go
@@ -16,6 +16,9 @@
 	// crashRetention is how long crashes are counted. A request that crashes replicas
 	// returns within seconds.
 	crashRetention = 5 * time.Minute
+	// rateLimitRetention is how long the limit of a replica's request rate is kept. A limit
+	// in force is recorded again each minute.
+	rateLimitRetention = 5 * time.Minute
 	// maxClockSkew is the largest expected difference between the clocks of hosts.
 	maxClockSkew = 10 * time.Second
 )
@@ -45,8 +48,8 @@
 	return expired
 }
 
-// obsoleteKeys returns the keys of the claims before that of the current holder, and of
-// crashes older than crashRetention.
+// obsoleteKeys returns the keys of the claims before that of the current holder, of crashes
+// older than crashRetention and of rate limits that were not renewed for rateLimitRetention.
 func (s *State) obsoleteKeys(now time.Time) []string {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -58,6 +61,11 @@
 			}
 		}
 	}
+	for _, limit := range s.rateLimits {
+		if now.Sub(limit.appliedAt) > rateLimitRetention {
+			keys = append(keys, limit.key)
+		}
+	}
 	for service, claims := range s.claims {
 		for _, claim := range claims {
 			if holder := s.holders[service]; holder != nil && claim.offset < holder.FencingToken {
@@ -69,7 +77,7 @@
 }
 
 // RemoveObsolete removes obsolete records from the store: closed batches submitted longer ago
-// than the retention, superseded claims, and old crashes. Values are removed before the
+// than the retention, superseded claims, and old crashes and rate limits. Values are removed before the
 // records that refer to them, so that an interrupted cleanup is repeated.
 func (m *Manager) RemoveObsolete(ctx context.Context, retention time.Duration) error {
 	now := time.Now()
@@ -81,7 +89,7 @@
 	}
 	obsolete := m.State.obsoleteKeys(now)
 	if err := removeKeys(ctx, m.StateWriter, obsolete); err != nil {
-		return fmt.Errorf("remove obsolete claims and crashes: %w", err)
+		return fmt.Errorf("remove obsolete claims, crashes and rate limits: %w", err)
 	}
 	if len(batches)+len(obsolete) > 0 {
 		m.Logger.Info("removed obsolete records", "batches", len(batches), "claims_and_crashes", len(obsolete))
--- a/batch/record.go
+++ b/batch/record.go
@@ -26,6 +26,7 @@
 	kindFailures   = "f"
 	kindDaemon     = "n"
 	kindCrash      = "x"
+	kindRateLimit  = "l"
 )
 
 // Header is the record of an accepted batch. The times are Unix times in milliseconds.
--- a/batch/state.go
+++ b/batch/state.go
@@ -27,6 +27,7 @@
 	daemons       map[gypsum.HostID]DaemonRecord
 	claims        map[gypsum.ServiceName][]claimRecord
 	crashes       map[gypsum.Fingerprint][]crashRecord
+	rateLimits    map[gypsum.BackendID]rateLimitRecord
 	changed       chan struct{}
 }
 
@@ -75,6 +76,14 @@
 	at  time.Time
 }
 
+// rateLimitRecord is the limit that was recorded last for a replica, its key and when this
+// daemon applied the record.
+type rateLimitRecord struct {
+	gypsum.RateLimit
+	key       string
+	appliedAt time.Time
+}
+
 // heartbeat is when the latest heartbeat record of a daemon arrived, and the incarnation
 // that wrote it.
 type heartbeat struct {
@@ -97,7 +106,7 @@
 		Logger: logger, appliedOffset: -1, batches: make(map[gypsum.BatchID]*batchEntry),
 		holders: make(map[gypsum.ServiceName]*Holder), heartbeats: make(map[gypsum.HostID]heartbeat),
 		daemons: make(map[gypsum.HostID]DaemonRecord), claims: make(map[gypsum.ServiceName][]claimRecord),
-		crashes: make(map[gypsum.Fingerprint][]crashRecord), changed: make(chan struct{}, 1),
+		crashes: make(map[gypsum.Fingerprint][]crashRecord), rateLimits: make(map[gypsum.BackendID]rateLimitRecord), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -152,6 +161,10 @@
 			crashed := crashRecord{key: record.Key, at: time.UnixMilli(crash.AtMS)}
 			s.crashes[crash.Fingerprint] = append(s.crashes[crash.Fingerprint], crashed)
 		})
+	case kindRateLimit:
+		return decodeAndApply(record, func(limit gypsum.RateLimit) {
+			s.rateLimits[limit.Replica] = rateLimitRecord{RateLimit: limit, key: record.Key, appliedAt: now}
+		})
 	case kindHeartbeat:
 		return decodeAndApply(record, func(received Heartbeat) {
 			s.heartbeats[received.Host] = heartbeat{incarnation: received.Incarnation, receivedAt: now}
@@ -212,6 +225,8 @@
 		delete(s.daemons, gypsum.HostID(parts[1]))
 	case kindHeader:
 		delete(s.batches, gypsum.BatchID(parts[1]))
+	case kindRateLimit:
+		delete(s.rateLimits, gypsum.BackendID(parts[1]))
 	case kindClaim:
 		service := gypsum.ServiceName(parts[1])
 		s.claims[service] = slices.DeleteFunc(s.claims[service], func(claim claimRecord) bool { return claim.key == key })
@@ -318,6 +333,15 @@
 	return count
 }
 
+// RateLimit returns the limit that was recorded last for a replica and when this daemon
+// applied the record.
+func (s *State) RateLimit(replica gypsum.BackendID) (limit gypsum.RateLimit, appliedAt time.Time, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	record, ok := s.rateLimits[replica]
+	return record.RateLimit, record.appliedAt, ok
+}
+
 // DaemonRecords returns the records of all daemons that have announced themselves.
 func (s *State) DaemonRecords() []DaemonRecord {
 	s.mu.RLock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -67,7 +67,7 @@
 	incarnation gypsum.Incarnation
 	store       *proxy.Store
 	registry    *state.Registry
-	rateLimits  *limit.Table
+	limiter     *limit.Limiter
 	// registrations is used only by the goroutine that follows the registrations.
 	registrations *platform.RegistrationDecoder
 	batchState    *batch.State
@@ -160,9 +160,9 @@
 	d.tasks.done = make(chan error, 256)
 	client, closeStore := platform.NewStore(d.Settings.StoreAddr)
 	d.registry = state.NewRegistry(d.Logger)
-	d.rateLimits = limit.NewTable(d.Logger)
-	backends, closeBackends := platform.NewReplicaClient(d.registry, d.rateLimits)
-	peers, closePeers := wire.NewPeerStores()
+	rateLimits := limit.NewTable(d.Logger)
+	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits)
+	peers, closePeers := wire.NewPeerClients()
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
 	topics := batch.Topics{
@@ -186,13 +186,17 @@
 	if err := d.batches.Init(); err != nil {
 		return nil, err
 	}
+	rateLimits.Store = d.batches
+	d.limiter = limit.NewLimiter()
+	d.limiter.Self, d.limiter.Table, d.limiter.Budgets, d.limiter.Logger = d.Settings.Host, rateLimits, limit.NewBudgets(), d.Logger
+	d.limiter.ListPeers, d.limiter.HolderOf, d.limiter.PeerPermits = d.budgetKeepers, d.holderOf, peers
 	d.relay = relay.New()
-	d.relay.Crashes = d.batches
+	d.relay.Crashes, d.relay.Limiter = d.batches, d.limiter
 	d.relay.Transport, d.relay.Registry, d.relay.Location, d.relay.Logger = backends, d.registry, d.Settings.Location, d.Logger
 	d.runner = runner.New()
 	d.runner.Host, d.runner.Incarnation, d.runner.Batches, d.runner.Engines = d.Settings.Host, d.incarnation, d.batches, backends
 	d.runner.Registry, d.runner.Logger = d.registry, d.Logger
-	d.runner.Relay = d.relay
+	d.runner.Relay, d.runner.Limiter = d.relay, d.limiter
 	d.runner.Lease, d.runner.ResultRetention = d.Settings.LeaseDuration, d.Settings.StatusRetention
 	d.runner.CPUShare = d.Settings.CPUShare
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
@@ -233,6 +237,7 @@
 	}
 	d.tasks.start(ctx, d.runner.Run)
 	d.tasks.start(ctx, d.relay.Run)
+	d.tasks.start(ctx, d.limiter.Table.Run)
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -30,6 +30,8 @@
 	ReplicasLimited  int              `json:"replicas_rate_limited"`
 	LimitsStated     int64            `json:"rate_limits_stated"`
 	LimitsLifted     int64            `json:"rate_limits_lifted"`
+	PermitsGranted   int64            `json:"request_permits_granted"`
+	PermitsDenied    int64            `json:"request_permits_denied"`
 	DroppedLogLines  int64            `json:"log_lines_dropped"`
 	LiveRequests     map[string]int64 `json:"live_requests"`
 	BatchSubmissions map[string]int64 `json:"batch_submissions"`
@@ -81,7 +83,8 @@
 	current := metrics{
 		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
-		ReplicasLimited: d.rateLimits.Count(), LimitsStated: d.rateLimits.Stats.Stated.Load(), LimitsLifted: d.rateLimits.Stats.Lifted.Load(),
+		ReplicasLimited: d.limiter.Table.Count(), LimitsStated: d.limiter.Table.Stats.Stated.Load(), LimitsLifted: d.limiter.Table.Stats.Lifted.Load(),
+		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -10,6 +10,8 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/wire"
 )
@@ -48,6 +50,7 @@
 		internal := http.NewServeMux()
 		internal.Handle("/debug/vars", metricsHandler)
 		internal.Handle(wire.StoreHandler(d.store.StoreForPeers()))
+		internal.Handle(wire.PermitHandler(d.limiter))
 		servers = append(servers, newServer(d.internalAddress(), internal))
 	}
 	return servers
@@ -89,6 +92,25 @@
 	}
 }
 
+// budgetKeepers returns the daemons that may keep request budgets.
+func (d *Daemon) budgetKeepers() []limit.Peer {
+	records := d.batchState.DaemonRecords()
+	peers := make([]limit.Peer, 0, len(records))
+	for _, record := range records {
+		peers = append(peers, limit.Peer{Host: record.Host, Address: record.Address})
+	}
+	return peers
+}
+
+// holderOf returns the daemon that holds a service, empty for none.
+func (d *Daemon) holderOf(service gypsum.ServiceName) gypsum.HostID {
+	holder, _, known := d.batchState.Holder(service)
+	if !known || holder.Released {
+		return ""
+	}
+	return holder.Host
+}
+
 // peers returns the daemons that have stored their addresses.
 func (d *Daemon) peers() []proxy.Peer {
 	records := d.batchState.DaemonRecords()
--- a/fake/ratelimits.go
+++ b/fake/ratelimits.go
@@ -136,3 +136,75 @@
 	}
 	return response, err
 }
+
+// RateLimitStore is an in-memory store of rate limits that all daemons share. It implements
+// gypsum.RateLimitStore.
+type RateLimitStore struct {
+	mu      sync.Mutex
+	limits  map[gypsum.BackendID]gypsum.RateLimit
+	written map[gypsum.BackendID]time.Time
+}
+
+// RecordRateLimit implements gypsum.RateLimitStore.
+func (s *RateLimitStore) RecordRateLimit(_ context.Context, limit gypsum.RateLimit) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits == nil {
+		s.limits, s.written = make(map[gypsum.BackendID]gypsum.RateLimit), make(map[gypsum.BackendID]time.Time)
+	}
+	s.limits[limit.Replica], s.written[limit.Replica] = limit, time.Now()
+	return nil
+}
+
+// RecordedRateLimit implements gypsum.RateLimitStore.
+func (s *RateLimitStore) RecordedRateLimit(replica gypsum.BackendID) (gypsum.RateLimit, time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit, ok := s.limits[replica]
+	return limit, s.written[replica], ok
+}
+
+// PeerPermits are the permit sources of daemons in memory, by address. It implements
+// gypsum.PeerPermits.
+type PeerPermits struct {
+	// Latency is the time of a request for a permit.
+	Latency time.Duration
+
+	mu      sync.Mutex
+	sources map[string]gypsum.PermitSource
+}
+
+// Set sets the permit source at an address. Without one, no daemon answers there.
+func (p *PeerPermits) Set(address string, source gypsum.PermitSource) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sources == nil {
+		p.sources = make(map[string]gypsum.PermitSource)
+	}
+	p.sources[address] = source
+}
+
+// PermitsFrom implements gypsum.PeerPermits.
+func (p *PeerPermits) PermitsFrom(address string) gypsum.PermitSource {
+	return &remotePermits{peers: p, address: address}
+}
+
+// remotePermits is the permit source at an address. It implements gypsum.PermitSource.
+type remotePermits struct {
+	peers   *PeerPermits
+	address string
+}
+
+// RequestPermit implements gypsum.PermitSource. It does not return before ctx ends if no
+// daemon answers.
+func (r *remotePermits) RequestPermit(ctx context.Context, request gypsum.PermitRequest) (gypsum.PermitResponse, error) {
+	r.peers.mu.Lock()
+	source := r.peers.sources[r.address]
+	r.peers.mu.Unlock()
+	if source == nil {
+		<-ctx.Done()
+		return gypsum.PermitResponse{}, ctx.Err()
+	}
+	time.Sleep(r.peers.Latency)
+	return source.RequestPermit(ctx, request)
+}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -43,7 +43,8 @@
 func newTestServer(t *testing.T, replicaCount int) *testServer {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	s := &testServer{t: t, recordStore: fake.NewKeyedStore(), registry: state.NewRegistry(logger)}
-	backends, closeBackends := platform.NewReplicaClient(s.registry, limit.NewTable(logger))
+	rateLimits := limit.NewTable(logger)
+	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits)
 	t.Cleanup(closeBackends)
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	ctx, stop := context.WithCancel(t.Context())
@@ -67,7 +68,13 @@
 	if err := manager.Init(); err != nil {
 		t.Fatal(err)
 	}
+	rateLimits.Store = manager
+	limiter := limit.NewLimiter()
+	limiter.Self, limiter.Table, limiter.Budgets, limiter.Logger = "host-1", rateLimits, limit.NewBudgets(), logger
+	limiter.ListPeers, limiter.HolderOf = func() []limit.Peer { return nil }, func(gypsum.ServiceName) gypsum.HostID { return "" }
+	start(rateLimits.Run)
 	liveRelay := relay.New()
+	liveRelay.Limiter = limiter
 	liveRelay.Transport, liveRelay.Crashes, liveRelay.Registry, liveRelay.Logger = backends, manager, s.registry, logger
 	start(liveRelay.Run)
 	s.frontend = &front.Server{
--- a/limit/table_test.go
+++ b/limit/table_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/limit"
 )
 
@@ -16,6 +17,7 @@
 func TestStatedLimits(t *testing.T) {
 	is := is.New(t)
 	table := limit.NewTable(slog.New(slog.DiscardHandler))
+	table.Store = &fake.RateLimitStore{}
 	replica := &gypsum.Replica{ID: "r", Incarnation: 1}
 	restarted := &gypsum.Replica{ID: "r", Incarnation: 2}
 	rate := gypsum.RequestRate(2.5)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -28,7 +28,8 @@
 	Latency  time.Duration
 	// FailureRate is the expected fraction of requests that fail, 0 to 1.
 	FailureRate float64
-	// Full means that the replica has just refused a request because it was full.
+	// Full means that the replica has just refused a request because it was full, or that
+	// its request rate is at its limit.
 	Full bool
 	// Tried means that this request was sent to the replica before.
 	Tried bool
@@ -120,6 +121,17 @@
 	return min(remaining, max(min(minAttemptTimeout, target/2), attemptTimeoutFactor*latency))
 }
 
+// permitWaitDivisor is the part of a request's latency target, and of its remaining time,
+// that it may wait for a permit.
+const permitWaitDivisor = 2
+
+// PermitWait returns how long a request may wait until the last replica left accepts it by its
+// rate limit. Requests that come in a burst, at a mean rate within the limit, are served a
+// little late. Beyond that, the client is told at once when to come back.
+func PermitWait(target, remaining time.Duration) time.Duration {
+	return max(0, min(target, remaining)/permitWaitDivisor)
+}
+
 // Bounds of the retry delay that refusals recommend to clients.
 const (
 	minRetryAfter = 200 * time.Millisecond
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -33,6 +33,9 @@
 type limitedDeployment struct {
 	t        *testing.T
 	limits   fake.RateLimits
+	records  fake.RateLimitStore
+	permits  fake.PeerPermits
+	peers    []limit.Peer
 	replicas *fake.RewardService
 	relays   []*relay.Relay
 
@@ -48,6 +51,11 @@
 	for _, replica := range d.replicas.Replicas()[:3-unlimited] {
 		d.limits.SetLimit(replica.ID, rate)
 	}
+	d.permits.Latency = 5 * time.Millisecond
+	for i := range daemons {
+		name := fmt.Sprint("host-", i+1)
+		d.peers = append(d.peers, limit.Peer{Host: gypsum.HostID(name), Address: name})
+	}
 	for i := range daemons {
 		d.relays = append(d.relays, d.newRelay(gypsum.HostID(fmt.Sprint("host-", i+1))))
 	}
@@ -55,11 +63,22 @@
 }
 
 // newRelay returns the relay of a daemon.
-func (d *limitedDeployment) newRelay(gypsum.HostID) *relay.Relay {
+func (d *limitedDeployment) newRelay(name gypsum.HostID) *relay.Relay {
 	logger := slog.New(slog.DiscardHandler)
+	table := limit.NewTable(logger)
+	table.Store = &d.records
+	limiter := limit.NewLimiter()
+	limiter.Self, limiter.Table, limiter.Budgets, limiter.PeerPermits, limiter.Logger = name, table, limit.NewBudgets(), &d.permits, logger
+	limiter.ListPeers, limiter.HolderOf = func() []limit.Peer { return d.peers }, func(gypsum.ServiceName) gypsum.HostID { return "" }
+	d.permits.Set(string(name), limiter)
+	ctx, stop := context.WithCancel(d.t.Context())
+	done := make(chan error)
+	go func() { done <- table.Run(ctx) }()
+	d.t.Cleanup(func() { stop(); <-done })
 	r := relay.New()
+	r.Limiter = limiter
 	r.Registry, r.Crashes, r.Logger = state.NewRegistry(logger), noCrashes{}, logger
-	r.Transport = &fake.LimitedReplicas{ReplicaTransport: d.replicas, Limits: &d.limits, Observer: limit.NewTable(logger)}
+	r.Transport = &fake.LimitedReplicas{ReplicaTransport: d.replicas, Limits: &d.limits, Observer: table}
 	for _, replica := range d.replicas.Replicas() {
 		r.Registry.ApplyReplica(replica)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -20,6 +21,8 @@
 	// Crashes counts the replicas that each request has crashed.
 	Crashes  gypsum.CrashCounter
 	Registry *state.Registry
+	// Limiter keeps the requests to each replica within the rate that it accepts.
+	Limiter  *limit.Limiter
 	Location gypsum.Location
 	Logger   *slog.Logger
 	Stats    Stats
@@ -60,6 +63,9 @@
 	sentAttempts int
 	mayHaveRun   bool
 	lastReason   gypsum.Reason
+	// permitWait is the shortest time until a replica that limits its request rate accepts
+	// the request, 0 if none was tried.
+	permitWait time.Duration
 }
 
 // prepareRequest initializes the state of a request. It refuses requests without remaining time
@@ -103,36 +109,68 @@
 	return refusal
 }
 
-// nextReplica chooses the replica of the next attempt, or returns the refusal if there
-// can be none.
-func (r *Relay) nextReplica(request *Request) (*Candidate, *gypsum.Refusal) {
+// nextReplica chooses the replica of the next attempt and obtains the permit to send the
+// request to it, or returns the refusal if there can be none.
+func (r *Relay) nextReplica(ctx context.Context, request *Request) (*Candidate, *gypsum.Refusal) {
+	for {
+		candidate, isLast, refusal := r.chooseReplica(request)
+		if refusal != nil {
+			return nil, refusal
+		}
+		maxWait := time.Duration(0)
+		if isLast {
+			maxWait = PermitWait(request.Route.LatencyTarget, time.Until(request.Deadline))
+		}
+		err := r.Limiter.Acquire(ctx, candidate.Replica, maxWait)
+		var limited *gypsum.RateLimitError
+		switch {
+		case err == nil:
+			r.Stats.Attempts.Add(1)
+			return candidate, nil
+		case errors.As(err, &limited):
+			if request.permitWait == 0 || limited.RetryAfter < request.permitWait {
+				request.permitWait = limited.RetryAfter
+			}
+			request.lastReason = gypsum.ReasonOverloaded
+		default:
+			return nil, r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left")
+		}
+	}
+}
+
+// chooseReplica chooses the replica of the next attempt, or returns the refusal if there can
+// be none. isLast means that no other replica is left to try.
+func (r *Relay) chooseReplica(request *Request) (chosen *Candidate, isLast bool, refusal *gypsum.Refusal) {
 	now := time.Now()
 	remaining := request.Deadline.Sub(now)
 	switch {
 	case remaining <= 0 && request.mayHaveRun:
-		return nil, r.failureRefusal(gypsum.ReasonTimeout, http.StatusGatewayTimeout, "no answer in time")
+		return nil, false, r.failureRefusal(gypsum.ReasonTimeout, http.StatusGatewayTimeout, "no answer in time")
 	case remaining <= 0:
-		return nil, r.requestRefusal(request, gypsum.ReasonDeadlineExceeded, 0, "no replica was free in time")
+		return nil, false, r.requestRefusal(request, gypsum.ReasonDeadlineExceeded, 0, "no replica was free in time")
 	case request.sentAttempts >= request.Route.MaxAttempts:
-		return nil, r.exhaustedRefusal(request)
+		return nil, false, r.exhaustedRefusal(request)
 	case request.mayHaveRun && !request.Route.Retryable():
-		return nil, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
+		return nil, false, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
 	}
 	failureCost := FailureCost(request.Route.Retryable(), request.Route.LatencyTarget, remaining)
 	candidates := r.candidates(request.Service, false, now)
+	untried := 0
 	for i := range candidates {
 		candidates[i].Tried = request.tried[candidates[i].Replica.ID]
+		if !candidates[i].Tried {
+			untried++
+		}
 	}
 	candidate := ChooseReplica(candidates, r.Location, failureCost)
 	if candidate == nil {
-		return nil, r.requestRefusal(request, gypsum.ReasonNoBackend, maxRetryAfter, "the service has no replica now")
+		return nil, false, r.requestRefusal(request, gypsum.ReasonNoBackend, maxRetryAfter, "the service has no replica now")
 	}
 	if candidate.Tried {
-		return nil, r.exhaustedRefusal(request)
+		return nil, false, r.exhaustedRefusal(request)
 	}
 	request.tried[candidate.Replica.ID] = true
-	r.Stats.Attempts.Add(1)
-	return candidate, nil
+	return candidate, untried == 1, nil
 }
 
 // exhaustedRefusal returns the refusal of a request that all available replicas have
@@ -141,7 +179,8 @@
 	if request.mayHaveRun {
 		return r.failureRefusal(request.lastReason, http.StatusBadGateway, "replicas failed")
 	}
-	return r.requestRefusal(request, gypsum.ReasonOverloaded, RetryAfter(time.Since(request.Arrived)), "replicas are busy or out of reach")
+	retryAfter := max(RetryAfter(time.Since(request.Arrived)), min(request.permitWait, maxRetryAfter))
+	return r.requestRefusal(request, gypsum.ReasonOverloaded, retryAfter, "replicas are busy or out of reach")
 }
 
 // Serve forwards a request to a replica and returns the complete response. A server
@@ -154,7 +193,7 @@
 	}
 	var failed *gypsum.LiveResponse
 	for {
-		candidate, refusal := r.nextReplica(request)
+		candidate, refusal := r.nextReplica(ctx, request)
 		if refusal != nil {
 			if failed != nil {
 				r.Stats.Responses.Add(1)
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -33,13 +33,13 @@
 		if replica.State != gypsum.ReplicaReady {
 			continue
 		}
-		candidate := Candidate{Replica: replica}
+		candidate := Candidate{Replica: replica, Full: r.Limiter.IsDenied(replica.ID, now)}
 		if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
 			candidate.InFlight, candidate.Latency = tracked.inFlight, tracked.estimator.Latency()
 			if isReward {
 				candidate.Latency = tracked.estimator.RewardLatency()
 			}
-			candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), tracked.estimator.IsFull(now)
+			candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), candidate.Full || tracked.estimator.IsFull(now)
 		}
 		candidates = append(candidates, candidate)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,7 +34,7 @@
 	}
 	begun, lastEvent := false, int64(0)
 	for {
-		candidate, refusal := r.nextReplica(request)
+		candidate, refusal := r.nextReplica(ctx, request)
 		if refusal != nil {
 			r.recordRefusal(request, refusal)
 			if begun {
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -23,13 +23,15 @@
 	}
 	for _, placement := range sched.ScheduleItems(items, engines, now) {
 		a := s.batches[placement.Item.Batch].items[placement.Item.ID]
-		s.startAttempt(a, s.engines[placement.Engine], placement.EngineAttempts, now)
+		e := s.engines[placement.Engine]
+		s.runner.Limiter.Charge(e.replica, now)
+		s.startAttempt(a, e, placement.EngineAttempts, now)
 	}
 }
 
 // moveAttempts cancels the attempts that the scheduler moves to another engine. Each
 // continues there once it has ended, see handleAttemptEnd.
-func (s *heldService) moveAttempts(engines []*sched.Engine) {
+func (s *heldService) moveAttempts(engines []*sched.Engine, now time.Time) {
 	var attempts []sched.Attempt
 	activeItems := make(map[*sched.Item]*activeItem)
 	for _, b := range s.batches {
@@ -47,12 +49,13 @@
 			"to", move.Engine, "runs_there", move.EngineAttempts, "left", a.remainingEvents())
 		s.runner.Stats.ItemsMoved.Add(1)
 		a.moveTarget = move.Engine
+		s.runner.Limiter.Charge(s.engines[move.Engine].replica, now)
 		a.cancel(errAttemptMoved)
 	}
 }
 
-// startAttempt starts an attempt at an item on an engine. attempts is the number of
-// attempts already in progress there.
+// startAttempt starts an attempt at an item on an engine, whose rate limit has been charged
+// with it. attempts is the number of attempts already in progress there.
 func (s *heldService) startAttempt(a *activeItem, e *engine, attempts int, now time.Time) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	header := &a.batch.header
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -42,6 +42,7 @@
 	rewards *fake.RewardService
 	// limits are the request rate limits of engines and of replicas that answer reward calls.
 	limits  fake.RateLimits
+	permits fake.PeerPermits
 	daemons []*testDaemon
 	// useProxies lets daemons that cannot reach the store use it through others.
 	useProxies bool
@@ -144,11 +145,22 @@
 		daemon.registry.ApplyReplica(replica)
 	}
 	rateLimits := limit.NewTable(logger)
+	rateLimits.Store = daemon.batches
+	daemon.startGoroutine(ctx, rateLimits.Run)
+	limiter := limit.NewLimiter()
+	limiter.Self, limiter.Table, limiter.Budgets, limiter.PeerPermits, limiter.Logger = gypsum.HostID(name), rateLimits, limit.NewBudgets(), &d.permits, logger
+	limiter.ListPeers = func() []limit.Peer { return []limit.Peer{{Host: gypsum.HostID(name), Address: name}} }
+	limiter.HolderOf = func(service gypsum.ServiceName) gypsum.HostID {
+		holder, _, _ := batchState.Holder(service)
+		return holder.Host
+	}
+	d.permits.Set(name, limiter)
 	rewardRelay := relay.New()
+	daemon.runner = runner.New()
+	rewardRelay.Limiter, daemon.runner.Limiter = limiter, limiter
 	rewardRelay.Transport = &fake.LimitedReplicas{ReplicaTransport: d.rewards, Limits: &d.limits, Observer: rateLimits}
 	rewardRelay.Crashes, rewardRelay.Registry, rewardRelay.Logger = daemon.batches, daemon.registry, logger
 	daemon.startGoroutine(ctx, rewardRelay.Run)
-	daemon.runner = runner.New()
 	daemon.runner.Relay = rewardRelay
 	daemon.runner.Host, daemon.runner.Incarnation, daemon.runner.Batches = gypsum.HostID(name), incarnation, daemon.batches
 	daemon.runner.Engines = &fake.LimitedEngines{EngineTransport: d.engines, Limits: &d.limits, Observer: rateLimits}
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -94,7 +94,7 @@
 	engines := s.schedEngines(now)
 	s.markPendingLoads(snapshot, engines)
 	s.startItems(engines, now)
-	s.moveAttempts(engines)
+	s.moveAttempts(engines, now)
 	s.sendRewardCalls(snapshot, now)
 	s.sendLoadOrders(snapshot, engines, now)
 }
@@ -126,7 +126,9 @@
 	views := make([]*sched.Engine, 0, len(s.engines))
 	for _, e := range s.engines {
 		e.eventTimer.Update(now)
-		views = append(views, e.schedEngine(now))
+		view := e.schedEngine(now)
+		view.StartsLeft, view.RateLimited = s.runner.Limiter.Available(e.replica, now)
+		views = append(views, view)
 	}
 	return views
 }
--- a/runner/loadorders.go
+++ b/runner/loadorders.go
@@ -98,6 +98,7 @@
 	s.runner.Stats.LoadOrders.Add(1)
 	go func() {
 		if expected == unknownSequence {
+			s.runner.Limiter.Charge(replica, time.Now())
 			report, err := s.runner.Engines.FetchReport(s.ctx, replica)
 			if err != nil {
 				s.runner.Logger.Warn("failed to fetch engine report", "replica", replica.ID, "error", err)
@@ -106,6 +107,7 @@
 			}
 			expected = report.LoadOrderSequence
 		}
+		s.runner.Limiter.Charge(replica, time.Now())
 		status, err := s.runner.Engines.SendLoadOrder(s.ctx, &gypsum.ReplicaLoadOrder{
 			Replica: replica, Model: order.Model, Version: order.Version, Holder: s.runner.Host, FencingToken: s.fencingToken + 1, ExpectedSequence: expected,
 		})
@@ -136,8 +138,9 @@
 		select {
 		case <-s.ctx.Done():
 			return last
-		case <-time.After(wait):
+		case <-time.After(max(wait, s.runner.Limiter.ControlInterval(replica))):
 		}
+		s.runner.Limiter.Charge(replica, time.Now())
 		report, err := s.runner.Engines.FetchReport(s.ctx, replica)
 		if err != nil {
 			s.runner.Logger.Warn("failed to fetch engine report", "replica", replica.ID, "error", err)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 )
@@ -64,6 +65,9 @@
 	Registry    *state.Registry
 	// Relay sends the reward calls.
 	Relay *relay.Relay
+	// Limiter keeps the requests to each engine within the rate that it accepts. The holder
+	// of a service is the keeper of its engines.
+	Limiter *limit.Limiter
 	// StoreUnavailable reports whether the store does not respond.
 	StoreUnavailable func() bool
 	// CPUShare is the host's share of a CPU core.
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -27,6 +27,9 @@
 	// unroutedRetryDelay is the delay before the route of a reward call is looked up again
 	// after none was found.
 	unroutedRetryDelay = 250 * time.Millisecond
+	// maxRateLimitDelay bounds the delay before a reward call that a replica's rate limit
+	// did not permit is repeated: another replica may accept it.
+	maxRateLimitDelay = time.Second
 	// scoringTimeWeight is the weight of the latest score in the average scoring time.
 	scoringTimeWeight = 0.1
 )
@@ -261,6 +264,7 @@
 		return
 	}
 	scoring.avoidedReplica = replica
+	limited := &gypsum.RateLimitError{}
 	switch {
 	case err == nil && response.Status == http.StatusInternalServerError:
 		stats.RewardServerErrors.Add(1)
@@ -270,6 +274,9 @@
 			s.failItem(a, reasonRewardCallsFailed)
 			return
 		}
+	case errors.As(err, &limited):
+		stats.RewardsRejected.Add(1)
+		scoring.avoidedReplica = ""
 	case errors.Is(err, gypsum.ErrNotSent) || errors.Is(err, gypsum.ErrNotRun):
 		stats.RewardsRejected.Add(1)
 	case errors.Is(err, context.DeadlineExceeded):
@@ -278,7 +285,7 @@
 	default:
 		stats.RewardsBroken.Add(1)
 	}
-	delay := sched.RewardRetryDelay(scoring.failures, rand.Float64())
+	delay := max(sched.RewardRetryDelay(scoring.failures, rand.Float64()), min(limited.RetryAfter, maxRateLimitDelay))
 	scoring.notBefore = now.Add(delay)
 	scoring.failures++
 	status := 0
--- a/sched/items.go
+++ b/sched/items.go
@@ -34,6 +34,23 @@
 	FailureRate float64
 	// Unusable means that no attempt and no load may be started on the engine.
 	Unusable bool
+	// RateLimited means that the engine limits the rate of its requests. StartsLeft is the
+	// number of attempts that may start now if it does.
+	RateLimited bool
+	StartsLeft  int
+}
+
+// acceptsAttempt reports whether the engine has a free slot and accepts another request.
+func (e *Engine) acceptsAttempt() bool {
+	return !e.Unusable && e.Running < e.Slots && (!e.RateLimited || e.StartsLeft > 0)
+}
+
+// addAttempt counts one more attempt on the engine.
+func (e *Engine) addAttempt() {
+	e.Running++
+	if e.RateLimited {
+		e.StartsLeft--
+	}
 }
 
 // eventTime returns the expected time per event with a number of concurrent attempts.
@@ -100,7 +117,10 @@
 // in order of increasing slack, each on the engine with the shortest expected time
 // per event.
 //
-// ScheduleItems increments Running of the chosen engines. It clears AvoidedEngine and
+// An engine that limits the rate of its requests gets as many items as it accepts now; the
+// others wait or start elsewhere.
+//
+// ScheduleItems updates Running and StartsLeft of the chosen engines. It clears AvoidedEngine and
 // Failures of items that have no alternative engine.
 func ScheduleItems(items []Item, engines []*Engine, now time.Time) []Placement {
 	eventTime := medianIdleEventTime(engines)
@@ -120,7 +140,7 @@
 		}
 		if engine := selector.fastestFor(item); engine != nil {
 			placements = append(placements, Placement{Item: item, Engine: engine.ID, EngineAttempts: engine.Running})
-			engine.Running++
+			engine.addAttempt()
 		}
 	}
 	return placements
@@ -189,7 +209,7 @@
 // first. overhead is the cost of a move: the time from the start of an attempt to its first
 // event.
 //
-// ScheduleMoves updates Running of the engines that it moves attempts between.
+// ScheduleMoves updates Running and StartsLeft of the engines that it moves attempts between.
 func ScheduleMoves(attempts []Attempt, engines []*Engine, overhead time.Duration) []Placement {
 	byID := make(map[gypsum.BackendID]*Engine, len(engines))
 	for _, engine := range engines {
@@ -218,7 +238,7 @@
 		isFaster := float64(current.IdleEventTime) > minIdleSpeedup*float64(target.IdleEventTime)
 		if isFaster && float64(stayTime) > minMoveSpeedup*float64(moveTime) {
 			moves = append(moves, Placement{Item: attempt.Item, Engine: target.ID, EngineAttempts: target.Running})
-			target.Running++
+			target.addAttempt()
 			current.Running--
 			selector = newEngineSelector(engines) // current now has fewer attempts, which the heaps cannot reflect
 		}
--- a/sched/selector.go
+++ b/sched/selector.go
@@ -86,7 +86,7 @@
 	for h.Len() > 0 {
 		first := &(*h)[0]
 		switch eventTime := first.engine.expectedEventTime(); {
-		case first.engine.Unusable || first.engine.Loading == item.Model || first.engine.Running >= first.engine.Slots:
+		case first.engine.Loading == item.Model || !first.engine.acceptsAttempt():
 			heap.Pop(h)
 		case eventTime > first.eventTime:
 			first.eventTime = eventTime
--- a/wire/store.go
+++ b/wire/store.go
@@ -82,41 +82,49 @@
 	return procedurePrefix, mux
 }
 
-// PeerStores holds the clients that reach the store through other daemons. It
-// implements gypsum.PeerStores.
-type PeerStores struct {
+// PeerClients holds the clients of other daemons. It implements gypsum.PeerStores and
+// gypsum.PeerPermits.
+type PeerClients struct {
 	httpClient *http.Client
 
 	mu      sync.Mutex
-	clients map[string]*peerStore
+	stores  map[string]*peerStore
+	permits map[string]*peerPermits
 }
 
-// peerIdleConnTimeout is how long an idle connection to another daemon is kept. Forwarded
-// calls are rare and come in bursts of seconds.
+// peerIdleConnTimeout is how long an idle connection to another daemon is kept. Calls to
+// other daemons are rare and come in bursts of seconds.
 const peerIdleConnTimeout = 10 * time.Second
 
-// NewPeerStores returns an empty set of clients, and a function that closes their idle
+// NewPeerClients returns an empty set of clients, and a function that closes their idle
 // connections.
-func NewPeerStores() (peers *PeerStores, cleanup func()) {
+func NewPeerClients() (peers *PeerClients, cleanup func()) {
 	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: 4}
-	return &PeerStores{httpClient: &http.Client{Transport: transport}, clients: make(map[string]*peerStore)}, transport.CloseIdleConnections
+	return &PeerClients{
+		httpClient: &http.Client{Transport: transport}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
+	}, transport.CloseIdleConnections
+}
+
+// clientOption returns the options of clients of other daemons.
+func clientOption() connect.ClientOption {
+	return connect.WithClientOptions(connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // StoreVia implements gypsum.PeerStores.
-func (p *PeerStores) StoreVia(address string) gypsum.KeyedStore {
+func (p *PeerClients) StoreVia(address string) gypsum.KeyedStore {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if client, ok := p.clients[address]; ok {
+	if client, ok := p.stores[address]; ok {
 		return client
 	}
 	base := "http://" + address
-	option := connect.WithClientOptions(connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
+	option := clientOption()
 	client := &peerStore{
 		append: connect.NewClient[gypsum.KeyedAppend, storeResponse](p.httpClient, base+appendProcedure, option),
 		read:   connect.NewClient[gypsum.KeyedRead, storeResponse](p.httpClient, base+readProcedure, option),
 		latest: connect.NewClient[latestRequest, storeResponse](p.httpClient, base+latestProcedure, option),
 	}
-	p.clients[address] = client
+	p.stores[address] = client
 	return client
 }
 
