--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -81,18 +81,38 @@
 // Keepers returns the daemons to ask for permits of a replica, the one in charge first: the
 // holder of the service, if any, and the others in the order of rendezvous hashing.
 func Keepers(replica gypsum.BackendID, holder gypsum.HostID, peers []Peer) []Peer {
-	keepers := slices.Clone(peers)
-	slices.SortFunc(keepers, func(a, b Peer) int {
-		if (a.Host == holder) != (b.Host == holder) {
-			if a.Host == holder {
-				return -1
-			}
-			return 1
+	keepers := make([]scoredPeer, 0, maxKeepers+1)
+	for _, peer := range peers {
+		candidate := scoredPeer{Peer: peer, isHolder: peer.Host == holder, score: gypsum.RendezvousScore(string(replica), string(peer.Host))}
+		position, _ := slices.BinarySearchFunc(keepers, candidate, scoredPeer.compare)
+		if position < maxKeepers {
+			keepers = slices.Insert(keepers, position, candidate)
+			keepers = keepers[:min(len(keepers), maxKeepers)]
 		}
-		return cmp.Or(cmp.Compare(gypsum.RendezvousScore(string(replica), string(b.Host)), gypsum.RendezvousScore(string(replica), string(a.Host))),
-			cmp.Compare(a.Host, b.Host))
-	})
-	return keepers[:min(len(keepers), maxKeepers)]
+	}
+	chosen := make([]Peer, 0, maxKeepers+1)
+	for _, keeper := range keepers {
+		chosen = append(chosen, keeper.Peer)
+	}
+	return chosen
+}
+
+// scoredPeer is a daemon that may keep the budget of a replica.
+type scoredPeer struct {
+	Peer
+	isHolder bool
+	score    uint64
+}
+
+// compare orders the daemons by the preference as keepers.
+func (p scoredPeer) compare(other scoredPeer) int {
+	if p.isHolder != other.isHolder {
+		if p.isHolder {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(other.score, p.score), cmp.Compare(p.Host, other.Host))
 }
 
 // Acquire waits until a request may be sent to a replica, at most maxWait. It returns a
