--- a/fake/ratelimits.go
+++ b/fake/ratelimits.go
@@ -65,7 +65,12 @@
 // MostWithin returns the largest number of requests that a replica received within a duration
 // that begins at or after a time.
 func (l *RateLimits) MostWithin(id gypsum.BackendID, duration time.Duration, from time.Time) int {
-	times := l.RequestsTo(id)
+	return MostWithin(l.RequestsTo(id), duration, from)
+}
+
+// MostWithin returns the largest number of times within a duration that begins at or after a
+// time. The times are in order.
+func MostWithin(times []time.Time, duration time.Duration, from time.Time) int {
 	most, first := 0, 0
 	for last, received := range times {
 		for times[first].Before(from) && first < last || received.Sub(times[first]) >= duration {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -135,6 +135,26 @@
 	return violations
 }
 
+// The users' bounds of the request rate of a replica that states a limit: the time after the
+// first statement from which they hold, and the time over which requests are counted.
+const (
+	limitNoticeTime = 4 * time.Second
+	limitWindow     = 4 * time.Second
+)
+
+// rateViolations checks that a replica that limits its request rate gets no more than one and a
+// half times what the limit allows, and 5 more.
+func rateViolations(replica *registeredReplica, receivedAt []time.Time) []string {
+	if replica.limitedAt.IsZero() {
+		return nil
+	}
+	most, allowed := fake.MostWithin(receivedAt, limitWindow, replica.limitedAt.Add(limitNoticeTime)), int(1.5*float64(replica.rateLimit)*limitWindow.Seconds())+5
+	if most <= allowed {
+		return nil
+	}
+	return []string{fmt.Sprintf("replica %s with a limit of %g/s received %d requests within %s, %d are allowed", replica.ID, float64(replica.rateLimit), most, limitWindow, allowed)}
+}
+
 // rewardID returns the ID of an item's reward call.
 func rewardID(item gypsum.ItemID) gypsum.RequestID { return gypsum.RequestID("w-" + item) }
 
@@ -262,6 +282,15 @@
 			sendTo(w.env.replicas[0].Replica, "n1")
 			return w.executionViolations()
 		},
+		"request rate above its limit": func(w *workload, _ *observedBatch) []string {
+			begin := time.Now()
+			w.env.replicas[0].rateLimit, w.env.replicas[0].limitedAt = 2, begin
+			received := make([]time.Time, 18)
+			for i := range received {
+				received[i] = begin.Add(limitNoticeTime + time.Duration(i)*200*time.Millisecond)
+			}
+			return rateViolations(w.env.replicas[0], received)
+		},
 		"item of a refused batch ran": func(w *workload, b *observedBatch) []string {
 			w.batches = []*observedBatch{{id: "refused", items: b.items[:1]}}
 			return w.executionViolations()
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -105,6 +105,10 @@
 	// startedAt is the time of the last start, in Unix milliseconds.
 	startedAt      atomic.Int64
 	missedRenewals int
+	// rateLimit is the limit of the request rate that the replica states from limitedAt on,
+	// zero for none.
+	rateLimit gypsum.RequestRate
+	limitedAt time.Time
 }
 
 // daemonProcess is a daemon that runs as a process of its own. It reaches the store
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,7 @@
 		wg.Go(func() { load.sendLiveRequests(ctx, name, rng) })
 	}
 	wg.Go(func() { load.runTrainer(ctx, "train", rand.New(rand.NewPCG(seed, 10))) })
+	limitRates(env, rand.New(rand.NewPCG(seed, 30)))
 	injectFaults(env, rand.New(rand.NewPCG(seed, 20)))
 	time.Sleep(2 * time.Second)
 	cancel()
@@ -60,6 +61,15 @@
 		load.calls, load.served, len(load.refusedIDs), len(load.batches), len(env.engines.Attempts()), len(env.engines.LoadOrders()))
 }
 
+// limitRates makes an engine and a replica of the plain service limit their request rates for
+// the rest of the run.
+func limitRates(env *testEnv, rng *rand.Rand) {
+	for _, replica := range []*registeredReplica{env.replicas[rng.IntN(engineCount)], env.replicas[engineCount+rng.IntN(plainReplicaCount)]} {
+		replica.limitedAt, replica.rateLimit = time.Now(), gypsum.RequestRate(2+rng.IntN(20))
+		replica.SetRateLimit(fmt.Sprint(replica.rateLimit))
+	}
+}
+
 // injectFaults injects random faults for faultDuration, clears all of them and waits
 // until the daemons are ready.
 func injectFaults(env *testEnv, rng *rand.Rand) {
@@ -154,6 +164,11 @@
 	for _, violation := range load.executionViolations() {
 		env.t.Error(violation)
 	}
+	for _, replica := range env.replicas {
+		for _, violation := range rateViolations(replica, replica.ReceivedAt()) {
+			env.t.Error(violation)
+		}
+	}
 	if load.served*10 < load.calls*3 {
 		env.t.Errorf("%d of %d calls served", load.served, load.calls)
 	}
