Registrations' software versions are read and logged

Callers saw: nothing yet. The version of a replica's software was not decoded, so that logs could not tell at which version a text continued.

--- a/routing.go
+++ b/routing.go
@@ -132,6 +132,11 @@
 	ReplicaDraining ReplicaState = "draining"
 )
 
+// SoftwareVersion is the version of a backend server's software. Replicas of several versions
+// may serve side by side. What two versions write does not fit together, so that a response
+// that one has begun can only be continued by another replica of the same version.
+type SoftwareVersion string
+
 // Replica is the registration of a backend server.
 type Replica struct {
 	ID       BackendID
@@ -140,6 +145,8 @@
 	Location Location
 	State    ReplicaState
 	Slots    int
+	// Software is the version of the replica's software, not of its weights.
+	Software SoftwareVersion
 	// Incarnation identifies the start of the replica, since it may restart under the same
 	// ID.
 	Incarnation Incarnation
@@ -149,6 +156,6 @@
 // Equal reports whether two registrations have the same content.
 func (r *Replica) Equal(other *Replica) bool {
 	return r == other || (r.ID == other.ID && r.Service == other.Service && r.Address == other.Address &&
-		r.Location == other.Location && r.State == other.State && r.Slots == other.Slots && r.Incarnation == other.Incarnation &&
+		r.Location == other.Location && r.State == other.State && r.Slots == other.Slots && r.Software == other.Software && r.Incarnation == other.Incarnation &&
 		maps.Equal(r.Models, other.Models))
 }
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -69,7 +69,7 @@
 	after := a.progress.beginAttempt()
 	s.runner.Stats.ItemsStarted.Add(1)
 	s.runner.Logger.Info("item started", "batch", header.ID, "item", a.request.ID, "replica", e.replica.ID, "after", after,
-		"runs_there", attempts, "pace_ms", float64(e.eventTimer.EventTime().Microseconds())/1000, "failing", e.health.FailureRate(now), "version", e.versions[header.Model],
+		"runs_there", attempts, "pace_ms", float64(e.eventTimer.EventTime().Microseconds())/1000, "failing", e.health.FailureRate(now), "version", e.versions[header.Model], "software", e.replica.Software,
 		"left", a.remainingEvents(), "due_in_ms", header.DueAt().Sub(now).Milliseconds())
 	attempt := &gypsum.ItemAttempt{
 		Replica: e.replica, HostName: header.HostName, Item: a.request, AfterEvent: after,
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -227,7 +227,7 @@
 			}
 			replica.missedRenewals = 0
 			body := map[string]any{
-				"service": replica.service, "addr": replica.address, "zone": "genova", "slots": engineSlots, "state": "ready", "seq": 1,
+				"service": replica.service, "addr": replica.address, "zone": "genova", "slots": engineSlots, "state": "ready", "seq": 1, "version": "1",
 				"born": replica.startedAt.Load(),
 			}
 			for _, report := range reports {
--- a/state/state.go
+++ b/state/state.go
@@ -134,7 +134,7 @@
 		previous := current[id]
 		if previous == nil || previous.State != replica.State || previous.Incarnation != replica.Incarnation || previous.Address != replica.Address {
 			r.Logger.Info("replica registered", "replica", id, "service", replica.Service, "address", replica.Address,
-				"state", replica.State, "born", replica.Incarnation)
+				"state", replica.State, "born", replica.Incarnation, "software", replica.Software)
 		}
 	}
 }
