Texts of items continue only at the software version that began them

Callers saw: texts of items whose events came from two versions of the engines' software. Cause: a text was taken for a property of the item alone; moves, retries, checkpoints at a new holder and texts of the step before continued it at whichever engine was best. Why this works: progress, checkpoints and saved texts name the version; sched places and moves a begun text only at engines of that version, and an event of another version is rejected. A text without such an engine, or that has waited as long as generating it again takes, starts again.

--- a/batch/record.go
+++ b/batch/record.go
@@ -79,6 +79,9 @@
 	Text      ValueRef               `cbor:"5,keyasint"`
 	// Complete means that the text is complete and only its score is missing.
 	Complete bool `cbor:"6,keyasint,omitempty"`
+	// Software is the version of the engines' software that generated the events. Daemons of
+	// older versions leave it out.
+	Software *gypsum.SoftwareVersion `cbor:"7,keyasint,omitempty"`
 }
 
 // End is the record of the end of a batch.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -47,6 +47,7 @@
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
+	TextsDiscarded   int64            `json:"item_texts_discarded"`
 	ItemsCompleted   int64            `json:"items_finished"`
 	ItemsErrored     int64            `json:"items_errored"`
 	AttemptsBroken   int64            `json:"item_runs_broken"`
@@ -88,7 +89,7 @@
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
-		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
+		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
 		RewardCalls: rewardMetrics{
 			Sent: runnerStats.RewardCalls.Load(), Answered: runnerStats.RewardResponses.Load(), Rejected: runnerStats.RewardsRejected.Load(),
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -17,7 +17,12 @@
 	for _, b := range s.batches {
 		for _, a := range b.items {
 			if a.phase == phaseWaiting && !now.Before(a.notBefore) && a.crashes < crashLimit {
-				items = append(items, a.schedItem(s.scoringTime))
+				item := a.schedItem(s.scoringTime)
+				if sched.RestartsText(&item, now.Sub(a.waitingSince), engines) {
+					s.restartText(a, now)
+					item = a.schedItem(s.scoringTime)
+				}
+				items = append(items, item)
 			}
 		}
 	}
@@ -29,6 +34,17 @@
 	}
 }
 
+// restartText discards the text of an item that waits for an engine of the same software
+// version.
+func (s *heldService) restartText(a *activeItem, now time.Time) {
+	events, software := a.progress.generated()
+	s.runner.Logger.Info("text discarded: no engine of its software version continues it", "batch", a.batch.header.ID, "item", a.request.ID,
+		"events", events, "software", software, "waited_ms", now.Sub(a.waitingSince).Milliseconds())
+	s.runner.Stats.TextsDiscarded.Add(1)
+	a.progress.reset()
+	a.checkpointedEvent = 0
+}
+
 // moveAttempts cancels the attempts that the scheduler moves to another engine. Each
 // continues there once it has ended, see handleAttemptEnd.
 func (s *heldService) moveAttempts(engines []*sched.Engine, now time.Time) {
@@ -78,7 +94,7 @@
 	first := true
 	go func() {
 		err := s.runner.Engines.GenerateItem(ctx, attempt, func(event gypsum.StreamEvent) error {
-			err := a.progress.appendEvent(event, e, &a.batch.versions)
+			err := a.progress.appendEvent(event, e, attempt.Replica.Software, &a.batch.versions)
 			if first && err == nil {
 				first = false
 				startTime := time.Since(now)
@@ -119,11 +135,16 @@
 		return
 	}
 	last, _, gotEvent := a.progress.status()
+	if gotEvent {
+		a.waitingSince = now
+	}
 	s.runner.Logger.Info("attempt ended early", "batch", a.batch.header.ID, "item", a.request.ID, "replica", e.replica.ID,
 		"events", last, "error", err, "cause", cause)
 	switch {
 	case errors.Is(cause, errAttemptMoved):
-		if target := s.engines[a.moveTarget]; target != nil && target.replica.State == gypsum.ReplicaReady && target.running < target.replica.Slots {
+		// The attempt may have generated its first event since the move was decided.
+		target := s.engines[a.moveTarget]
+		if target != nil && !target.isLeaving() && target.running < target.replica.Slots && a.progress.canContinueOn(target.replica.Software) {
 			s.startAttempt(a, target, target.running, now)
 		}
 		return
@@ -146,7 +167,7 @@
 		if a.failures >= max(1, a.batch.header.MaxAttempts) {
 			s.failItem(a, reasonAttemptsFailed)
 		}
-	case errors.Is(err, errVersionNotAllowed):
+	case errors.Is(err, errVersionNotAllowed) || errors.Is(err, errSoftwareVersion):
 		// The engine generated with an older version than it reported, or with a second
 		// version within one text.
 		a.progress.reset()
--- a/runner/batches.go
+++ b/runner/batches.go
@@ -99,7 +99,7 @@
 		return texts
 	}
 	for item, checkpoint := range batchState.Checkpoints {
-		texts[item] = &savedText{lastEvent: checkpoint.LastEvent, text: string(stored[checkpoint.Text.Key]), versions: checkpoint.Versions, completed: checkpoint.Complete}
+		texts[item] = &savedText{lastEvent: checkpoint.LastEvent, text: string(stored[checkpoint.Text.Key]), versions: checkpoint.Versions, software: checkpoint.Software, completed: checkpoint.Complete}
 		if checkpoint.Complete {
 			texts[item].ref = &checkpoint.Text
 		}
@@ -116,41 +116,74 @@
 		if batchState.HasResult[item.ID] {
 			continue
 		}
-		a := &activeItem{batch: b, request: item, failures: batchState.Failures[item.ID].Failed, crashes: batchState.Failures[item.ID].Crashed, rewardCallsFailed: batchState.Failures[item.ID].RewardCallsFailed}
+		a := &activeItem{batch: b, request: item, waitingSince: time.Now(), failures: batchState.Failures[item.ID].Failed, crashes: batchState.Failures[item.ID].Crashed, rewardCallsFailed: batchState.Failures[item.ID].RewardCallsFailed}
 		b.items[item.ID] = a
 		s.resumeFromText(a, texts[item.ID], s.savedTexts[item.ID])
 	}
 	s.expectedTokens[b.header.Model] = demand
 }
 
-// resumeFromText makes an item resume after the longest of the texts that its batch's
-// version rule allows.
+// resumeFromText makes an item resume after the best of the texts that its batch's version
+// rule allows: a complete one, otherwise the longest that a registered engine can continue.
 func (s *heldService) resumeFromText(a *activeItem, texts ...*savedText) {
-	var longest *savedText
+	var best *savedText
+	var bestSoftware gypsum.SoftwareVersion
 	for _, text := range texts {
-		if text != nil && a.batch.versions.allowsAll(text.versions) &&
-			(longest == nil || text.lastEvent > longest.lastEvent || (text.completed && !longest.completed)) {
-			longest = text
+		if text == nil || text.lastEvent == 0 || !a.batch.versions.allowsAll(text.versions) {
+			continue
+		}
+		software, known := s.softwareOf(text)
+		if !text.completed && (!known || !s.hasEngineOf(software)) {
+			continue
+		}
+		if best == nil || (text.completed && !best.completed) || (text.completed == best.completed && text.lastEvent > best.lastEvent) {
+			best, bestSoftware = text, software
 		}
 	}
-	if longest == nil || longest.lastEvent == 0 {
+	if best == nil {
 		return
 	}
-	a.progress.restore(longest.lastEvent, longest.text, longest.versions)
-	a.checkpointedEvent = longest.lastEvent
+	a.progress.restore(best, bestSoftware)
+	a.checkpointedEvent = best.lastEvent
 	s.runner.Stats.ItemsResumed.Add(1)
-	s.runner.Logger.Info("item resumed", "batch", a.batch.header.ID, "item", a.request.ID, "after", longest.lastEvent, "complete", longest.completed)
-	if longest.completed {
-		s.completeText(a, longest.ref, time.Now())
+	s.runner.Logger.Info("item resumed", "batch", a.batch.header.ID, "item", a.request.ID, "after", best.lastEvent, "software", bestSoftware, "complete", best.completed)
+	if best.completed {
+		s.completeText(a, best.ref, time.Now())
+	}
+}
+
+// softwareOf returns the software version that generated a text. If the text does not say so, it
+// is known only while all engines have the same version.
+func (s *heldService) softwareOf(text *savedText) (version gypsum.SoftwareVersion, known bool) {
+	if text.software != nil {
+		return *text.software, true
+	}
+	for _, e := range s.engines {
+		if known && e.replica.Software != version {
+			return "", false
+		}
+		version, known = e.replica.Software, true
+	}
+	return version, known
+}
+
+// hasEngineOf reports whether an engine of a software version is registered and not leaving.
+func (s *heldService) hasEngineOf(software gypsum.SoftwareVersion) bool {
+	for _, e := range s.engines {
+		if !e.isLeaving() && e.replica.Software == software {
+			return true
+		}
 	}
+	return false
 }
 
 // dropBatch cancels the attempts of a batch and saves their texts for batches of the
 // next step.
 func (s *heldService) dropBatch(b *activeBatch, now time.Time) {
 	for id, a := range b.items {
-		if last, text, versions := a.progress.text(); last > 0 && a.phase != phaseDone {
-			s.savedTexts[id] = &savedText{lastEvent: last, text: text, versions: versions, completed: a.phase == phaseStoring || a.phase == phaseScoring, savedAt: now}
+		if saved := a.progress.text(); saved.lastEvent > 0 && a.phase != phaseDone {
+			saved.completed, saved.savedAt = a.phase == phaseStoring || a.phase == phaseScoring, now
+			s.savedTexts[id] = &saved
 		}
 		s.dropItem(a)
 	}
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -25,7 +25,9 @@
 
 // engine is the holder's state of an engine.
 type engine struct {
-	replica  *gypsum.Replica
+	replica *gypsum.Replica
+	// unregistered means that the registration has ended.
+	unregistered bool
 	versions map[gypsum.EngineModel]gypsum.WeightVersion
 	running  int
 	// awaitingFirstEvent counts the attempts of each model without an event so far.
@@ -60,7 +62,7 @@
 		e.eventTimer.Reset()
 		e.health = health.FailureEstimator{}
 	}
-	e.replica = replica
+	e.replica, e.unregistered = replica, false
 	for model, version := range replica.Models {
 		e.versions[model] = max(e.versions[model], version)
 	}
@@ -93,12 +95,17 @@
 	}
 }
 
+// isLeaving reports whether the engine is draining or no longer registered.
+func (e *engine) isLeaving() bool { return e.unregistered || e.replica.State != gypsum.ReplicaReady }
+
 // schedEngine returns the scheduler's view of the engine.
 func (e *engine) schedEngine(now time.Time) *sched.Engine {
 	view := &sched.Engine{
 		ID: e.replica.ID, Slots: e.replica.Slots, Running: e.running, Versions: e.versions, IdleEventTime: e.eventTimer.EventTime(),
 		FailureRate: e.health.FailureRate(now),
-		Unusable:    e.replica.State != gypsum.ReplicaReady || now.Before(e.cooldownUntil),
+		Software:    e.replica.Software,
+		Leaving:     e.isLeaving(),
+		Unusable:    e.isLeaving() || now.Before(e.cooldownUntil),
 	}
 	if view.IdleEventTime == 0 {
 		view.IdleEventTime = initialEventTime
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -116,7 +116,7 @@
 		if !registered[id] && e.running == 0 {
 			delete(s.engines, id)
 		} else if !registered[id] {
-			e.cooldownUntil = time.Now().Add(maxCooldown)
+			e.unregistered = true
 		}
 	}
 }
@@ -138,7 +138,9 @@
 	if a.request.Scorer == nil {
 		scoringTime = 0
 	}
+	generated, software := a.progress.generated()
 	return sched.Item{
+		GeneratedEvents: generated, Software: software,
 		ScoringTime: scoringTime,
 		Batch:       a.batch.header.ID, ID: a.request.ID, Model: a.batch.header.Model, MinVersion: a.batch.header.MinVersion,
 		DueAt: a.batch.header.DueAt(), RemainingEvents: a.remainingEvents(), AvoidedEngine: a.avoidedEngine, Failures: a.failures, SingleVersion: a.batch.header.SingleVersion,
--- a/runner/results.go
+++ b/runner/results.go
@@ -51,7 +51,8 @@
 	id := a.batch.header.ID
 	store := func() error { return s.runner.Batches.StoreResult(s.processCtx, id, result) }
 	if state == gypsum.ItemCompleted {
-		_, result.Text, result.Versions = a.progress.text()
+		complete := a.progress.text()
+		result.Text, result.Versions = complete.text, complete.versions
 		if a.scoring != nil {
 			result.Score = a.scoring.score
 			text := *a.scoring.text
@@ -73,15 +74,21 @@
 	}()
 }
 
+// checkpoint returns the checkpoint of a text of an item, without the reference to the stored
+// text.
+func (t *savedText) checkpoint(id gypsum.BatchID, item gypsum.ItemID) *batch.Checkpoint {
+	return &batch.Checkpoint{Batch: id, Item: item, LastEvent: t.lastEvent, Versions: t.versions, Software: t.software}
+}
+
 // checkpointItem stores the events of an item's attempt in the background. The next
 // checkpoint of the item may start checkpointInterval later.
 func (s *heldService) checkpointItem(a *activeItem) {
 	a.checkpointing = true
 	id, item := a.batch.header.ID, a.request.ID
 	go func() {
-		last, text, versions := a.progress.text()
+		saved := a.progress.text()
 		ctx, cancel := context.WithTimeout(s.ctx, ioTimeout)
-		err := s.runner.Batches.StoreCheckpoint(ctx, &batch.Checkpoint{Batch: id, Item: item, LastEvent: last, Versions: versions}, text)
+		err := s.runner.Batches.StoreCheckpoint(ctx, saved.checkpoint(id, item), saved.text)
 		cancel()
 		if err != nil {
 			s.runner.Logger.Warn("failed to store checkpoint", "batch", id, "item", item, "error", err)
@@ -93,7 +100,7 @@
 		s.runner.postUpdate(s.ctx, func() {
 			a.checkpointing = false
 			if err == nil {
-				a.checkpointedEvent = last
+				a.checkpointedEvent = saved.lastEvent
 			}
 		})
 	}()
@@ -112,16 +119,14 @@
 			a.cancelWork()
 			isComplete, checkpointed := a.phase == phaseScoring, a.scoring != nil && a.scoring.checkpointed
 			a.phase = phaseDone
-			last, text, versions := a.progress.text()
-			if checkpointed || (!isComplete && last <= a.checkpointedEvent) {
+			saved := a.progress.text()
+			if checkpointed || (!isComplete && saved.lastEvent <= a.checkpointedEvent) {
 				continue
 			}
 			count++
-			go func() {
-				errs <- s.runner.Batches.StoreCheckpoint(ctx, &batch.Checkpoint{
-					Batch: b.header.ID, Item: a.request.ID, LastEvent: last, Versions: versions, Complete: isComplete,
-				}, text)
-			}()
+			checkpoint := saved.checkpoint(b.header.ID, a.request.ID)
+			checkpoint.Complete = isComplete
+			go func() { errs <- s.runner.Batches.StoreCheckpoint(ctx, checkpoint, saved.text) }()
 		}
 	}
 	for range count {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -101,6 +101,8 @@
 	ItemsStarted     atomic.Int64
 	ItemsResumed     atomic.Int64
 	ItemsMoved       atomic.Int64
+	// TextsDiscarded counts the texts that no engine of their software version continued.
+	TextsDiscarded   atomic.Int64
 	ItemsCompleted   atomic.Int64
 	ItemsErrored     atomic.Int64
 	AttemptsBroken   atomic.Int64
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -73,7 +73,7 @@
 // the store accepts it or the service is lost.
 func (s *heldService) storeCompleteText(a *activeItem) {
 	id, item := a.batch.header.ID, a.request.ID
-	_, text, _ := a.progress.text()
+	text := a.progress.text().text
 	go func() {
 		ref, err := s.runner.Batches.StoreText(s.ctx, id, item, text)
 		for err != nil && s.ctx.Err() == nil {
@@ -103,8 +103,9 @@
 // does not generate it again.
 func (s *heldService) checkpointCompleteText(a *activeItem) {
 	a.scoring.checkpointed = true
-	last, _, versions := a.progress.text()
-	checkpoint := &batch.Checkpoint{Batch: a.batch.header.ID, Item: a.request.ID, LastEvent: last, Versions: versions, Text: *a.scoring.text, Complete: true}
+	saved := a.progress.text()
+	checkpoint := saved.checkpoint(a.batch.header.ID, a.request.ID)
+	checkpoint.Text, checkpoint.Complete = *a.scoring.text, true
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, ioTimeout)
 		defer cancel()
--- a/sched/items.go
+++ b/sched/items.go
@@ -32,6 +32,10 @@
 	IdleEventTime time.Duration
 	// FailureRate is the expected fraction of failing attempts, from 0 to 1.
 	FailureRate float64
+	// Software is the version of the engine's software.
+	Software gypsum.SoftwareVersion
+	// Leaving means that the engine gets no work any more.
+	Leaving bool
 	// Unusable means that no attempt and no load may be started on the engine.
 	Unusable bool
 	// RateLimited means that the engine limits the rate of its requests. StartsLeft is the
@@ -67,12 +71,18 @@
 	return e.ID == item.AvoidedEngine || (item.Failures > 0 && e.FailureRate >= avoidFailureRate)
 }
 
-// canServe reports whether the engine has loaded weights that the item accepts.
-func (e *Engine) canServe(item *Item) bool {
+// hasWeightsFor reports whether the engine has loaded weights that the item accepts.
+func (e *Engine) hasWeightsFor(item *Item) bool {
 	version, ok := e.Versions[item.Model]
 	return ok && version >= item.MinVersion
 }
 
+// canServe reports whether the engine has loaded weights that the item accepts and can
+// continue its text.
+func (e *Engine) canServe(item *Item) bool {
+	return e.hasWeightsFor(item) && (item.GeneratedEvents == 0 || e.Software == item.Software)
+}
+
 // Item is an item that is waiting to start.
 type Item struct {
 	Batch      gypsum.BatchID
@@ -82,6 +92,11 @@
 	DueAt      time.Time
 	// RemainingEvents is the expected number of events still to be generated.
 	RemainingEvents int
+	// GeneratedEvents is the number of events of the text so far, Software the version of the
+	// engines' software that generated them. Only engines of the same version can continue
+	// the text.
+	GeneratedEvents int
+	Software        gypsum.SoftwareVersion
 	// ScoringTime is the expected time from the complete text to the score, 0 without a
 	// scorer.
 	ScoringTime time.Duration
@@ -103,6 +118,27 @@
 	return max(expected-generated, generated/2, 1)
 }
 
+// RestartsText decides whether an item whose text only engines of one software version can
+// continue is generated again from the first event. While the engines' software is replaced,
+// few engines of a version may be left. The text is given up once none remains, or after a wait
+// of the time that generating it again takes: together, the wait and the restart then take at
+// most twice as long as the better of the two. It is kept as long as no other engine could start
+// the item.
+func RestartsText(item *Item, waited time.Duration, engines []*Engine) bool {
+	if item.GeneratedEvents == 0 {
+		return false
+	}
+	sameRemains, otherIsFree := false, false
+	for _, engine := range engines {
+		if engine.Software == item.Software {
+			sameRemains = sameRemains || !engine.Leaving
+		} else {
+			otherIsFree = otherIsFree || (engine.hasWeightsFor(item) && engine.Loading != item.Model && engine.acceptsAttempt())
+		}
+	}
+	return otherIsFree && (!sameRemains || waited >= time.Duration(item.GeneratedEvents)*medianIdleEventTime(engines))
+}
+
 // Placement is a decision to start or continue an item on an engine.
 type Placement struct {
 	Item   *Item
--- a/sched/selector.go
+++ b/sched/selector.go
@@ -27,6 +27,9 @@
 	model         gypsum.EngineModel
 	minVersion    gypsum.WeightVersion
 	singleVersion bool
+	// software is the version that the text requires if isBegun is set.
+	software gypsum.SoftwareVersion
+	isBegun  bool
 }
 
 // newEngineSelector returns a selector over engines; heaps are built on first use.
@@ -36,7 +39,7 @@
 
 // fastestFor returns the engine to start an item on, or nil if none may start it.
 func (s *engineSelector) fastestFor(item *Item) *Engine {
-	key := engineHeapKey{item.Model, item.MinVersion, item.SingleVersion}
+	key := engineHeapKey{item.Model, item.MinVersion, item.SingleVersion, item.Software, item.GeneratedEvents > 0}
 	candidates, ok := s.heaps[key]
 	if !ok {
 		candidates = &engineHeap{}
