Failure counts of an item are stored one after the other

Callers saw: an item could get one more attempt than its max_attempts after a change of the holder. Cause: each failure started an append of its own; two failures at the same moment could be stored in the reverse order, and the later record with the lower count won. Why this works: one append for an item at a time, with the newest counts; readers never lower them.

--- a/batch/state.go
+++ b/batch/state.go
@@ -207,9 +207,13 @@
 	}
 }
 
+// applyFailures applies the failure counts of an item, which never decrease.
 func (s *State) applyFailures(failures Failures, key string) {
 	if entry, ok := s.batches[failures.Batch]; ok {
 		entry.keys = append(entry.keys, key)
+		known := entry.failures[failures.Item]
+		failures.Failed, failures.Crashed = max(known.Failed, failures.Failed), max(known.Crashed, failures.Crashed)
+		failures.RewardCallsFailed = max(known.RewardCallsFailed, failures.RewardCallsFailed)
 		entry.failures[failures.Item] = failures
 	}
 }
--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -45,9 +45,13 @@
 	// was added.
 	waitingSince time.Time
 	// firstStartedAt is when the item's first attempt by this holder started.
-	firstStartedAt    time.Time
-	failures          int
-	crashes           int
+	firstStartedAt time.Time
+	failures       int
+	crashes        int
+	// storingFailures means that the counts are being stored, failuresChanged that they have
+	// changed since then.
+	storingFailures   bool
+	failuresChanged   bool
 	checkpointedEvent int64 // number of the last stored event
 	checkpointing     bool
 	// rewardCallsFailed is the number of reward calls answered with a server error. scoring
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -206,8 +206,14 @@
 }
 
 // storeFailures stores the failure and crash counts of an item in the background, so that
-// they survive a change of the holder.
+// they survive a change of the holder. Counts that change meanwhile are stored afterwards: two
+// appends at a time could take effect in either order.
 func (s *heldService) storeFailures(a *activeItem) {
+	if a.storingFailures {
+		a.failuresChanged = true
+		return
+	}
+	a.storingFailures, a.failuresChanged = true, false
 	failures := batch.Failures{
 		Batch: a.batch.header.ID, Item: a.request.ID, Failed: a.failures, Crashed: a.crashes, RewardCallsFailed: a.rewardCallsFailed,
 	}
@@ -217,6 +223,12 @@
 		if err := s.runner.Batches.RecordFailures(ctx, failures); err != nil {
 			s.runner.Logger.Warn("failed to store failure counts of item", "batch", failures.Batch, "item", failures.Item, "error", err)
 		}
+		s.runner.postUpdate(s.ctx, func() {
+			a.storingFailures = false
+			if a.failuresChanged {
+				s.storeFailures(a)
+			}
+		})
 	}()
 }
 
