--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -288,23 +288,37 @@
 	is.Equal(item.Path, "/t")
 }
 
-// The checkpoint of a complete text is not replaced by that of an attempt that was appended
-// later.
-func TestCompleteCheckpointStays(t *testing.T) {
-	is := is.New(t)
+// applyRecords returns a state that has applied the records with the given keys and values.
+func applyRecords(t *testing.T, keys []string, values ...any) *batch.State {
+	t.Helper()
 	state := batch.NewState(slog.New(slog.DiscardHandler))
 	var records []gypsum.KeyedRecord
-	for i, value := range []any{
-		batch.Header{ID: "b1", ItemCount: 1},
-		batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 9, Complete: true},
-		batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 4},
-	} {
+	for i, value := range values {
 		content, err := cbor.Marshal(value)
-		is.NoErr(err)
-		key := []string{"b/b1/k", "p/b1/e1", "p/b1/e1"}[i]
-		records = append(records, gypsum.KeyedRecord{Key: key, Value: content, Offset: gypsum.Offset(i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, gypsum.KeyedRecord{Key: keys[i], Value: content, Offset: gypsum.Offset(i)})
 	}
 	state.Apply(store.Update{Records: records})
+	return state
+}
+
+// The failure counts of an item do not decrease with a record that was appended later.
+func TestFailureCountsDoNotDecrease(t *testing.T) {
+	is := is.New(t)
+	state := applyRecords(t, []string{"b/b1/k", "f/b1/e1", "f/b1/e1"}, batch.Header{ID: "b1", ItemCount: 1},
+		batch.Failures{Batch: "b1", Item: "e1", Failed: 2, Crashed: 1}, batch.Failures{Batch: "b1", Item: "e1", Failed: 1, RewardCallsFailed: 1})
+	snapshot, _ := state.Snapshot("b1")
+	is.Equal(snapshot.Failures["e1"], batch.Failures{Batch: "b1", Item: "e1", Failed: 2, Crashed: 1, RewardCallsFailed: 1})
+}
+
+// The checkpoint of a complete text is not replaced by that of an attempt that was appended
+// later.
+func TestCompleteCheckpointStays(t *testing.T) {
+	is := is.New(t)
+	state := applyRecords(t, []string{"b/b1/k", "p/b1/e1", "p/b1/e1"}, batch.Header{ID: "b1", ItemCount: 1},
+		batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 9, Complete: true}, batch.Checkpoint{Batch: "b1", Item: "e1", LastEvent: 4})
 	snapshot, _ := state.Snapshot("b1")
 	is.Equal(snapshot.Checkpoints["e1"].LastEvent, int64(9))
 	is.True(snapshot.Checkpoints["e1"].Complete)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
 )
 
@@ -522,3 +525,29 @@
 		is.Equal(attempts.Load(), int64(4)) // the killed attempt was not counted
 	})
 }
+
+// The newest record of an item's failure counts is the one with the highest counts, although
+// failures at the same moment are stored in the background.
+func TestNewestFailureCounts(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			engines := newEngines(4)
+			d := newDeployment(t, engines, 0.8)
+			engines.AttemptError = func(gypsum.BackendID, gypsum.ItemID) error { return gypsum.ErrItemFailed }
+			submitted := newBatch("bat", 1, 12)
+			d.submitBatch(0, submitted)
+			d.awaitResults(0, submitted, 5*time.Second)
+			time.Sleep(100 * time.Millisecond)
+			page, err := d.store.LatestRecords(t.Context(), "keyed.state", 0, "")
+			is.NoErr(err)
+			for _, record := range page.Records {
+				if strings.HasPrefix(record.Key, "f/") {
+					var failures batch.Failures
+					is.NoErr(cbor.Unmarshal(record.Value, &failures))
+					is.Equal(failures.Failed, 3)
+				}
+			}
+		})
+	}
+}
