A response stream continues only at the software version that began it

Callers saw: a streamed response whose events came from two versions of a service's software. Cause: a stream that its replica broke off or left silent was resumed at the best other replica. Why this works: the first event that is passed on binds the request to its version; other replicas are no candidates then. Without another replica of the version a slow stream is no longer given up after a second either (front.TestSlowStreamWithoutOtherReplica), since nobody could continue it.

--- a/front/software_test.go
+++ b/front/software_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// TestSlowStreamWithoutOtherReplica guards against a slow stream that is cut although no other
+// replica of its software version could continue it.
+func TestSlowStreamWithoutOtherReplica(t *testing.T) {
+	is := is.New(t)
+	s := newMixedServer(t, "v1", "v2")
+	s.preferFirstReplica()
+	s.replicas[0].PauseAfter, s.replicas[0].Pause = 5, 1200*time.Millisecond
+	status, _, body := s.sendRequest("POST", resumableTarget, "q", "x")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, streamText("q", "v1", 1))
+}
+
 // interruptStream sends a request and closes its connection after a few events of the response.
 // It returns the bytes of these events.
 func (s *testServer) interruptStream(id string, events int) string {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,7 +56,10 @@
 	Arrived  time.Time
 	Deadline time.Time
 
-	isReward    bool
+	isReward bool
+	// software is the software version that began the response, nil before the first event.
+	// Only replicas of the same version can continue it.
+	software    *gypsum.SoftwareVersion
 	fingerprint gypsum.Fingerprint
 	tried       map[gypsum.BackendID]bool
 	// sentAttempts is the number of replicas that the request was sent to. mayHaveRun
@@ -154,7 +158,7 @@
 		return nil, false, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, "the replica broke off its answer")
 	}
 	failureCost := FailureCost(request.Route.Retryable(), request.Route.LatencyTarget, remaining)
-	candidates := r.candidates(request.Service, false, now)
+	candidates := slices.DeleteFunc(r.candidates(request.Service, false, now), func(c Candidate) bool { return !request.canContinueOn(c.Replica) })
 	untried := 0
 	for i := range candidates {
 		candidates[i].Tried = request.tried[candidates[i].Replica.ID]
@@ -216,9 +220,24 @@
 	}
 }
 
+// canContinueOn reports whether a replica can continue the response to a request, if it has
+// begun.
+func (r *Request) canContinueOn(replica *gypsum.Replica) bool {
+	return r.software == nil || *r.software == replica.Software
+}
+
 // isLastAttempt reports whether no other attempt may follow the next one.
 func (r *Relay) isLastAttempt(request *Request) bool {
-	return !request.Route.Retryable() || request.sentAttempts+1 >= request.Route.MaxAttempts || len(r.Registry.Current().Services[request.Service]) < 2
+	if !request.Route.Retryable() || request.sentAttempts+1 >= request.Route.MaxAttempts {
+		return true
+	}
+	usable := 0
+	for _, replica := range r.Registry.Current().Services[request.Service] {
+		if request.canContinueOn(replica) {
+			usable++
+		}
+	}
+	return usable < 2
 }
 
 // attemptTimeout returns how long a replica may take to respond or to start a stream.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -86,12 +86,13 @@
 	timeout := r.attemptTimeout(request, candidate, startedAt)
 	idleTimer := time.AfterFunc(timeout, func() { cancelStream(errStreamIdleTimeout) })
 	defer idleTimer.Stop()
-	lastAttempt := r.isLastAttempt(request)
+	lastAttempt := false
 	var firstEvent time.Duration
 	tracked := r.beginAttempt(replica)
 	response, err := r.forwardEvents(streamCtx, request, replica, sink, begun, lastEvent, func() {
 		if firstEvent == 0 {
 			firstEvent = time.Since(startedAt)
+			lastAttempt = r.isLastAttempt(request)
 		}
 		if !lastAttempt {
 			idleTimer.Reset(streamIdleTimeout)
@@ -146,10 +147,11 @@
 		if err != nil {
 			return response, err
 		}
-		onEvent()
 		if number > 0 && number != *lastEvent+1 {
 			return response, ErrStreamInterrupted
 		}
+		request.software = &replica.Software
+		onEvent()
 		if err := sink.WriteEvent(raw); err != nil {
 			return response, fmt.Errorf("forward event: %w: %w", errClientDisconnected, err)
 		}
