--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -189,7 +189,7 @@
 	rateLimits.Store = d.batches
 	d.limiter = limit.NewLimiter()
 	d.limiter.Self, d.limiter.Table, d.limiter.Budgets, d.limiter.Logger = d.Settings.Host, rateLimits, limit.NewBudgets(), d.Logger
-	d.limiter.ListPeers, d.limiter.HolderOf, d.limiter.PeerPermits = d.budgetKeepers, d.holderOf, peers
+	d.limiter.ListPeers, d.limiter.HolderOf, d.limiter.PeerPermits = d.peers, d.holderOf, peers
 	d.relay = relay.New()
 	d.relay.Crashes, d.relay.Limiter = d.batches, d.limiter
 	d.relay.Transport, d.relay.Registry, d.relay.Location, d.relay.Logger = backends, d.registry, d.Settings.Location, d.Logger
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -11,8 +11,6 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/gypsumhook/gypsum"
-	"github.com/gypsumhook/gypsum/limit"
-	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -92,16 +90,6 @@
 	}
 }
 
-// budgetKeepers returns the daemons that may keep request budgets.
-func (d *Daemon) budgetKeepers() []limit.Peer {
-	records := d.batchState.DaemonRecords()
-	peers := make([]limit.Peer, 0, len(records))
-	for _, record := range records {
-		peers = append(peers, limit.Peer{Host: record.Host, Address: record.Address})
-	}
-	return peers
-}
-
 // holderOf returns the daemon that holds a service, empty for none.
 func (d *Daemon) holderOf(service gypsum.ServiceName) gypsum.HostID {
 	holder, _, known := d.batchState.Holder(service)
@@ -112,11 +100,11 @@
 }
 
 // peers returns the daemons that have stored their addresses.
-func (d *Daemon) peers() []proxy.Peer {
+func (d *Daemon) peers() []gypsum.Peer {
 	records := d.batchState.DaemonRecords()
-	peers := make([]proxy.Peer, 0, len(records))
+	peers := make([]gypsum.Peer, 0, len(records))
 	for _, record := range records {
-		peers = append(peers, proxy.Peer{Host: record.Host, Address: record.Address, Location: record.Location})
+		peers = append(peers, gypsum.Peer{Host: record.Host, Address: record.Address, Location: record.Location})
 	}
 	return peers
 }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -104,7 +104,7 @@
 	rateLimits.Store = manager
 	limiter := limit.NewLimiter()
 	limiter.Self, limiter.Table, limiter.Budgets, limiter.Logger = name, rateLimits, limit.NewBudgets(), logger
-	limiter.ListPeers, limiter.HolderOf = func() []limit.Peer { return nil }, func(gypsum.ServiceName) gypsum.HostID { return "" }
+	limiter.ListPeers, limiter.HolderOf = func() []gypsum.Peer { return nil }, func(gypsum.ServiceName) gypsum.HostID { return "" }
 	start(rateLimits.Run)
 	liveRelay := relay.New()
 	liveRelay.Limiter = limiter
--- a/gypsum.go
+++ b/gypsum.go
@@ -5,6 +5,8 @@
 package gypsum
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,6 +103,31 @@
 	return Hash64(item, candidate)
 }
 
+// RendezvousPeers returns the count daemons that own an item in rendezvous hashing, the one with
+// the highest score first. All daemons that know the same peers agree on them.
+func RendezvousPeers(item string, peers []Peer, count int) []Peer {
+	type scoredPeer struct {
+		Peer
+		score uint64
+	}
+	best := make([]scoredPeer, 0, count+1)
+	for _, peer := range peers {
+		candidate := scoredPeer{peer, RendezvousScore(item, string(peer.Host))}
+		position, _ := slices.BinarySearchFunc(best, candidate, func(a, b scoredPeer) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Host, b.Host))
+		})
+		if position < count {
+			best = slices.Insert(best, position, candidate)
+			best = best[:min(len(best), count)]
+		}
+	}
+	owners := make([]Peer, 0, len(best))
+	for _, peer := range best {
+		owners = append(owners, peer.Peer)
+	}
+	return owners
+}
+
 // RemainingTime returns the time left until a deadline, at least zero.
 func RemainingTime(deadline time.Time) time.Duration {
 	return max(0, time.Until(deadline))
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -16,11 +16,11 @@
 	limiter := limit.NewLimiter()
 	limiter.Self, limiter.Table, limiter.Budgets = "host-1", limit.NewTable(slog.New(slog.DiscardHandler)), limit.NewBudgets()
 	limiter.Table.Store = &fake.RateLimitStore{}
-	var peers []limit.Peer
+	var peers []gypsum.Peer
 	for i := range 780 {
-		peers = append(peers, limit.Peer{Host: gypsum.HostID("host-" + strconv.Itoa(i))})
+		peers = append(peers, gypsum.Peer{Host: gypsum.HostID("host-" + strconv.Itoa(i))})
 	}
-	limiter.ListPeers = func() []limit.Peer { return peers }
+	limiter.ListPeers = func() []gypsum.Peer { return peers }
 	limiter.HolderOf = func(gypsum.ServiceName) gypsum.HostID { return "host-1" }
 	replica, rate := &gypsum.Replica{ID: "r"}, gypsum.RequestRate(1e9)
 	limiter.Table.ObserveRateLimit(replica, &rate, time.Now())
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -31,12 +30,6 @@
 	maxControlInterval = 2 * time.Second
 )
 
-// Peer is a daemon that may keep budgets.
-type Peer struct {
-	Host    gypsum.HostID
-	Address string
-}
-
 // Limiter obtains a permit for each request to a replica that limits its rate. One daemon, the
 // keeper, gives the permits of a replica: the holder of the replica's service if there is one,
 // otherwise the daemon that rendezvous hashing chooses. Two keepers at a time, while daemons
@@ -47,7 +40,7 @@
 	Table   *Table
 	Budgets *Budgets
 	// ListPeers returns the daemons, with or without this one.
-	ListPeers func() []Peer
+	ListPeers func() []gypsum.Peer
 	// HolderOf returns the holder of a service, empty for none.
 	HolderOf    func(gypsum.ServiceName) gypsum.HostID
 	PeerPermits gypsum.PeerPermits
@@ -80,39 +73,19 @@
 
 // Keepers returns the daemons to ask for permits of a replica, the one in charge first: the
 // holder of the service, if any, and the others in the order of rendezvous hashing.
-func Keepers(replica gypsum.BackendID, holder gypsum.HostID, peers []Peer) []Peer {
-	keepers := make([]scoredPeer, 0, maxKeepers+1)
+func Keepers(replica gypsum.BackendID, holder gypsum.HostID, peers []gypsum.Peer) []gypsum.Peer {
+	keepers := make([]gypsum.Peer, 0, maxKeepers+1)
 	for _, peer := range peers {
-		candidate := scoredPeer{Peer: peer, isHolder: peer.Host == holder, score: gypsum.RendezvousScore(string(replica), string(peer.Host))}
-		position, _ := slices.BinarySearchFunc(keepers, candidate, scoredPeer.compare)
-		if position < maxKeepers {
-			keepers = slices.Insert(keepers, position, candidate)
-			keepers = keepers[:min(len(keepers), maxKeepers)]
+		if peer.Host == holder {
+			keepers = append(keepers, peer)
 		}
 	}
-	chosen := make([]Peer, 0, maxKeepers+1)
-	for _, keeper := range keepers {
-		chosen = append(chosen, keeper.Peer)
-	}
-	return chosen
-}
-
-// scoredPeer is a daemon that may keep the budget of a replica.
-type scoredPeer struct {
-	Peer
-	isHolder bool
-	score    uint64
-}
-
-// compare orders the daemons by the preference as keepers.
-func (p scoredPeer) compare(other scoredPeer) int {
-	if p.isHolder != other.isHolder {
-		if p.isHolder {
-			return -1
+	for _, peer := range gypsum.RendezvousPeers(string(replica), peers, maxKeepers) {
+		if peer.Host != holder && len(keepers) < maxKeepers {
+			keepers = append(keepers, peer)
 		}
-		return 1
 	}
-	return cmp.Or(cmp.Compare(other.score, p.score), cmp.Compare(p.Host, other.Host))
+	return keepers
 }
 
 // Acquire waits until a request may be sent to a replica, at most maxWait. It returns a
@@ -169,8 +142,8 @@
 // requestPermit asks the keepers of a replica for a permit, in order, until one answers.
 func (l *Limiter) requestPermit(ctx context.Context, replica *gypsum.Replica, request gypsum.PermitRequest) gypsum.PermitResponse {
 	keepers := Keepers(replica.ID, l.HolderOf(replica.Service), l.ListPeers())
-	if !slices.ContainsFunc(keepers, func(keeper Peer) bool { return keeper.Host == l.Self }) {
-		keepers = append(keepers, Peer{Host: l.Self})
+	if !slices.ContainsFunc(keepers, func(keeper gypsum.Peer) bool { return keeper.Host == l.Self }) {
+		keepers = append(keepers, gypsum.Peer{Host: l.Self})
 	}
 	for _, keeper := range keepers {
 		if keeper.Host == l.Self {
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -18,8 +18,8 @@
 // comes first, and that the replicas are spread over the daemons.
 func TestKeepers(t *testing.T) {
 	is := is.New(t)
-	peers := []limit.Peer{{Host: "a"}, {Host: "b"}, {Host: "c"}, {Host: "d"}}
-	reversed := []limit.Peer{{Host: "d"}, {Host: "c"}, {Host: "b"}, {Host: "a"}}
+	peers := []gypsum.Peer{{Host: "a"}, {Host: "b"}, {Host: "c"}, {Host: "d"}}
+	reversed := []gypsum.Peer{{Host: "d"}, {Host: "c"}, {Host: "b"}, {Host: "a"}}
 	first := make(map[gypsum.HostID]int)
 	for _, replica := range []gypsum.BackendID{"r-1", "r-2", "r-3", "r-4", "r-5", "r-6", "r-7", "r-8"} {
 		keepers := limit.Keepers(replica, "", peers)
@@ -80,8 +80,8 @@
 			limiter := limit.NewLimiter()
 			limiter.Self, limiter.Table, limiter.Budgets, limiter.PeerPermits, limiter.Logger = host, limit.NewTable(logger), limit.NewBudgets(), &permits, logger
 			limiter.Table.Store = &fake.RateLimitStore{}
-			limiter.ListPeers = func() []limit.Peer {
-				return []limit.Peer{{Host: "a", Address: "a"}, {Host: "b", Address: "b"}, {Host: "c", Address: "c"}}
+			limiter.ListPeers = func() []gypsum.Peer {
+				return []gypsum.Peer{{Host: "a", Address: "a"}, {Host: "b", Address: "b"}, {Host: "c", Address: "c"}}
 			}
 			limiter.HolderOf = func(gypsum.ServiceName) gypsum.HostID { return "a" }
 			permits.Set(string(host), limiter)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -32,20 +32,13 @@
 	maxPeersPerCall = 2
 )
 
-// Peer is another daemon, through which the store may be reached.
-type Peer struct {
-	Host     gypsum.HostID
-	Address  string
-	Location gypsum.Location
-}
-
 // Store implements gypsum.KeyedStore. It uses the direct path to the store, and other
 // daemons while that is unavailable. Set the exported fields before use.
 type Store struct {
 	DirectStore gypsum.KeyedStore
 	PeerStores  gypsum.PeerStores
 	// ListPeers returns the other daemons.
-	ListPeers func() []Peer
+	ListPeers func() []gypsum.Peer
 	Location  gypsum.Location
 	Self      gypsum.HostID
 	// ProbeRead is the read used to probe the direct path.
@@ -184,11 +177,11 @@
 // candidatePeers returns the peers to try, nearest first, without those in cooldown. The
 // order of equally near peers differs between daemons and changes every
 // peerSelectionInterval.
-func (s *Store) candidatePeers() []Peer {
+func (s *Store) candidatePeers() []gypsum.Peer {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var available []Peer
+	var available []gypsum.Peer
 	for _, peer := range s.ListPeers() {
 		if peer.Host != s.Self && now.After(s.cooldownUntil[peer.Host]) {
 			available = append(available, peer)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -34,16 +34,16 @@
 // first letter of its name.
 func newNetwork(t *testing.T, names ...string) *testNetwork {
 	n := &testNetwork{store: fake.NewKeyedStore(), paths: make(map[string]*fake.StoreClient), daemons: make(map[string]*proxy.Store)}
-	var peers []proxy.Peer
+	var peers []gypsum.Peer
 	for _, name := range names {
 		location := gypsum.Location{DataCentre: gypsum.DataCentre(name[:1]), Region: "r"}
-		peers = append(peers, proxy.Peer{Host: gypsum.HostID(name), Address: name, Location: location})
+		peers = append(peers, gypsum.Peer{Host: gypsum.HostID(name), Address: name, Location: location})
 	}
 	for i, name := range names {
 		location := peers[i].Location
 		n.paths[name] = &fake.StoreClient{KeyedStore: n.store}
 		n.daemons[name] = &proxy.Store{
-			DirectStore: n.paths[name], PeerStores: n, ListPeers: func() []proxy.Peer { return peers }, Location: location,
+			DirectStore: n.paths[name], PeerStores: n, ListPeers: func() []gypsum.Peer { return peers }, Location: location,
 			Self: gypsum.HostID(name), ProbeRead: gypsum.KeyedRead{Topic: topic, Max: 1}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}
 	}
@@ -125,11 +125,11 @@
 // daemons loses the store at once: peers of the local data centre are used, and evenly.
 func TestPeerLoadIsSpread(t *testing.T) {
 	is := is.New(t)
-	var peers []proxy.Peer
+	var peers []gypsum.Peer
 	for i := range 12 {
 		dataCentre := gypsum.DataCentre([]string{"a", "b", "c"}[i%3])
 		region := gypsum.Region([]string{"r", "r", "s"}[i%3])
-		peers = append(peers, proxy.Peer{Host: gypsum.HostID(string(dataCentre) + string(rune('0'+i/3))), Location: gypsum.Location{DataCentre: dataCentre, Region: region}})
+		peers = append(peers, gypsum.Peer{Host: gypsum.HostID(string(dataCentre) + string(rune('0'+i/3))), Location: gypsum.Location{DataCentre: dataCentre, Region: region}})
 	}
 	local := gypsum.Location{DataCentre: "a", Region: "r"}
 	selected := make(map[gypsum.HostID]int)
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -35,7 +35,7 @@
 	limits   fake.RateLimits
 	records  fake.RateLimitStore
 	permits  fake.PeerPermits
-	peers    []limit.Peer
+	peers    []gypsum.Peer
 	replicas *fake.RewardService
 	relays   []*relay.Relay
 
@@ -54,7 +54,7 @@
 	d.permits.Latency = 5 * time.Millisecond
 	for i := range daemons {
 		name := fmt.Sprint("host-", i+1)
-		d.peers = append(d.peers, limit.Peer{Host: gypsum.HostID(name), Address: name})
+		d.peers = append(d.peers, gypsum.Peer{Host: gypsum.HostID(name), Address: name})
 	}
 	for i := range daemons {
 		d.relays = append(d.relays, d.newRelay(gypsum.HostID(fmt.Sprint("host-", i+1))))
@@ -69,7 +69,7 @@
 	table.Store = &d.records
 	limiter := limit.NewLimiter()
 	limiter.Self, limiter.Table, limiter.Budgets, limiter.PeerPermits, limiter.Logger = name, table, limit.NewBudgets(), &d.permits, logger
-	limiter.ListPeers, limiter.HolderOf = func() []limit.Peer { return d.peers }, func(gypsum.ServiceName) gypsum.HostID { return "" }
+	limiter.ListPeers, limiter.HolderOf = func() []gypsum.Peer { return d.peers }, func(gypsum.ServiceName) gypsum.HostID { return "" }
 	d.permits.Set(string(name), limiter)
 	ctx, stop := context.WithCancel(d.t.Context())
 	done := make(chan error)
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -54,10 +54,10 @@
 func (d *deployment) StoreVia(address string) gypsum.KeyedStore { return d.proxies[address] }
 
 // peers returns all daemons of the deployment.
-func (d *deployment) peers() []proxy.Peer {
-	var peers []proxy.Peer
+func (d *deployment) peers() []gypsum.Peer {
+	var peers []gypsum.Peer
 	for name := range d.proxies {
-		peers = append(peers, proxy.Peer{Host: gypsum.HostID(name), Address: name})
+		peers = append(peers, gypsum.Peer{Host: gypsum.HostID(name), Address: name})
 	}
 	return peers
 }
@@ -149,7 +149,7 @@
 	daemon.startGoroutine(ctx, rateLimits.Run)
 	limiter := limit.NewLimiter()
 	limiter.Self, limiter.Table, limiter.Budgets, limiter.PeerPermits, limiter.Logger = gypsum.HostID(name), rateLimits, limit.NewBudgets(), &d.permits, logger
-	limiter.ListPeers = func() []limit.Peer { return []limit.Peer{{Host: gypsum.HostID(name), Address: name}} }
+	limiter.ListPeers = func() []gypsum.Peer { return []gypsum.Peer{{Host: gypsum.HostID(name), Address: name}} }
 	limiter.HolderOf = func(service gypsum.ServiceName) gypsum.HostID {
 		holder, _, _ := batchState.Holder(service)
 		return holder.Host
--- a/store.go
+++ b/store.go
@@ -82,6 +82,13 @@
 	ErrStoreSequence = errors.New("append out of sequence")
 )
 
+// Peer is another daemon with the address at which daemons reach it.
+type Peer struct {
+	Host     HostID
+	Address  string
+	Location Location
+}
+
 // PeerStores returns clients of the store that connect through other daemons.
 type PeerStores interface {
 	// StoreVia returns a client of the store that connects through the daemon at an address.
