Clients take up their streams again, at the software version that began them

Callers saw: a client that took up its stream (Last-Event-Id) got the header of a response that then broke off, always: its first event was expected to be number 1. Had it gone on, any replica could have continued it. Cause: the position and the origin of a stream were known only within one response. Evidence: front.TestClientResumesAtOtherSoftwareVersion, TestStreamOfUnknownSoftwareVersion (red). Why this works: a resumed request begins after the event that it names, and is bound to the service and software version of the request that brought the first event. The daemon that began a stream remembers that; while a service has replicas of several versions, or had a short time ago, it sends the origin to two other daemons, chosen by the request's ID, and those of streams begun before when a second version appears. Any daemon finds it there after the first one is gone. Without an answer the client is told that nothing ran and to come back. A service of one version needs no message.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
+	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/relay"
@@ -68,6 +69,7 @@
 	store       *proxy.Store
 	registry    *state.Registry
 	limiter     *limit.Limiter
+	origins     *origin.Tracker
 	// registrations is used only by the goroutine that follows the registrations.
 	registrations *platform.RegistrationDecoder
 	batchState    *batch.State
@@ -190,8 +192,12 @@
 	d.limiter = limit.NewLimiter()
 	d.limiter.Self, d.limiter.Table, d.limiter.Budgets, d.limiter.Logger = d.Settings.Host, rateLimits, limit.NewBudgets(), d.Logger
 	d.limiter.ListPeers, d.limiter.HolderOf, d.limiter.PeerPermits = d.peers, d.holderOf, peers
+	if d.origins, err = origin.NewTracker(); err != nil {
+		return nil, err
+	}
+	d.origins.Self, d.origins.Registry, d.origins.ListPeers, d.origins.Peers, d.origins.Logger = d.Settings.Host, d.registry, d.peers, peers, d.Logger
 	d.relay = relay.New()
-	d.relay.Crashes, d.relay.Limiter = d.batches, d.limiter
+	d.relay.Crashes, d.relay.Limiter, d.relay.Origins = d.batches, d.limiter, d.origins
 	d.relay.Transport, d.relay.Registry, d.relay.Location, d.relay.Logger = backends, d.registry, d.Settings.Location, d.Logger
 	d.runner = runner.New()
 	d.runner.Host, d.runner.Incarnation, d.runner.Batches, d.runner.Engines = d.Settings.Host, d.incarnation, d.batches, backends
@@ -238,6 +244,7 @@
 	d.tasks.start(ctx, d.runner.Run)
 	d.tasks.start(ctx, d.relay.Run)
 	d.tasks.start(ctx, d.limiter.Table.Run)
+	d.tasks.start(ctx, d.origins.Run)
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -42,6 +42,10 @@
 	RelayResponses   int64            `json:"relay_answers"`
 	RelayAttempts    int64            `json:"relay_attempts"`
 	RelayResumes     int64            `json:"relay_resumes"`
+	ClientResumes    int64            `json:"relay_client_resumes"`
+	OriginsShared    int64            `json:"stream_origins_shared"`
+	OriginsFound     int64            `json:"stream_origins_found"`
+	OriginsUnknown   int64            `json:"stream_origins_unknown"`
 	RelayRefused     int64            `json:"relay_refused"`
 	RelayFailed      int64            `json:"relay_failed"`
 	ItemsStarted     int64            `json:"items_started"`
@@ -88,7 +92,9 @@
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
-		RelayResumes: relayStats.Resumes.Load(), RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
+		RelayResumes: relayStats.Resumes.Load(), ClientResumes: relayStats.ClientResumes.Load(),
+		OriginsShared: d.origins.Stats.Shared.Load(), OriginsFound: d.origins.Stats.Found.Load(), OriginsUnknown: d.origins.Stats.Unknown.Load(),
+		RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
 		RewardCalls: rewardMetrics{
--- a/edge/records.go
+++ b/edge/records.go
@@ -21,6 +21,7 @@
 		case now := <-ticker.C:
 			d.registry.ExpireRegistrations(d.storeDowntime() > 0, now)
 			d.relay.PruneReplicaStates(d.registry.Current())
+			d.origins.Update(now)
 			d.limiter.Prune(d.registry.Current().Replicas, now)
 		}
 	}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -49,6 +49,9 @@
 		internal.Handle("/debug/vars", metricsHandler)
 		internal.Handle(wire.StoreHandler(d.store.StoreForPeers()))
 		internal.Handle(wire.PermitHandler(d.limiter))
+		for path, handler := range wire.OriginHandler(d.origins) {
+			internal.Handle(path, handler)
+		}
 		servers = append(servers, newServer(d.internalAddress(), internal))
 	}
 	return servers
--- a/errors.go
+++ b/errors.go
@@ -42,6 +42,7 @@
 	ReasonShutdown         Reason = "shutting_down"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonStepEnded        Reason = "step_past"
+	ReasonOriginUnknown    Reason = "stream_origin_unknown"
 )
 
 // Refusal is the final error response to a request that got no complete response
--- a/front/server.go
+++ b/front/server.go
@@ -124,6 +124,12 @@
 		Route: route, Service: route.PickService(), Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
 	}
 	if route.Kind == gypsum.RouteStreaming {
+		var err error
+		if request.Resume, err = platform.DecodeResume(r.Header); err != nil {
+			s.Stats.BadInput.Add(1)
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 		s.serveStream(w, r, request)
 		return
 	}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -22,6 +22,7 @@
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
+	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 	"github.com/gypsumhook/gypsum/relay"
@@ -37,13 +38,15 @@
 	frontend    *front.Server
 	registry    *state.Registry
 	recordStore *fake.KeyedStore
+	origins     *origin.Tracker
+	peerOrigins *fake.PeerOrigins
 	replicas    []*mimic.Replica
 	addresses   []string // of the replicas
 }
 
 // newTestServer starts a frontend with replicaCount replicas. It has no configuration yet.
 func newTestServer(t *testing.T, replicaCount int) *testServer {
-	s := startHost(t, "host-1", fake.NewKeyedStore())
+	s := startHost(t, "host-1", fake.NewKeyedStore(), &fake.PeerOrigins{})
 	for i := range replicaCount {
 		replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("r-", i+1)), ServiceTime: time.Millisecond}
 		backend := httptest.NewServer(replica.Handler())
@@ -56,7 +59,7 @@
 
 // startPeer starts another host with the same replicas.
 func (s *testServer) startPeer(name gypsum.HostID) *testServer {
-	peer := startHost(s.t, name, s.recordStore)
+	peer := startHost(s.t, name, s.recordStore, s.peerOrigins)
 	peer.replicas, peer.addresses = s.replicas, s.addresses
 	peer.registerReplicas()
 	peer.applyConfig()
@@ -73,9 +76,9 @@
 }
 
 // startHost starts a frontend without replicas and configuration.
-func startHost(t *testing.T, name gypsum.HostID, recordStore *fake.KeyedStore) *testServer {
+func startHost(t *testing.T, name gypsum.HostID, recordStore *fake.KeyedStore, peerOrigins *fake.PeerOrigins) *testServer {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil)).With("host", name)
-	s := &testServer{t: t, recordStore: recordStore, registry: state.NewRegistry(logger)}
+	s := &testServer{t: t, recordStore: recordStore, peerOrigins: peerOrigins, registry: state.NewRegistry(logger)}
 	rateLimits := limit.NewTable(logger)
 	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits)
 	t.Cleanup(closeBackends)
@@ -106,8 +109,16 @@
 	limiter.Self, limiter.Table, limiter.Budgets, limiter.Logger = name, rateLimits, limit.NewBudgets(), logger
 	limiter.ListPeers, limiter.HolderOf = func() []gypsum.Peer { return nil }, func(gypsum.ServiceName) gypsum.HostID { return "" }
 	start(rateLimits.Run)
+	var err error
+	if s.origins, err = origin.NewTracker(); err != nil {
+		t.Fatal(err)
+	}
+	s.origins.Self, s.origins.Registry, s.origins.Peers, s.origins.Logger = name, s.registry, peerOrigins, logger
+	s.origins.ListPeers = peerOrigins.List
+	peerOrigins.Add(name, s.origins)
+	start(s.origins.Run)
 	liveRelay := relay.New()
-	liveRelay.Limiter = limiter
+	liveRelay.Limiter, liveRelay.Origins = limiter, s.origins
 	liveRelay.Transport, liveRelay.Crashes, liveRelay.Registry, liveRelay.Logger = backends, manager, s.registry, logger
 	start(liveRelay.Run)
 	s.frontend = &front.Server{
@@ -122,6 +133,7 @@
 	server := httptest.NewServer(s.frontend.Handler())
 	t.Cleanup(server.Close)
 	s.url, s.stop = server.URL, func() {
+		peerOrigins.Kill(name)
 		server.CloseClientConnections()
 		server.Close()
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/limit"
+	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -23,7 +24,9 @@
 	Crashes  gypsum.CrashCounter
 	Registry *state.Registry
 	// Limiter keeps the requests to each replica within the rate that it accepts.
-	Limiter  *limit.Limiter
+	Limiter *limit.Limiter
+	// Origins remembers which software versions began the streams.
+	Origins  *origin.Tracker
 	Location gypsum.Location
 	Logger   *slog.Logger
 	Stats    Stats
@@ -39,8 +42,10 @@
 	Responses atomic.Int64
 	Attempts  atomic.Int64
 	Resumes   atomic.Int64
-	Refused   atomic.Int64
-	Failed    atomic.Int64
+	// ClientResumes counts the streams that clients took up again.
+	ClientResumes atomic.Int64
+	Refused       atomic.Int64
+	Failed        atomic.Int64
 }
 
 // New returns a Relay whose exported fields are not set yet.
@@ -55,6 +60,8 @@
 	Service  gypsum.ServiceName
 	Arrived  time.Time
 	Deadline time.Time
+	// Resume says where the client takes up a stream again, nil for a new request.
+	Resume *gypsum.StreamResume
 
 	isReward bool
 	// software is the software version that began the response, nil before the first event.
@@ -168,7 +175,11 @@
 	}
 	candidate := ChooseReplica(candidates, r.Location, failureCost)
 	if candidate == nil {
-		return nil, false, r.requestRefusal(request, gypsum.ReasonNoBackend, maxRetryAfter, "the service has no replica now")
+		detail := "the service has no replica now"
+		if request.software != nil {
+			detail = "the service has no replica of the software version that began the stream"
+		}
+		return nil, false, r.requestRefusal(request, gypsum.ReasonNoBackend, maxRetryAfter, detail)
 	}
 	if candidate.Tried {
 		return nil, false, r.exhaustedRefusal(request)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,7 +33,13 @@
 	if refusal := r.prepareRequest(request); refusal != nil {
 		return r.recordRefusal(request, refusal)
 	}
+	if refusal := r.resumeStream(ctx, request); refusal != nil {
+		return r.recordRefusal(request, refusal)
+	}
 	begun, lastEvent := false, int64(0)
+	if request.Resume != nil {
+		lastEvent = request.Resume.After
+	}
 	for {
 		candidate, refusal := r.nextReplica(ctx, request)
 		if refusal != nil {
@@ -61,6 +68,30 @@
 	}
 }
 
+// unknownOriginRetryAfter is the retry delay of a client whose stream's origin is not known. Its
+// record may be on the way.
+const unknownOriginRetryAfter = 500 * time.Millisecond
+
+// resumeStream binds a request that takes up a stream to the service and the software version
+// that began it.
+func (r *Relay) resumeStream(ctx context.Context, request *Request) *gypsum.Refusal {
+	if request.Resume == nil {
+		return nil
+	}
+	found, ok := r.Origins.Find(ctx, request.Resume.First, request.Route.Services)
+	switch {
+	case !ok:
+		return r.requestRefusal(request, gypsum.ReasonOriginUnknown, unknownOriginRetryAfter, "it is not known which software version began the stream")
+	case !slices.ContainsFunc(request.Route.Services, func(s gypsum.WeightedService) bool { return s.Service == found.Service }):
+		return r.requestRefusal(request, gypsum.ReasonNoBackend, 0, "the route no longer leads to the service that began the stream")
+	}
+	request.Service, request.software = found.Service, &found.Software
+	r.Stats.ClientResumes.Add(1)
+	r.Logger.Info("client resumes stream", "request", request.ID, "first", request.Resume.First, "after", request.Resume.After,
+		"service", found.Service, "software", found.Software)
+	return nil
+}
+
 // streamIdleTimeout is how long a resumable stream may pause before it is resumed
 // elsewhere: half of the shortest pause after which clients abandon a stream, by the
 // user documentation.
@@ -150,7 +181,10 @@
 		if number > 0 && number != *lastEvent+1 {
 			return response, ErrStreamInterrupted
 		}
-		request.software = &replica.Software
+		if request.software == nil {
+			request.software = &replica.Software
+			r.Origins.Record(gypsum.StreamOrigin{Request: request.ID, Service: request.Service, Software: replica.Software})
+		}
 		onEvent()
 		if err := sink.WriteEvent(raw); err != nil {
 			return response, fmt.Errorf("forward event: %w: %w", errClientDisconnected, err)
--- /dev/null
+++ b/streams.go
@@ -0,0 +1,33 @@
+package gypsum
+
+import "context"
+
+// StreamResume says where a client takes up a stream again that was broken off.
+type StreamResume struct {
+	// First is the request that brought the first event, empty if the client does not say.
+	First RequestID
+	// After is the number of the last event that the client has.
+	After int64
+}
+
+// StreamOrigin says which service and which version of its software began the response stream
+// of a request.
+type StreamOrigin struct {
+	Request  RequestID       `cbor:"1,keyasint"`
+	Service  ServiceName     `cbor:"2,keyasint"`
+	Software SoftwareVersion `cbor:"3,keyasint"`
+}
+
+// OriginStore holds the origins of streams that one daemon knows.
+type OriginStore interface {
+	RecordOrigins(ctx context.Context, origins []StreamOrigin) error
+	// FindOrigin returns the origin of a stream by the request that brought its first event,
+	// nil if it is not known.
+	FindOrigin(ctx context.Context, first RequestID) (*StreamOrigin, error)
+}
+
+// PeerOrigins returns clients of the origins that other daemons know.
+type PeerOrigins interface {
+	// OriginsAt returns a client of the origins that the daemon at an address knows.
+	OriginsAt(address string) OriginStore
+}
--- a/wire/store.go
+++ b/wire/store.go
@@ -82,14 +82,15 @@
 	return procedurePrefix, mux
 }
 
-// PeerClients holds the clients of other daemons. It implements gypsum.PeerStores and
-// gypsum.PeerPermits.
+// PeerClients holds the clients of other daemons. It implements gypsum.PeerStores,
+// gypsum.PeerPermits and gypsum.PeerOrigins.
 type PeerClients struct {
 	httpClient *http.Client
 
 	mu      sync.Mutex
 	stores  map[string]*peerStore
 	permits map[string]*peerPermits
+	origins map[string]*peerOrigins
 }
 
 // peerIdleConnTimeout is how long an idle connection to another daemon is kept. Calls to
@@ -102,6 +103,7 @@
 	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: 4}
 	return &PeerClients{
 		httpClient: &http.Client{Transport: transport}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
+		origins: make(map[string]*peerOrigins),
 	}, transport.CloseIdleConnections
 }
 
