--- a/front/server_test.go
+++ b/front/server_test.go
@@ -269,8 +269,13 @@
 // preferFirstReplica moves the second replica to another data centre, so that requests are sent
 // to the first one first.
 func (s *testServer) preferFirstReplica() {
+	s.moveFar(func(id gypsum.BackendID) bool { return id == s.replicas[1].ID })
+}
+
+// moveFar moves replicas to another data centre, so that requests are sent to others first.
+func (s *testServer) moveFar(isFar func(gypsum.BackendID) bool) {
 	for _, replica := range s.registry.Current().Services["desk"] {
-		if replica.ID == s.replicas[1].ID {
+		if isFar(replica.ID) {
 			far := *replica
 			far.Location = gypsum.Location{DataCentre: "far", Region: "far"}
 			s.registry.ApplyReplica(&far)
--- a/front/software_test.go
+++ b/front/software_test.go
@@ -135,6 +135,10 @@
 			is := is.New(t)
 			first := newMixedServer(t, "v1", "v2", "v1", "v2")
 			hosts := []*testServer{first.startPeer("host-2"), first.startPeer("host-3"), first.startPeer("host-4")}
+			for _, host := range hosts {
+				host.moveFar(func(id gypsum.BackendID) bool { return id != "r-2" })
+			}
+			first.moveFar(func(id gypsum.BackendID) bool { return id != "r-1" })
 			for _, replica := range first.replicas {
 				replica.ServiceTime = 10 * time.Millisecond
 			}
