--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 )
 
@@ -24,6 +26,11 @@
 	itemsPerStep = 12
 	// rewardPrefix is the path prefix of reward calls, which every second batch has.
 	rewardPrefix = "/r/"
+	// streamPrefix is the path prefix of resumable streams.
+	streamPrefix = "/i/stream/"
+	// streamEvents is the number of events of a stream, streamTries how often a client tries.
+	streamEvents = 10
+	streamTries  = 6
 	// maxAttempts is the number of attempts that the routes allow.
 	maxAttempts   = 3
 	maxItemTokens = 120
@@ -43,6 +50,15 @@
 	calls            int
 	batches          []*observedBatch
 	version          gypsum.WeightVersion
+	// streams and brokenStreams count the streams whose first event arrived, and the tries to
+	// take them up again; resumedStreams counts those tries that brought an event.
+	streams, brokenStreams, resumedStreams int
+}
+
+// streamEvent is an event of a stream, with the software version of its replica.
+type streamEvent struct {
+	number   int64
+	software string
 }
 
 // observedBatch is a batch as observed by the trainer that submitted it.
@@ -125,6 +141,79 @@
 	}
 }
 
+// runStreams requests streams until ctx ends. It takes each up again at another daemon, after the
+// last event that arrived, until it is complete.
+func (w *workload) runStreams(ctx context.Context, name string, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		var events []streamEvent
+		first := ""
+		for try := range streamTries {
+			id := fmt.Sprintf("%s-%d-%d", name, n, try)
+			begun, readCount := len(events), streamEvents
+			if rng.IntN(3) == 0 {
+				readCount = 1 + rng.IntN(streamEvents) // the client's connection breaks
+			}
+			events = append(events, w.readStream(ctx, w.randomDaemon(rng), id, first, int64(begun), readCount)...)
+			if begun == 0 && len(events) > 0 {
+				first = id
+				w.countStreams(1, 0, 0)
+			}
+			if begun > 0 && ctx.Err() == nil {
+				w.countStreams(0, 1, min(1, len(events)-begun))
+			}
+			if len(events) >= streamEvents || ctx.Err() != nil {
+				break
+			}
+			time.Sleep(readPause)
+		}
+		for _, violation := range streamViolations(first, events) {
+			w.env.t.Error(violation)
+		}
+		time.Sleep(callPause)
+	}
+}
+
+// countStreams counts streams, tries to take them up again and those that brought an event.
+func (w *workload) countStreams(begun, broken, resumed int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.streams, w.brokenStreams, w.resumedStreams = w.streams+begun, w.brokenStreams+broken, w.resumedStreams+resumed
+}
+
+// readStream requests a stream, from the event after a number on, and returns the events that
+// arrive, at most count. first is the request that brought the first event.
+func (w *workload) readStream(ctx context.Context, daemon *daemonProcess, id, first string, after int64, count int) []streamEvent {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.address()+streamPrefix+"x", http.NoBody)
+	if err != nil {
+		w.env.t.Error(err)
+		return nil
+	}
+	req.Host = routeHost
+	mimic.SetRequestHeaders(req.Header, id, 3*time.Second, 0)
+	if after > 0 {
+		mimic.SetResumeHeaders(req.Header, first, after)
+	}
+	resp, err := w.httpClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	var events []streamEvent
+	reader := platform.NewEventReader(resp.Body, 0)
+	for len(events) < count {
+		event, err := reader.Next()
+		if err != nil {
+			break
+		}
+		_, software, _ := strings.Cut(event.Data, "@")
+		events = append(events, streamEvent{event.Number, software})
+	}
+	return events
+}
+
 // runTrainer submits a batch for one step after another until ctx ends and reads the
 // results. It ends some batches early, and publishes a weight version every second step.
 func (w *workload) runTrainer(ctx context.Context, name string, rng *rand.Rand) {
