An item under which engines crashed is placed again

Callers saw (a report from a system like ours): several engines died while they ran the same sound item; afterwards the engines had room, but the item was never placed again. Cause: here too, an item was not started any more after three crashes, also by later holders, until its batch expired. The limit is meant for requests that crash servers by themselves; an accepted item is owed, and in a burst of crashes one item meets several. Why this works: no count ends an item; from the third crash on it waits 0.25 to 2 s before it is placed again, so that an item that does crash engines takes one out of service every few seconds.

--- a/fake/rewardservice.go
+++ b/fake/rewardservice.go
@@ -49,6 +49,39 @@
 	faults   map[gypsum.BackendID]RewardFault
 	calls    []RewardCall
 	maxBusy  map[gypsum.BackendID]int
+	// crashes is the number of replicas that are yet to crash while they run a call, downUntil
+	// when a crashed replica is back.
+	crashes   map[gypsum.RequestID]int
+	downUntil map[gypsum.BackendID]time.Time
+}
+
+// crashDuration is how long a replica that has crashed is down.
+const crashDuration = 400 * time.Millisecond
+
+// SetCrashing makes the next replicas that run a call crash.
+func (s *RewardService) SetCrashing(id gypsum.RequestID, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes[id] = count
+}
+
+// crash reports whether a replica crashes while it runs a call.
+func (s *RewardService) crash(replica gypsum.BackendID, id gypsum.RequestID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashes[id] == 0 {
+		return false
+	}
+	s.crashes[id]--
+	s.downUntil[replica] = time.Now().Add(crashDuration)
+	return true
+}
+
+// isDown reports whether a replica has crashed and is not back.
+func (s *RewardService) isDown(replica gypsum.BackendID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil[replica])
 }
 
 // errRewardBroken is returned for a response that was broken off.
@@ -59,6 +92,7 @@
 	s := &RewardService{
 		ServiceTime: serviceTime, name: name, slots: make(map[gypsum.BackendID]chan struct{}),
 		faults: make(map[gypsum.BackendID]RewardFault), maxBusy: make(map[gypsum.BackendID]int),
+		crashes: make(map[gypsum.RequestID]int), downUntil: make(map[gypsum.BackendID]time.Time),
 	}
 	for i := range count {
 		id := gypsum.BackendID(fmt.Sprint("reward-", i+1))
@@ -111,6 +145,9 @@
 
 // RoundTrip implements gypsum.ReplicaTransport.
 func (s *RewardService) RoundTrip(ctx context.Context, replica *gypsum.Replica, request *gypsum.LiveRequest, _ time.Duration) (*gypsum.LiveResponse, error) {
+	if s.isDown(replica.ID) {
+		return nil, gypsum.ErrNotSent
+	}
 	index, fault := s.receive(replica.ID, request.ID)
 	if fault == RewardFull {
 		return nil, gypsum.ErrNotRun
@@ -122,6 +159,9 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	if s.crash(replica.ID, request.ID) {
+		return nil, errRewardBroken
+	}
 	if fault == RewardSilent {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -155,4 +195,6 @@
 }
 
 // AcceptsConnections implements gypsum.Prober.
-func (s *RewardService) AcceptsConnections(context.Context, *gypsum.Replica) bool { return true }
+func (s *RewardService) AcceptsConnections(_ context.Context, replica *gypsum.Replica) bool {
+	return !s.isDown(replica.ID)
+}
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -16,7 +16,7 @@
 	var items []sched.Item
 	for _, b := range s.batches {
 		for _, a := range b.items {
-			if a.phase == phaseWaiting && !now.Before(a.notBefore) && a.crashes < crashLimit {
+			if a.phase == phaseWaiting && !now.Before(a.notBefore) {
 				item := a.schedItem(s.scoringTime)
 				if sched.RestartsText(&item, now.Sub(a.waitingSince), engines) {
 					s.restartText(a, now)
@@ -181,8 +181,9 @@
 }
 
 // handleBrokenAttempt handles an attempt that the engine broke off. If the attempt had no
-// event yet and the engine no longer accepts connections, the item may have crashed it.
-// These crashes are counted to keep an item from crashing one engine after the other.
+// event yet and the engine no longer accepts connections, the item may have crashed it, or
+// several engines crashed for another reason. An accepted item is owed a result in either case:
+// it is placed again, with growing delays.
 func (s *heldService) handleBrokenAttempt(a *activeItem, e *engine, gotEvent bool, now time.Time) {
 	s.runner.Stats.AttemptsBroken.Add(1)
 	e.recordFailure(now)
@@ -198,6 +199,7 @@
 		}
 		s.runner.postUpdate(s.ctx, func() {
 			a.crashes++
+			a.notBefore = time.Now().Add(sched.CrashRetryDelay(a.crashes))
 			s.storeFailures(a)
 			s.runner.Logger.Warn("engine crashed while running an item", "batch", a.batch.header.ID, "item", a.request.ID,
 				"replica", replica.ID, "crashed", a.crashes)
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -35,9 +35,6 @@
 	// startTimeWeight is the weight of the latest measurement in the average.
 	initialStartTime = 250 * time.Millisecond
 	startTimeWeight  = 0.05
-	// crashLimit is how many engines an item may crash before it is no longer started,
-	// as the users specified.
-	crashLimit = 3
 	// maxClockSkew is the largest assumed difference between the clocks of two hosts.
 	maxClockSkew = time.Second
 )
--- a/sched/items.go
+++ b/sched/items.go
@@ -139,6 +139,24 @@
 	return otherIsFree && (!sameRemains || waited >= time.Duration(item.GeneratedEvents)*medianIdleEventTime(engines))
 }
 
+// Bounds of the delay after engines crashed under an item. undelayedCrashes is the number of
+// crashes without a delay: during a burst of crashes, one item can meet several.
+const (
+	undelayedCrashes   = 2
+	minCrashRetryDelay = 250 * time.Millisecond
+	maxCrashRetryDelay = 2 * time.Second
+)
+
+// CrashRetryDelay returns the delay before an item is placed again after a number of engines
+// have crashed while they ran it. An item that crashes engines by itself takes one out of service
+// every few seconds at most.
+func CrashRetryDelay(crashes int) time.Duration {
+	if crashes <= undelayedCrashes {
+		return 0
+	}
+	return min(maxCrashRetryDelay, minCrashRetryDelay<<min(crashes-undelayedCrashes-1, 8))
+}
+
 // Placement is a decision to start or continue an item on an engine.
 type Placement struct {
 	Item   *Item
