A reward call under which replicas crashed is sent again

Callers saw: an item whose text was complete got no score and no result any more, after three replicas of the scoring service had crashed while they answered its reward call. Cause: reward calls went through the limit of live requests that crash replicas. They belong to accepted items and are owed as those are. Why this works: reward calls neither count crashes nor are refused for them; failed calls are repeated at other replicas with growing delays as before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,14 +80,15 @@
 }
 
 // prepareRequest initializes the state of a request. It refuses requests without remaining time
-// and those that crash replicas.
+// and those that crash replicas. Reward calls belong to accepted items, which are owed a result
+// whatever crashed while they ran.
 func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
 	request.tried = make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
 	switch {
 	case !time.Now().Before(request.Deadline):
 		return r.requestRefusal(request, gypsum.ReasonDeadlineExceeded, 0, "no time is left")
-	case r.Crashes.CrashCount(request.fingerprint) >= crashLimit:
+	case !request.isReward && r.Crashes.CrashCount(request.fingerprint) >= crashLimit:
 		return r.requestRefusal(request, gypsum.ReasonPoison, 0, "the request crashes replicas")
 	}
 	return nil
@@ -291,7 +292,7 @@
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
 			!errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse)
-		if connectionBroke {
+		if connectionBroke && !request.isReward {
 			r.queueProbe(request, replica)
 		}
 	}
--- a/relay/reward.go
+++ b/relay/reward.go
@@ -26,8 +26,8 @@
 // SendReward sends a reward call to one replica and returns the complete response. The
 // replica gets the time until the request's deadline and has to respond within timeout. The
 // caller chooses the replica and decides on further attempts. The error is a
-// *gypsum.Refusal if the call was not sent because it crashes replicas or no time is left, and
-// a *gypsum.RateLimitError if the replica's request rate is at its limit.
+// *gypsum.Refusal if the call was not sent because no time is left, and a
+// *gypsum.RateLimitError if the replica's request rate is at its limit.
 func (r *Relay) SendReward(ctx context.Context, request *Request, candidate *Candidate, timeout time.Duration) (*gypsum.LiveResponse, error) {
 	request.isReward = true
 	if refusal := r.prepareRequest(request); refusal != nil {
--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -53,6 +53,11 @@
 		}, []float64{0.8, 0.8})
 		submitted := newScoredBatch("bat", itemLengths(4, 0)...)
 		d.rewards.SetCrashing(submitted.Items[0].Scorer.ID, 5)
+		// A live request with the same target and body may have crashed replicas before.
+		scorer := submitted.Items[1].Scorer
+		for range 3 {
+			is.NoErr(d.daemons[0].batches.RecordCrash(t.Context(), gypsum.FingerprintOf(rewardService, scorer.Path, scorer.Body), "reward-1"))
+		}
 		d.submitBatch(0, submitted)
 		results, took := d.awaitResults(1, submitted, 30*time.Second)
 		is.Equal(len(results), 4)
