A plan's sample under which engines crashed is placed again

Callers saw: the step of a rollout plan stayed incomplete for ten minutes after several engines had crashed while they ran the same sample, although engines had room. Cause: as for items of batches, the crash limit of live requests applied to what is owed. Why this works: calls of class trainer are not refused for crashes; the plan's own backoff delays the next attempt, and such calls still run alone while they are suspected.

--- a/core/activecall.go
+++ b/core/activecall.go
@@ -32,7 +32,8 @@
 	a.attempts++
 	view := a.core.View()
 	a.call.CrashCounts = a.core.crashTracker.countsOf(a.call.Fingerprint)
-	if count := totalCrashes(a.call.CrashCounts); count >= a.spec.CrashLimit {
+	// A plan's sample is owed whatever crashed while it ran; its plan delays the next attempt.
+	if count := totalCrashes(a.call.CrashCounts); count >= a.spec.CrashLimit && a.call.Class != gypsum.ClassTrainer {
 		return a.poisonRefusal(count)
 	}
 	a.call.Budget = gypsum.RemainingTime(a.deadline)
--- a/fleet/guarantees_test.go
+++ b/fleet/guarantees_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,6 +219,49 @@
 	})
 }
 
+// TestSampleOfCrashedEnginesIsPlacedAgain guards against a step that stays incomplete after
+// several engines crashed while they ran the same sample.
+func TestSampleOfCrashedEnginesIsPlacedAgain(t *testing.T) {
+	runWithFleet(t, nil, func(t *testing.T, is *is.I, f *fleet.Fleet, _ *check.Caller) {
+		const prompt = "a sample among crashes"
+		var crashes atomic.Int64
+		for _, engine := range f.Engines {
+			engine.PoisonText = prompt
+			engine.OnCrash = func() {
+				crashes.Add(1)
+				time.AfterFunc(400*time.Millisecond, engine.Restart)
+			}
+		}
+		begin := time.Now()
+		received := map[gypsum.Slot]bool{}
+		for number := int64(1); time.Since(begin) < time.Minute && len(received) < 32; number++ {
+			if crashes.Load() >= 5 {
+				for _, engine := range f.Engines {
+					engine.PoisonText = "" // the burst of crashes is over
+				}
+			}
+			request := &gypsum.PullRequest{
+				Plan: check.PlanName, Session: 1, Number: number, Step: 3, Version: 1, Wait: 500 * time.Millisecond, Prompts: []string{prompt, "b", "c", "d"},
+			}
+			for slot := range received {
+				request.ReceivedSlots = append(request.ReceivedSlots, slot)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			response, err := f.Pull(ctx, f.LiveDaemons()[int(number)%len(f.LiveDaemons())], request)
+			cancel()
+			if err != nil {
+				continue
+			}
+			for _, sample := range response.Samples {
+				received[sample.Slot] = true
+			}
+		}
+		t.Logf("%d engine crashes, complete after %s", crashes.Load(), time.Since(begin))
+		is.Equal(len(received), 32)
+		is.True(crashes.Load() >= 5)
+	})
+}
+
 // TestRacingChanges checks that of concurrent changes with the same base revision exactly
 // one succeeds and the others fail with a conflict.
 func TestRacingChanges(t *testing.T) {
