Endless bytes of a replica or the store do not fill the memory

Callers saw (a report on servers in trouble: bytes that are no answer may come without end, in a head or a body, until the caller closes): a host of 112 MB would have been killed by a few such responses. Cause: limits were set for each response and far above the memory of a host: 10 MB for a head, 32 MB for a body, none for a response of the store or for the text of an item.

--- a/batch.go
+++ b/batch.go
@@ -146,8 +146,8 @@
 type EngineTransport interface {
 	// GenerateItem passes each complete event to sink, in order, until sink fails. It
 	// returns nil only at a clean end of the stream, ErrNotRun if the engine did not run
-	// the item, ErrItemFailed for a failed attempt and ErrItemInvalid for an item that no
-	// engine can run. After any other error the outcome is unknown.
+	// the item, ErrItemFailed for a failed attempt, ErrTextTooLong for a text that does not
+	// end and ErrItemInvalid for an item that no engine can run. After any other error the outcome is unknown.
 	GenerateItem(ctx context.Context, attempt *ItemAttempt, sink func(StreamEvent) error) error
 	SendLoadOrder(ctx context.Context, order *ReplicaLoadOrder) (LoadOrderResponse, error)
 	FetchReport(ctx context.Context, replica *Replica) (*EngineReport, error)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -56,6 +56,9 @@
 	// bodyMemoryDivisor limits the memory for request bodies to 1/bodyMemoryDivisor of the
 	// memory limit.
 	bodyMemoryDivisor = 4
+	// responseMemoryDivisor limits the memory for responses of replicas that are being read to
+	// 1/responseMemoryDivisor of the memory limit.
+	responseMemoryDivisor = 8
 )
 
 // Daemon is the daemon process of a host. Set the exported fields before Run.
@@ -163,7 +166,7 @@
 	client, closeStore := platform.NewStore(d.Settings.StoreAddr)
 	d.registry = state.NewRegistry(d.Logger)
 	rateLimits := limit.NewTable(d.Logger)
-	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits)
+	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits, d.Settings.MemoryLimit/responseMemoryDivisor)
 	peers, closePeers := wire.NewPeerClients()
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
--- a/errors.go
+++ b/errors.go
@@ -125,6 +125,8 @@
 	ErrNotRun = errors.New("request not run by the backend server")
 	// ErrItemFailed is returned when the engine reports that an attempt at an item failed.
 	ErrItemFailed = errors.New("attempt at the item failed")
+	// ErrTextTooLong is returned for an item's text that does not end.
+	ErrTextTooLong = errors.New("text too long")
 	// ErrItemInvalid is returned for an item that no engine can run.
 	ErrItemInvalid = errors.New("invalid item")
 )
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -80,7 +80,7 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil)).With("host", name)
 	s := &testServer{t: t, recordStore: recordStore, peerOrigins: peerOrigins, registry: state.NewRegistry(logger)}
 	rateLimits := limit.NewTable(logger)
-	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits)
+	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits, 8<<20)
 	t.Cleanup(closeBackends)
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	ctx, stop := context.WithCancel(t.Context())
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -173,6 +173,11 @@
 		a.progress.reset()
 		a.checkpointedEvent = 0
 		a.notBefore = now.Add(tickInterval)
+	case errors.Is(err, gypsum.ErrTextTooLong):
+		a.progress.reset()
+		a.checkpointedEvent = 0
+		a.avoidedEngine = e.replica.ID
+		e.recordFailure(now)
 	case errors.Is(err, gypsum.ErrNotSent):
 		e.recordFailure(now)
 	default:
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -551,3 +551,26 @@
 		})
 	}
 }
+
+// An engine whose texts do not end does not fail the items: they are generated elsewhere.
+func TestEndlessTexts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := newEngines(3)
+		engines.AttemptError = func(engine gypsum.BackendID, _ gypsum.ItemID) error {
+			if engine == "engine-1" {
+				time.Sleep(100 * time.Millisecond)
+				return gypsum.ErrTextTooLong
+			}
+			return nil
+		}
+		d := newDeployment(t, engines, 0.8)
+		submitted := newBatch("bat", 1, itemLengths(40, 2)...)
+		d.submitBatch(0, submitted)
+		results, took := d.awaitResults(0, submitted, 20*time.Second)
+		for _, result := range results {
+			is.Equal(result.State, gypsum.ItemCompleted)
+		}
+		is.True(took < 7500*time.Millisecond)
+	})
+}
