serve: endless bytes of outside systems do not fill the memory

Cause: the clients read heads of 10 MB and bodies without a limit; a completion stream ended only with its call. Why this works: heads end at 64 kB, JSON and plain responses at 16 MB, a completion stream at 4 kB for each token that was asked for and 1 MB.

--- a/adapt/engine.go
+++ b/adapt/engine.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/tmaxmax/go-sse"
@@ -66,7 +67,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	// A stream that exceeds its limit ends early.
+	stream := io.LimitReader(response.Body, maxStreamBytes(generation.MaxTokens))
+	for event, err := range sse.Read(stream, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return fmt.Errorf("read completion stream: %v: %w", err, gypsum.ErrIncompleteResponse)
 		}
@@ -84,6 +87,10 @@
 	return fmt.Errorf("completion stream ended early: %w", gypsum.ErrIncompleteResponse)
 }
 
+// maxStreamBytes returns the most bytes of a completion stream with a number of tokens: the chunks
+// of engines have a few hundred bytes for each token.
+func maxStreamBytes(tokens int) int64 { return maxEventBytes + int64(tokens)*4<<10 }
+
 // startGeneration sends a generation request and returns the streaming response.
 func (e *engineClient) startGeneration(ctx context.Context, generation *gypsum.Generation) (*http.Response, error) {
 	body, err := json.Marshal(CompletionRequest{
--- a/adapt/http.go
+++ b/adapt/http.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,12 +22,17 @@
 	idleConnTimeout     = time.Minute
 	// maxErrorBodyBytes is how much of the body of an error response is retained.
 	maxErrorBodyBytes = 256
+	// maxJSONBytes limits a JSON response: the host list of the largest deployment, and a page
+	// of the log, several times over.
+	maxJSONBytes = 16 << 20
+	// maxPlainBytes limits the response of a plain service.
+	maxPlainBytes = 16 << 20
 )
 
 // NewClient returns an HTTP client whose connection errors wrap gypsum.ErrNotSent, and a
 // function that closes its idle connections.
 func NewClient() (client *http.Client, cleanup func()) {
-	transport := &http.Transport{DialContext: wire.Dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{DialContext: wire.Dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: wire.MaxResponseHeaderBytes}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
 
@@ -36,7 +40,7 @@
 // standard transport retries a request with an Idempotency-Key header by itself when a
 // reused connection breaks; a new connection for each request rules that out.
 func newAtMostOnceClient() *http.Client {
-	transport := &http.Transport{DialContext: wire.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: wire.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: wire.MaxResponseHeaderBytes}
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
@@ -75,7 +79,7 @@
 		return fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
+	content, err := wire.ReadBody(response.Body, maxJSONBytes)
 	if err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
--- a/adapt/plain.go
+++ b/adapt/plain.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/wire"
 )
 
 // RequestIDHeader is the header that transmits the request ID to plain services.
@@ -51,7 +51,7 @@
 		return nil, fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := wire.ReadBody(response.Body, maxPlainBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %v: %w", err, gypsum.ErrIncompleteResponse)
 	}
