--- a/emul/holder.go
+++ b/emul/holder.go
@@ -1,6 +1,8 @@
 package emul
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -21,6 +23,9 @@
 			e.view.IdleEventTime = measured
 		}
 		e.view.Unusable = s.now < e.unusable
+		if e.view.RateLimited = e.rateLimit > 0; e.view.RateLimited {
+			e.view.StartsLeft = s.budgets.Available(&gypsum.Replica{ID: e.view.ID}, e.rateLimit, epoch.Add(s.now))
+		}
 		e.view.PendingLoad = ""
 		if model, ok := s.assigned[e.view.ID]; ok && e.view.Versions[model] < s.latest(model) {
 			e.view.PendingLoad = model
@@ -77,7 +82,7 @@
 		remaining = max(1, expected-int(it.generated))
 	}
 	return sched.Item{
-		Batch: it.batch.id, ID: it.id, Model: it.batch.trainer.model, MinVersion: it.batch.minVersion(),
+		Batch: it.batch.id, ID: it.id, Group: gypsum.GroupID(strconv.Itoa(it.group)), Model: it.batch.trainer.model, MinVersion: it.batch.minVersion(),
 		DueAt: epoch.Add(it.batch.submittedAt + it.batch.trainer.spec.Due), RemainingEvents: remaining, ScoringTime: s.scenario.Scoring.Time, AvoidedEngine: it.avoided,
 	}
 }
@@ -110,6 +115,7 @@
 	if len(e.running) >= s.scenario.Engines.Slots {
 		s.result.Violations = append(s.result.Violations, "engine "+string(e.view.ID)+" has more attempts than slots")
 	}
+	s.checkRate(e)
 	it.phase, it.engine, it.avoided, it.firstEventAt = itemRunning, e, "", s.now+s.scenario.Engines.StartTime
 	if it.firstStart == 0 {
 		it.firstStart = s.now
@@ -118,6 +124,27 @@
 	s.result.Attempts++
 }
 
+// The users' bound of the request rate of an engine that limits it: one and a half times the
+// limit within limitWindow, and limitSlack more.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// checkRate counts an attempt on an engine that limits its request rate.
+func (s *sim) checkRate(e *engine) {
+	if e.rateLimit == 0 {
+		return
+	}
+	s.budgets.Charge(&gypsum.Replica{ID: e.view.ID}, e.rateLimit, epoch.Add(s.now))
+	e.starts = append(e.starts, s.now)
+	e.starts = slices.DeleteFunc(e.starts, func(at time.Duration) bool { return s.now-at >= limitWindow })
+	if float64(len(e.starts)) > limitFactor*float64(e.rateLimit)*limitWindow.Seconds()+limitSlack {
+		s.result.Violations = append(s.result.Violations, "engine "+string(e.view.ID)+" got more requests than its limit")
+	}
+}
+
 // moveItems moves the attempts that the policy moves.
 func (s *sim) moveItems(views []*sched.Engine) {
 	var attempts []sched.Attempt
--- a/emul/policy.go
+++ b/emul/policy.go
@@ -43,6 +43,8 @@
 		vary("reads_held", func(p *Policy) { p.AnswerRead = holdTail }),
 		vary("least_loaded", func(p *Policy) { p.Place = placeBy(byOrder, leastLoaded) }),
 		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
+		vary("short_groups_first", func(p *Policy) { p.Place = inOrder(shortGroupsFirst) }),
+		vary("long_groups_first", func(p *Policy) { p.Place = inOrder(longGroupsFirst) }),
 		vary("longest_hint_first", func(p *Policy) { p.Place = placeBy(longestFirst, leastLoaded) }),
 	}
 }
@@ -57,6 +59,50 @@
 	return nil
 }
 
+// inOrder returns a placement that starts items in the order in which sort puts them, each on the
+// engine that the current policy chooses.
+func inOrder(sort func([]sched.Item)) func([]sched.Item, []*sched.Engine, time.Time) []sched.Placement {
+	return func(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement {
+		sort(items)
+		var placements []sched.Placement
+		for i := range items {
+			placements = append(placements, sched.ScheduleItems(items[i:i+1], engines, now)...)
+		}
+		return placements
+	}
+}
+
+// shortGroupsFirst sorts items by group: those of the batch that is due first, and in it the groups
+// with the least work left.
+func shortGroupsFirst(items []sched.Item) {
+	work := workOfGroups(items, func(work, events int) int { return work + events })
+	slices.SortStableFunc(items, func(a, b sched.Item) int {
+		return cmp.Or(a.DueAt.Compare(b.DueAt), cmp.Compare(work[a.Batch][a.Group], work[b.Batch][b.Group]), cmp.Compare(a.Group, b.Group))
+	})
+}
+
+// longGroupsFirst sorts items by group: those of the batch that is due first, and in it the groups
+// with the longest item.
+func longGroupsFirst(items []sched.Item) {
+	longest := workOfGroups(items, func(work, events int) int { return max(work, events) })
+	slices.SortStableFunc(items, func(a, b sched.Item) int {
+		return cmp.Or(a.DueAt.Compare(b.DueAt), cmp.Compare(longest[b.Batch][b.Group], longest[a.Batch][a.Group]), cmp.Compare(a.Group, b.Group))
+	})
+}
+
+// workOfGroups returns the work left in the groups of each batch; add adds an item's events.
+func workOfGroups(items []sched.Item, add func(work, events int) int) map[gypsum.BatchID]map[gypsum.GroupID]int {
+	work := make(map[gypsum.BatchID]map[gypsum.GroupID]int)
+	for i := range items {
+		item := &items[i]
+		if work[item.Batch] == nil {
+			work[item.Batch] = make(map[gypsum.GroupID]int)
+		}
+		work[item.Batch][item.Group] = add(work[item.Batch][item.Group], item.RemainingEvents)
+	}
+	return work
+}
+
 // byOrder keeps the order of items.
 func byOrder(_, _ *sched.Item) int { return 0 }
 
@@ -76,7 +122,7 @@
 		for _, it := range sorted {
 			var candidates []*sched.Engine
 			for _, e := range engines {
-				if version, ok := e.Versions[it.Model]; ok && version >= it.MinVersion && !e.Unusable && e.Loading != it.Model && e.Running < e.Slots && e.ID != it.AvoidedEngine {
+				if e.CanStart(it) {
 					candidates = append(candidates, e)
 				}
 			}
@@ -85,7 +131,7 @@
 			}
 			chosen := choose(candidates)
 			placements = append(placements, sched.Placement{Item: it, Engine: chosen.ID, EngineAttempts: chosen.Running})
-			chosen.Running++
+			chosen.AddAttempt()
 		}
 		return placements
 	}
--- a/emul/scenario.go
+++ b/emul/scenario.go
@@ -99,6 +99,8 @@
 	FaultEngineSlow FaultKind = "engine_slow"
 	// FaultEngineSilent stops a share of the engines without an error.
 	FaultEngineSilent FaultKind = "engine_silent"
+	// FaultEngineLimited makes a share of the engines accept Factor requests per second.
+	FaultEngineLimited FaultKind = "engine_limited"
 	// FaultStoreDown stops all appends.
 	FaultStoreDown FaultKind = "store_down"
 	// FaultHolderLost loses the holder and the attempts in progress.
@@ -248,7 +250,7 @@
 			name  string
 			valid bool
 		}{
-			{fmt.Sprintf("fault: unknown kind %q", fault.Kind), slices.Contains([]FaultKind{FaultEngineSlow, FaultEngineSilent, FaultStoreDown, FaultHolderLost}, fault.Kind)},
+			{fmt.Sprintf("fault: unknown kind %q", fault.Kind), slices.Contains([]FaultKind{FaultEngineSlow, FaultEngineSilent, FaultEngineLimited, FaultStoreDown, FaultHolderLost}, fault.Kind)},
 			{"fault: share must be from 0 to 1", fault.Share >= 0 && fault.Share <= 1},
 			{"fault: factor must be positive", fault.Factor > 0},
 		}...)
--- a/emul/sim.go
+++ b/emul/sim.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/sched"
 )
 
@@ -146,6 +147,10 @@
 	plan      int  // serial of the planned completion
 	changed   bool // whether attempts have started or ended since the completion was planned
 	unusable  time.Duration
+	// rateLimit is the number of requests per second that the engine accepts, 0 for no limit,
+	// and starts the times of the attempts since it was set.
+	rateLimit gypsum.RequestRate
+	starts    []time.Duration
 }
 
 // sim is one run of a scenario.
@@ -162,6 +167,7 @@
 	open     []*batch
 	assigned map[gypsum.BackendID]gypsum.EngineModel
 	rewards  []*sched.RewardReplica
+	budgets  *limit.Budgets
 	storeUp  bool
 	delayed  []func() // appends that wait for the store
 	// holderLostUntil is when the next holder makes its first decision.
@@ -176,7 +182,7 @@
 func Run(scenario *Scenario, policy *Policy, seed uint64) *Result {
 	s := &sim{
 		scenario: scenario, policy: policy, seed: seed, byID: make(map[gypsum.BackendID]*engine), assigned: make(map[gypsum.BackendID]gypsum.EngineModel),
-		storeUp: true, result: Result{Scenario: scenario.Name, Policy: policy.Name, Seed: seed},
+		budgets: limit.NewBudgets(), storeUp: true, result: Result{Scenario: scenario.Name, Policy: policy.Name, Seed: seed},
 	}
 	s.addEngines()
 	for i := range scenario.Scoring.Replicas {
@@ -298,6 +304,13 @@
 				}
 				s.planCompletion(e)
 			}
+		case FaultEngineLimited:
+			for _, e := range chosen {
+				e.rateLimit, e.starts = 0, nil
+				if active {
+					e.rateLimit = gypsum.RequestRate(fault.Factor)
+				}
+			}
 		case FaultStoreDown:
 			s.storeUp = !active
 			if s.storeUp {
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -139,7 +139,7 @@
 	return sched.Item{
 		GeneratedEvents: generated, Software: software,
 		ScoringTime: scoringTime,
-		Batch:       a.batch.header.ID, ID: a.request.ID, Model: a.batch.header.Model, MinVersion: a.batch.header.MinVersion,
+		Batch:       a.batch.header.ID, ID: a.request.ID, Group: a.request.Group, Model: a.batch.header.Model, MinVersion: a.batch.header.MinVersion,
 		DueAt: a.batch.header.DueAt(), RemainingEvents: a.remainingEvents(), AvoidedEngine: a.avoidedEngine, Failures: a.failures, SingleVersion: a.batch.header.SingleVersion,
 	}
 }
--- a/sched/items.go
+++ b/sched/items.go
@@ -49,8 +49,13 @@
 	return !e.Unusable && e.Running < e.Slots && (!e.RateLimited || e.StartsLeft > 0)
 }
 
-// addAttempt counts one more attempt on the engine.
-func (e *Engine) addAttempt() {
+// CanStart reports whether the engine can start an item now.
+func (e *Engine) CanStart(item *Item) bool {
+	return e.canServe(item) && e.Loading != item.Model && e.acceptsAttempt() && e.ID != item.AvoidedEngine
+}
+
+// AddAttempt counts one more attempt on the engine.
+func (e *Engine) AddAttempt() {
 	e.Running++
 	if e.RateLimited {
 		e.StartsLeft--
@@ -87,6 +92,7 @@
 type Item struct {
 	Batch      gypsum.BatchID
 	ID         gypsum.ItemID
+	Group      gypsum.GroupID
 	Model      gypsum.EngineModel
 	MinVersion gypsum.WeightVersion
 	DueAt      time.Time
@@ -194,7 +200,7 @@
 		}
 		if engine := selector.fastestFor(item); engine != nil {
 			placements = append(placements, Placement{Item: item, Engine: engine.ID, EngineAttempts: engine.Running})
-			engine.addAttempt()
+			engine.AddAttempt()
 		}
 	}
 	return placements
@@ -292,7 +298,7 @@
 		isFaster := float64(current.IdleEventTime) > minIdleSpeedup*float64(target.IdleEventTime)
 		if isFaster && float64(stayTime) > minMoveSpeedup*float64(moveTime) {
 			moves = append(moves, Placement{Item: attempt.Item, Engine: target.ID, EngineAttempts: target.Running})
-			target.addAttempt()
+			target.AddAttempt()
 			current.Running--
 			selector = newEngineSelector(engines) // current now has fewer attempts, which the heaps cannot reflect
 		}
