--- a/adapt/contract_test.go
+++ b/adapt/contract_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -391,10 +392,10 @@
 // requests with an Idempotency-Key header.
 func TestNonIdempotentIsNotRetried(t *testing.T) {
 	is := is.New(t)
-	runs := 0
+	var runs atomic.Int64
 	url := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
-			runs++
+			runs.Add(1)
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprint(w, "{}")
@@ -408,5 +409,5 @@
 		ID: "r", Method: http.MethodPost, Path: "/orders", NonIdempotent: true, Header: http.Header{"Idempotency-Key": {"k"}},
 	})
 	is.True(err != nil)
-	is.Equal(runs, 1)
+	is.Equal(runs.Load(), int64(1))
 }
