--- a/fake/engine.go
+++ b/fake/engine.go
@@ -68,7 +68,8 @@
 	LoadTime time.Duration
 	// IgnoreFencing makes the engine accept load orders with old fencing tokens.
 	IgnoreFencing bool
-	// PoisonText crashes the engine if a prompt contains it. Empty for none.
+	// PoisonText crashes the engine if a prompt contains it. Empty for none. SetPoisonText
+	// changes it while the engine runs.
 	PoisonText string
 	// StragglerEvery makes one response in this many ten times slower. 0 for none.
 	StragglerEvery int
@@ -118,6 +119,13 @@
 	e.responseFault = fault
 }
 
+// SetPoisonText sets PoisonText.
+func (e *Engine) SetPoisonText(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.PoisonText = text
+}
+
 // SetLeaving sets whether the engine reports that it is leaving.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
--- a/fake/network.go
+++ b/fake/network.go
@@ -238,10 +238,11 @@
 	callCopy := *call
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// events is never closed: a cancelled call returns before its handler, which may still send.
 	events := make(chan delayedEvent, maxEventsInFlight)
-	ended := make(chan error, 1)
+	ended, allSent := make(chan error, 1), make(chan struct{})
 	go func() {
-		defer close(events)
+		defer close(allSent)
 		ended <- p.callPeer(ctx, peer.ID, func(ctx context.Context, server gypsum.PeerServer) error {
 			return server.HandleSubmit(ctx, &callCopy, func(event *gypsum.Event) error {
 				if err := p.network.AwaitRunning(ctx, peer.ID); err != nil {
@@ -256,37 +257,32 @@
 			})
 		})
 	}()
-	err := p.deliverEvents(ctx, peer.ID, events, sink)
+	err := p.deliverEvents(ctx, peer.ID, events, allSent, sink)
 	cancel()
-	for range events {
-		continue // Drain the channel; ctx is cancelled, so the sender stops.
-	}
 	if callErr := <-ended; err == nil {
 		return callErr
 	}
 	return err
 }
 
-// deliverEvents passes events to the sink as they arrive.
-func (p *peerClient) deliverEvents(ctx context.Context, from gypsum.HostID, events <-chan delayedEvent, sink gypsum.Sink) error {
+// deliverEvents passes events to the sink as they arrive, until all have been sent and passed on.
+func (p *peerClient) deliverEvents(ctx context.Context, from gypsum.HostID, events <-chan delayedEvent, allSent <-chan struct{}, sink gypsum.Sink) error {
 	for {
 		select {
-		case next, ok := <-events:
-			if !ok {
-				return nil
-			}
-			if err := sleep(ctx, time.Until(next.arrival)); err != nil {
-				return err
-			}
-			if p.network.isDisconnected(from, p.self) {
-				<-ctx.Done()
-				return ctx.Err()
-			}
-			if err := p.network.AwaitRunning(ctx, p.self); err != nil {
+		case next := <-events:
+			if err := p.deliverEvent(ctx, from, next, sink); err != nil {
 				return err
 			}
-			if err := sink(next.event); err != nil {
-				return err
+		case <-allSent:
+			for {
+				select {
+				case next := <-events:
+					if err := p.deliverEvent(ctx, from, next, sink); err != nil {
+						return err
+					}
+				default:
+					return nil
+				}
 			}
 		case <-ctx.Done():
 			return ctx.Err()
@@ -294,6 +290,21 @@
 	}
 }
 
+// deliverEvent passes an event to the sink once it arrives.
+func (p *peerClient) deliverEvent(ctx context.Context, from gypsum.HostID, next delayedEvent, sink gypsum.Sink) error {
+	if err := sleep(ctx, time.Until(next.arrival)); err != nil {
+		return err
+	}
+	if p.network.isDisconnected(from, p.self) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := p.network.AwaitRunning(ctx, p.self); err != nil {
+		return err
+	}
+	return sink(next.event)
+}
+
 // Gossip implements gypsum.PeerClient.
 func (p *peerClient) Gossip(ctx context.Context, peer gypsum.Member, req *gypsum.GossipRequest) (*gypsum.GossipResponse, error) {
 	var resp *gypsum.GossipResponse
--- a/fleet/guarantees_test.go
+++ b/fleet/guarantees_test.go
@@ -237,7 +237,7 @@
 		for number := int64(1); time.Since(begin) < time.Minute && len(received) < 32; number++ {
 			if crashes.Load() >= 5 {
 				for _, engine := range f.Engines {
-					engine.PoisonText = "" // the burst of crashes is over
+					engine.SetPoisonText("") // the burst of crashes is over
 				}
 			}
 			request := &gypsum.PullRequest{
