--- a/front/server_test.go
+++ b/front/server_test.go
@@ -171,6 +171,12 @@
 	}
 	request.Host = "a.example:81"
 	mimic.SetRequestHeaders(request.Header, id, 1500*time.Millisecond, time.Second)
+	return exchange(request)
+}
+
+// exchange sends a request and returns the status, the header and the body of the response. If
+// there is no complete response, the status is 0 and the body is the error.
+func exchange(request *http.Request) (int, http.Header, string) {
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return 0, nil, err.Error()
--- a/front/software_test.go
+++ b/front/software_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -114,16 +113,7 @@
 	s.t.Helper()
 	request := s.newStreamRequest(s.t.Context(), id)
 	mimic.SetResumeHeaders(request.Header, first, after)
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return 0, nil, err.Error()
-	}
-	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, nil, err.Error()
-	}
-	return response.StatusCode, response.Header, string(content)
+	return exchange(request)
 }
 
 // TestClientResumesAtOtherSoftwareVersion guards against a stream that its client takes up at
