Records of rate limits are removed whatever the replica's ID

Callers saw: nothing; the limit of a replica whose ID has a slash stayed in memory after its record was removed. Evidence: batch.TestRateLimitRecords, red before.

--- a/batch/state.go
+++ b/batch/state.go
@@ -230,7 +230,7 @@
 	case kindHeader:
 		delete(s.batches, gypsum.BatchID(parts[1]))
 	case kindRateLimit:
-		delete(s.rateLimits, gypsum.BackendID(parts[1]))
+		delete(s.rateLimits, gypsum.BackendID(strings.TrimPrefix(key, kindRateLimit+"/")))
 	case kindClaim:
 		service := gypsum.ServiceName(parts[1])
 		s.claims[service] = slices.DeleteFunc(s.claims[service], func(claim claimRecord) bool { return claim.key == key })
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -323,3 +323,17 @@
 	is.Equal(snapshot.Checkpoints["e1"].LastEvent, int64(9))
 	is.True(snapshot.Checkpoints["e1"].Complete)
 }
+
+// The limit of a replica's request rate is removed with its record, whatever the replica's ID.
+func TestRateLimitRecords(t *testing.T) {
+	is := is.New(t)
+	limit := gypsum.RequestRate(2.5)
+	for _, id := range []gypsum.BackendID{"r-1", "r/1", ""} {
+		state := applyRecords(t, []string{"l/" + string(id)}, gypsum.RateLimit{Replica: id, Incarnation: 7, Limit: &limit})
+		known, _, ok := state.RateLimit(id)
+		is.True(ok && *known.Limit == limit && known.Incarnation == 7)
+		state.Apply(store.Update{Records: []gypsum.KeyedRecord{{Key: "l/" + string(id), Offset: 1}}})
+		_, _, ok = state.RateLimit(id)
+		is.True(!ok)
+	}
+}
