--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -57,8 +57,12 @@
 
 	mu       sync.Mutex
 	services map[gypsum.ServiceName]serviceVersions
-	pending  []gypsum.StreamOrigin
-	wake     chan struct{}
+	// summaries are those of the services in the snapshot summarized, since a snapshot may have
+	// thousands of replicas.
+	summarized *state.Snapshot
+	summaries  map[gypsum.ServiceName]VersionSummary
+	pending    []gypsum.StreamOrigin
+	wake       chan struct{}
 }
 
 // Stats counts the origins sent to other daemons, and those that were and were not found for a
@@ -88,7 +92,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create cache of stream origins: %w", err)
 	}
-	return &Tracker{origins: origins, services: make(map[gypsum.ServiceName]serviceVersions), wake: make(chan struct{}, 1)}, nil
+	return &Tracker{origins: origins, services: make(map[gypsum.ServiceName]serviceVersions), summaries: make(map[gypsum.ServiceName]VersionSummary), wake: make(chan struct{}, 1)}, nil
 }
 
 // add adds an origin.
@@ -105,48 +109,66 @@
 	return &found.StreamOrigin
 }
 
-// versionsOf returns the software versions of replicas, in order.
-func versionsOf(replicas []*gypsum.Replica) []gypsum.SoftwareVersion {
-	versions := make(map[gypsum.SoftwareVersion]bool)
+// VersionSummary is what the replicas of a service say about the versions of its software.
+type VersionSummary struct {
+	// Versions are the software versions, in order.
+	Versions []gypsum.SoftwareVersion
+	// LastStart is when the youngest replica started.
+	LastStart time.Time
+}
+
+// Summarize returns the summary of a service's replicas.
+func Summarize(replicas []*gypsum.Replica) VersionSummary {
+	versions, youngest := make(map[gypsum.SoftwareVersion]bool), gypsum.Incarnation(0)
 	for _, replica := range replicas {
 		versions[replica.Software] = true
+		youngest = max(youngest, replica.Incarnation)
 	}
-	return slices.Sorted(maps.Keys(versions))
+	return VersionSummary{Versions: slices.Sorted(maps.Keys(versions)), LastStart: time.UnixMilli(int64(youngest))}
 }
 
 // SoleVersion returns the software version of all streams of a service that may still be taken
 // up: that of all replicas, if they were observed to have no other for maxStreamAge, or none of
 // them has started since then. ok is false if there may be streams of several versions.
-func SoleVersion(replicas []*gypsum.Replica, observedSince, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
-	versions := versionsOf(replicas)
-	if len(versions) != 1 {
+func (s *VersionSummary) SoleVersion(observedSince, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
+	if len(s.Versions) != 1 {
 		return "", false
 	}
 	settled := !observedSince.IsZero() && now.Sub(observedSince) >= maxStreamAge
-	startedRecently := slices.ContainsFunc(replicas, func(replica *gypsum.Replica) bool {
-		return now.Sub(time.UnixMilli(int64(replica.Incarnation))) < maxStreamAge
-	})
-	return versions[0], settled || !startedRecently
+	return s.Versions[0], settled || now.Sub(s.LastStart) >= maxStreamAge
 }
 
-// soleVersion returns the only software version of a service, see SoleVersion.
+// summary returns the summary of a service. The caller holds mu.
+func (t *Tracker) summary(service gypsum.ServiceName) VersionSummary {
+	if snapshot := t.Registry.Current(); snapshot != t.summarized {
+		t.summarized = snapshot
+		clear(t.summaries)
+	}
+	summary, ok := t.summaries[service]
+	if !ok {
+		summary = Summarize(t.summarized.Services[service])
+		t.summaries[service] = summary
+	}
+	return summary
+}
+
+// soleVersion returns the only software version of a service, see VersionSummary.
 func (t *Tracker) soleVersion(service gypsum.ServiceName, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
-	replicas := t.Registry.Current().Services[service]
 	t.mu.Lock()
-	observed := t.services[service]
-	t.mu.Unlock()
-	if !slices.Equal(observed.versions, versionsOf(replicas)) {
+	defer t.mu.Unlock()
+	summary, observed := t.summary(service), t.services[service]
+	if !slices.Equal(observed.versions, summary.Versions) {
 		observed.since = time.Time{}
 	}
-	return SoleVersion(replicas, observed.since, now)
+	return summary.SoleVersion(observed.since, now)
 }
 
 // Update observes the software versions of the services. It shares the origins of a service
 // whose replicas are no longer of one version.
 func (t *Tracker) Update(now time.Time) {
-	for service, replicas := range t.Registry.Current().Services {
-		versions := versionsOf(replicas)
+	for service := range t.Registry.Current().Services {
 		t.mu.Lock()
+		versions := t.summary(service).Versions
 		known := t.services[service]
 		changed := !slices.Equal(known.versions, versions)
 		if changed {
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -36,7 +36,8 @@
 		"two versions":                                     {[]*gypsum.Replica{replica("1", hour), replica("2", hour)}, now.Add(-hour), false},
 		"no replica":                                       {nil, now.Add(-hour), false},
 	} {
-		if _, ok := origin.SoleVersion(row.replicas, row.observedSince, now); ok != row.want {
+		summary := origin.Summarize(row.replicas)
+		if _, ok := summary.SoleVersion(row.observedSince, now); ok != row.want {
 			t.Errorf("%s: %t", name, ok)
 		}
 	}
@@ -144,3 +145,21 @@
 	_, ok = d.trackers[0].Find(t.Context(), "unknown", services)
 	is.True(!ok)
 }
+
+// BenchmarkRecord measures the record of a stream's origin in a service with as many replicas as
+// the target.
+func BenchmarkRecord(b *testing.B) {
+	tracker, err := origin.NewTracker()
+	if err != nil {
+		b.Fatal(err)
+	}
+	tracker.Registry = state.NewRegistry(slog.New(slog.DiscardHandler))
+	var replicas []*gypsum.Replica
+	for i := range 10000 {
+		replicas = append(replicas, &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("r-", i)), Service: chatService, State: gypsum.ReplicaReady, Software: "1"})
+	}
+	tracker.Registry.ApplyReplicas(replicas)
+	for b.Loop() {
+		tracker.Record(gypsum.StreamOrigin{Request: "q", Service: chatService, Software: "1"})
+	}
+}
