--- a/fake/ratelimits.go
+++ b/fake/ratelimits.go
@@ -8,6 +8,20 @@
 	"github.com/gypsumhook/gypsum"
 )
 
+// The users' bounds of the request rate of a replica that states a limit.
+const (
+	// LimitNoticeTime is the time after the first statement from which they hold.
+	LimitNoticeTime = 4 * time.Second
+	// LimitWindow is the time over which requests are counted.
+	LimitWindow = 4 * time.Second
+)
+
+// MaxWithinLimit returns how many requests a replica may receive within LimitWindow: one and a
+// half times what its limit allows and 5 more.
+func MaxWithinLimit(limit gypsum.RequestRate) int {
+	return int(1.5*float64(limit)*LimitWindow.Seconds()) + 5
+}
+
 // RateLimits are the limits that in-memory replicas put on the rate of their requests, and
 // the requests that they have received. The zero value has no limits.
 type RateLimits struct {
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -19,13 +19,6 @@
 	"github.com/gypsumhook/gypsum/state"
 )
 
-// The users' bounds of the request rate of a replica that states a limit: the time after the
-// first statement from which they hold, and the time over which requests are counted.
-const (
-	limitNoticeTime = 4 * time.Second
-	limitWindow     = 4 * time.Second
-)
-
 const deskService = gypsum.ServiceName("desk")
 
 // limitedDeployment is a number of daemons in front of the same three replicas of a plain
@@ -146,9 +139,9 @@
 				}
 				wg.Wait()
 				for _, replica := range d.replicas.Replicas()[:3-row.unlimited] {
-					most := d.limits.MostWithin(replica.ID, limitWindow, begin.Add(limitNoticeTime))
-					if allowed := int(1.5*float64(row.limit)*limitWindow.Seconds()) + 5; most > allowed {
-						t.Errorf("%s received %d requests within %s, %d are allowed", replica.ID, most, limitWindow, allowed)
+					most := d.limits.MostWithin(replica.ID, fake.LimitWindow, begin.Add(fake.LimitNoticeTime))
+					if allowed := fake.MaxWithinLimit(row.limit); most > allowed {
+						t.Errorf("%s received %d requests within %s, %d are allowed", replica.ID, most, fake.LimitWindow, allowed)
 					}
 				}
 				for _, refusal := range d.refusals {
--- a/runner/ratelimit_test.go
+++ b/runner/ratelimit_test.go
@@ -9,22 +9,9 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/fake"
 )
 
-// The users' bounds of the request rate of a replica that states a limit.
-const (
-	// limitNoticeTime is the time after the first statement from which the bound holds.
-	limitNoticeTime = 4 * time.Second
-	// limitWindow is the time over which requests are counted.
-	limitWindow = 4 * time.Second
-)
-
-// maxRequestsWithinLimit returns how many requests a replica may receive in limitWindow: one
-// and a half times what its limit allows and 5 more.
-func maxRequestsWithinLimit(limit gypsum.RequestRate) int {
-	return int(1.5*float64(limit)*limitWindow.Seconds()) + 5
-}
-
 // TestItemsExceedRateLimit guards against items, moves, load orders and reports that together
 // exceed the request rate to which engines limit themselves, also around a planned stop of the
 // holder and after its loss.
@@ -54,9 +41,9 @@
 				}
 				for i := range 6 {
 					id := engineID(i)
-					most := d.limits.MostWithin(id, limitWindow, limitedAt.Add(limitNoticeTime))
-					if allowed := maxRequestsWithinLimit(limit); most > allowed {
-						t.Errorf("%s received %d requests within %s, %d are allowed", id, most, limitWindow, allowed)
+					most := d.limits.MostWithin(id, fake.LimitWindow, limitedAt.Add(fake.LimitNoticeTime))
+					if allowed := fake.MaxWithinLimit(limit); most > allowed {
+						t.Errorf("%s received %d requests within %s, %d are allowed", id, most, fake.LimitWindow, allowed)
 					}
 					is.True(len(d.limits.RequestsTo(id)) > 0)
 				}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -135,13 +135,6 @@
 	return violations
 }
 
-// The users' bounds of the request rate of a replica that states a limit: the time after the
-// first statement from which they hold, and the time over which requests are counted.
-const (
-	limitNoticeTime = 4 * time.Second
-	limitWindow     = 4 * time.Second
-)
-
 // streamViolations checks that the events of a stream, over all tries of its client, are in
 // order and of one software version.
 func streamViolations(first string, events []streamEvent) []string {
@@ -162,11 +155,11 @@
 	if replica.limitedAt.IsZero() {
 		return nil
 	}
-	most, allowed := fake.MostWithin(receivedAt, limitWindow, replica.limitedAt.Add(limitNoticeTime)), int(1.5*float64(replica.rateLimit)*limitWindow.Seconds())+5
+	most, allowed := fake.MostWithin(receivedAt, fake.LimitWindow, replica.limitedAt.Add(fake.LimitNoticeTime)), fake.MaxWithinLimit(replica.rateLimit)
 	if most <= allowed {
 		return nil
 	}
-	return []string{fmt.Sprintf("replica %s with a limit of %g/s received %d requests within %s, %d are allowed", replica.ID, float64(replica.rateLimit), most, limitWindow, allowed)}
+	return []string{fmt.Sprintf("replica %s with a limit of %g/s received %d requests within %s, %d are allowed", replica.ID, float64(replica.rateLimit), most, fake.LimitWindow, allowed)}
 }
 
 // rewardID returns the ID of an item's reward call.
@@ -307,7 +300,7 @@
 			w.env.replicas[0].rateLimit, w.env.replicas[0].limitedAt = 2, begin
 			received := make([]time.Time, 18)
 			for i := range received {
-				received[i] = begin.Add(limitNoticeTime + time.Duration(i)*200*time.Millisecond)
+				received[i] = begin.Add(fake.LimitNoticeTime + time.Duration(i)*200*time.Millisecond)
 			}
 			return rateViolations(w.env.replicas[0], received)
 		},
