--- a/fake/process.go
+++ b/fake/process.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gypsumhook/gypsum"
 )
 
@@ -116,8 +118,7 @@
 }
 
 // simulateWork waits for a duration and while the process is frozen. It returns
-// ErrIncompleteResponse if the process crashes during the duration, and ErrNotSent if it
-// is down afterwards.
+// ErrIncompleteResponse if the process crashes meanwhile or is down afterwards.
 func (p *process) simulateWork(ctx context.Context, crashed chan struct{}, duration time.Duration) error {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
@@ -128,5 +129,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return p.awaitRunning(ctx)
+	err := p.awaitRunning(ctx)
+	if errors.Is(err, gypsum.ErrNotSent) {
+		return fmt.Errorf("backend server crashed: %w", gypsum.ErrIncompleteResponse)
+	}
+	return err
 }
