--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -46,6 +46,7 @@
 	waitingSince time.Time
 	// firstStartedAt is when the item's first attempt by this holder started.
 	firstStartedAt time.Time
+	startedAt      time.Time // start of the current or last attempt
 	failures       int
 	crashes        int
 	// storingFailures means that the counts are being stored, failuresChanged that they have
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -76,6 +76,7 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	header := &a.batch.header
 	a.phase, a.engine, a.cancel, a.avoidedEngine, a.moveTarget = phaseRunning, e, cancel, "", ""
+	a.startedAt = now
 	if a.firstStartedAt.IsZero() {
 		a.firstStartedAt = now
 	}
@@ -94,6 +95,7 @@
 	first := true
 	go func() {
 		err := s.runner.Engines.GenerateItem(ctx, attempt, func(event gypsum.StreamEvent) error {
+			s.lastEvent.Store(time.Now().UnixNano())
 			err := a.progress.appendEvent(event, e, attempt.Replica.Software, &a.batch.versions)
 			if first && err == nil {
 				first = false
@@ -239,13 +241,32 @@
 	}()
 }
 
+// observeSilence notices when all engines with attempts become silent, and when one sends an event
+// again. oldestStart is the start of the oldest attempt, zero if there is none.
+func (s *heldService) observeSilence(oldestStart, now time.Time) {
+	silentSince := time.Unix(0, s.lastEvent.Load())
+	if oldestStart.After(silentSince) {
+		silentSince = oldestStart
+	}
+	silent := !oldestStart.IsZero() && now.Sub(silentSince) >= silenceNoticeTime
+	if silent != s.silent {
+		s.silent = silent
+		s.runner.Logger.Warn("engines became silent or responsive", "service", s.service, "silent", silent, "silent_ms", now.Sub(silentSince).Milliseconds())
+	}
+}
+
 // superviseAttempts cancels stalled attempts and checkpoints long ones.
 func (s *heldService) superviseAttempts(now time.Time) {
+	var oldestStart time.Time
+	defer func() { s.observeSilence(oldestStart, now) }()
 	for _, b := range s.batches {
 		for _, a := range b.items {
 			if a.phase != phaseRunning {
 				continue
 			}
+			if oldestStart.IsZero() || a.startedAt.Before(oldestStart) {
+				oldestStart = a.startedAt
+			}
 			last, lastActivity, gotEvent := a.progress.status()
 			timeout := firstEventTimeout
 			if gotEvent {
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -35,6 +36,9 @@
 	// startTimeWeight is the weight of the latest measurement in the average.
 	initialStartTime = 250 * time.Millisecond
 	startTimeWeight  = 0.05
+	// silenceNoticeTime is the time without an event of any engine after which the engines
+	// count as silent. It spans the event times of slow engines many times over.
+	silenceNoticeTime = 400 * time.Millisecond
 	// maxClockSkew is the largest assumed difference between the clocks of two hosts.
 	maxClockSkew = time.Second
 )
@@ -66,6 +70,11 @@
 	// startTime is the moving average of the time from the start of an attempt to its first
 	// event.
 	startTime time.Duration
+	// lastEvent is the time of the newest event of any engine, in Unix nanoseconds. It is
+	// shared with the goroutines of attempts.
+	lastEvent atomic.Int64
+	// silent means that no engine has sent an event for silenceNoticeTime.
+	silent bool
 }
 
 // newHeldService returns the state of a service whose claim by this daemon is holder.
