Test: hosts that reach no replica fail their callers' requests and keep an engine service (red)

Real processes; three of four hosts lose all replicas for 12 s in four ways (connections held, reset, refused, only new ones refused), while callers, the store and the other host still reach them.

The soak's daemons now reach each replica through a link of their own, which the store's stand-in names in the registrations that it shows to them; a link can hold, reset or refuse connections.

--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -111,12 +111,14 @@
 	limitedAt time.Time
 }
 
-// daemonProcess is a daemon that runs as a process of its own. It reaches the store
-// through a proxy.
+// daemonProcess is a daemon that runs as a process of its own. It reaches the store and the
+// replicas through proxies.
 type daemonProcess struct {
 	name, dataCentre, region        string
 	frontPort, readyPort, innerPort int
 	storeProxy                      *proxy
+	// links are the paths to the replicas, by their IDs.
+	links map[string]*replicaLink
 
 	// faultActive is set while the process has a fault.
 	faultActive atomic.Bool
@@ -149,12 +151,15 @@
 		env.registerReplicas(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	storeAddress := startServer(t, mimic.StoreHandler(env.store))
 	for i := range daemons {
 		daemon := &daemonProcess{
 			name: fmt.Sprint("host-", i+1), dataCentre: "genova", region: "liguria", frontPort: freePort(t), readyPort: freePort(t), innerPort: freePort(t),
-			storeProxy: newProxy(t, storeAddress),
+			links: make(map[string]*replicaLink),
 		}
+		for _, replica := range env.replicas {
+			daemon.links[string(replica.ID)] = newReplicaLink(t, replica.address)
+		}
+		daemon.storeProxy = newProxy(t, startServer(t, mimic.StoreHandler(&linkedStore{KeyedStore: env.store, links: daemon.links})))
 		if i%3 == 2 {
 			daemon.dataCentre, daemon.region = "chioggia", "adriatico"
 		}
@@ -356,6 +361,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// cutOff sets the fault of a daemon's links to all replicas.
+func (d *daemonProcess) cutOff(fault linkFault) {
+	var wg sync.WaitGroup
+	for _, link := range d.links {
+		wg.Go(func() { link.setFault(fault) })
+	}
+	wg.Wait()
+}
+
 // waitReady waits until a daemon is ready and fails the test after readyTimeout.
 func (env *testEnv) waitReady(daemon *daemonProcess) {
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
