--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/check"
 )
 
 // linkFault is how a daemon is cut off from the replicas.
@@ -33,10 +33,10 @@
 var linkFaults = []linkFault{linkSilent, linkReset, linkRefuse, linkRefuseNew}
 
 const (
-	// fillTimeout is how long a connection may take while the queue of a listener is filled.
-	fillTimeout = 50 * time.Millisecond
 	// listenTimeout is how long a port may stay in use after its listener was closed.
 	listenTimeout = 5 * time.Second
+	// listenPause is the time between two tries to listen.
+	listenPause = 50 * time.Millisecond
 )
 
 // replicaLink is the path from one daemon to one replica: a proxy that can stop to accept
@@ -48,8 +48,8 @@
 
 	mu       sync.Mutex
 	listener *net.TCPListener
-	// fillers occupy the listener's queue, so that the kernel drops further connections.
-	fillers []net.Conn
+	// release is set while the kernel drops connections to the listener.
+	release func()
 	done    chan struct{}
 }
 
@@ -73,7 +73,7 @@
 	listener, err := net.Listen("tcp", l.address())
 	// The kernel may still hold connections of the listener before.
 	for deadline := time.Now().Add(listenTimeout); err != nil && time.Now().Before(deadline); listener, err = net.Listen("tcp", l.address()) {
-		time.Sleep(fillTimeout)
+		time.Sleep(listenPause)
 	}
 	if err != nil {
 		l.t.Error(err)
@@ -101,34 +101,24 @@
 func (l *replicaLink) dropConnections() {
 	_ = l.listener.SetDeadline(time.Now())
 	<-l.done
-	raw, err := l.listener.SyscallConn()
+	release, err := check.DropConnections(l.listener)
 	if err != nil {
 		l.t.Error(err)
 		return
 	}
-	_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
-	if err != nil {
-		l.t.Error(err)
-	}
-	for {
-		conn, err := net.DialTimeout("tcp", l.address(), fillTimeout)
-		if err != nil {
-			return
-		}
-		l.fillers = append(l.fillers, conn)
-	}
+	l.release = release
 }
 
 // setFault sets the fault of the link.
 func (l *replicaLink) setFault(fault linkFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.fillers) > 0 || l.listener == nil {
+	if l.release != nil || l.listener == nil {
 		l.stopListening()
-		for _, conn := range l.fillers {
-			_ = conn.Close()
+		if l.release != nil {
+			l.release()
+			l.release = nil
 		}
-		l.fillers = nil
 		l.listen()
 	}
 	l.proxy.setFault(proxyForward)
