Live requests of hosts that reach no replica go through other hosts

Cause: a host had one way to a replica, its own connections, and its failures were taken for those of the replicas. Class: a single path, whose failure cannot be told from that of its far end. Evidence: logs of the timeline; soak.TestHostWithoutReplicasServesCallers, red before. Why this works: reach.Tracker checks a service after a failed attempt that no response contradicts. It probes replicas and asks other daemons at all distances. If one of them connects and this host does not, the path is at fault, and attempts go through that daemon. All decisions stay with the host that received the request: choice of the replica, software version, permit, limit of attempts, deadline, and whether it may have run; the other daemon adds its own knowledge that a replica is leaving or gone. What it did not send counts as not sent, a lost response as possibly run. Weighed: not ready while out of reach (all hosts of a data centre would leave the load balancer together, and open connections stay), requests handed over whole to the other daemon (its permits, its attempts and its answer would have to be reconciled after a loss).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/proxy"
+	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/runner"
 	"github.com/gypsumhook/gypsum/state"
@@ -59,6 +60,9 @@
 	// responseMemoryDivisor limits the memory for responses of replicas that are being read to
 	// 1/responseMemoryDivisor of the memory limit.
 	responseMemoryDivisor = 8
+	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
+	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
+	forwardMemoryDivisor = 16
 )
 
 // Daemon is the daemon process of a host. Set the exported fields before Run.
@@ -73,6 +77,7 @@
 	registry    *state.Registry
 	limiter     *limit.Limiter
 	origins     *origin.Tracker
+	reach       *reach.Tracker
 	// registrations is used only by the goroutine that follows the registrations.
 	registrations *platform.RegistrationDecoder
 	batchState    *batch.State
@@ -168,6 +173,7 @@
 	rateLimits := limit.NewTable(d.Logger)
 	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits, d.Settings.MemoryLimit/responseMemoryDivisor)
 	peers, closePeers := wire.NewPeerClients()
+	peers.ForwardMemory = d.Settings.MemoryLimit / forwardMemoryDivisor
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
 	topics := batch.Topics{
@@ -199,7 +205,13 @@
 		return nil, err
 	}
 	d.origins.Self, d.origins.Registry, d.origins.ListPeers, d.origins.Peers, d.origins.Logger = d.Settings.Host, d.registry, d.peers, peers, d.Logger
+	d.reach = reach.NewTracker()
+	d.reach.Self, d.reach.Location, d.reach.Registry, d.reach.Logger = d.Settings.Host, d.Settings.Location, d.registry, d.Logger
+	d.reach.Prober, d.reach.Forwarder, d.reach.ListPeers, d.reach.Peers = backends, backends, d.peers, peers
+	d.reach.Stopping = func() bool { return d.frontend.Stopping.Load() }
 	d.relay = relay.New()
+	d.relay.Reach = d.reach
+	d.relay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(peers.ReplicasVia(address)) }
 	d.relay.Crashes, d.relay.Limiter, d.relay.Origins = d.batches, d.limiter, d.origins
 	d.relay.Transport, d.relay.Registry, d.relay.Location, d.relay.Logger = backends, d.registry, d.Settings.Location, d.Logger
 	d.runner = runner.New()
@@ -248,6 +260,7 @@
 	d.tasks.start(ctx, d.relay.Run)
 	d.tasks.start(ctx, d.limiter.Table.Run)
 	d.tasks.start(ctx, d.origins.Run)
+	d.tasks.start(ctx, d.reach.Run)
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -46,6 +46,11 @@
 	OriginsShared    int64            `json:"stream_origins_shared"`
 	OriginsFound     int64            `json:"stream_origins_found"`
 	OriginsUnknown   int64            `json:"stream_origins_unknown"`
+	ReachChecks      int64            `json:"reach_checks"`
+	ServicesCutOff   int64            `json:"services_out_of_reach"`
+	RelayDetours     int64            `json:"relay_detours"`
+	Forwarded        int64            `json:"requests_forwarded"`
+	ForwardRejected  int64            `json:"requests_not_forwarded"`
 	RelayRefused     int64            `json:"relay_refused"`
 	RelayFailed      int64            `json:"relay_failed"`
 	ItemsStarted     int64            `json:"items_started"`
@@ -94,6 +99,8 @@
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), ClientResumes: relayStats.ClientResumes.Load(),
 		OriginsShared: d.origins.Stats.Shared.Load(), OriginsFound: d.origins.Stats.Found.Load(), OriginsUnknown: d.origins.Stats.Unknown.Load(),
+		ReachChecks: d.reach.Stats.Checks.Load(), ServicesCutOff: d.reach.Stats.OutOfReach.Load(), RelayDetours: relayStats.Detours.Load(),
+		Forwarded: d.reach.Stats.Forwarded.Load(), ForwardRejected: d.reach.Stats.Rejected.Load(),
 		RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -52,6 +52,9 @@
 		for path, handler := range wire.OriginHandler(d.origins) {
 			internal.Handle(path, handler)
 		}
+		for path, handler := range wire.ReplicaHandler(d.reach, d.Settings.MemoryLimit/forwardMemoryDivisor) {
+			internal.Handle(path, handler)
+		}
 		servers = append(servers, newServer(d.internalAddress(), internal))
 	}
 	return servers
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,98 @@
+// Package reach finds out whether this host can connect to the replicas of a service, and which
+// other host can while it cannot.
+package reach
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// Times and limits of checks.
+const (
+	// probeTimeout bounds a probe of a replica, and peerTimeout a question to another daemon,
+	// which may probe a replica first.
+	probeTimeout = 500 * time.Millisecond
+	peerTimeout  = 700 * time.Millisecond
+	// silentTime is how long all probes may stay unanswered before replicas that another host
+	// reaches count as out of reach here. It allows for a round trip between regions and a
+	// busy host.
+	silentTime = 200 * time.Millisecond
+	// widenDelay is how long a check waits for its first probe before it probes further replicas
+	// and asks other daemons.
+	widenDelay = 80 * time.Millisecond
+	// maxProbes is the number of replicas that one check probes.
+	maxProbes = 3
+	// checkInterval is the least time between two checks of a service, also of one that is out
+	// of reach.
+	checkInterval = 500 * time.Millisecond
+	// evidenceTime is how long a response shows that a service is in reach.
+	evidenceTime = time.Second
+	// peersPerDistance is the number of daemons at each distance that one check asks.
+	peersPerDistance = 2
+	// peerCooldown is how long a daemon through which a request failed is not used.
+	peerCooldown = 2 * time.Second
+)
+
+// Verdict is what a check has found out so far.
+type Verdict int
+
+// The verdicts. VerdictUndecided means that results are missing, VerdictDetour that only other
+// hosts reach the service, VerdictNoPath that none that were asked does.
+const (
+	VerdictUndecided Verdict = iota
+	VerdictReachable
+	VerdictDetour
+	VerdictNoPath
+)
+
+// Evidence is the results of a check so far.
+type Evidence struct {
+	// Connected means that a probe of a replica succeeded. ProbesPending and PeersPending are
+	// the numbers of probes and questions without a result.
+	Connected     bool
+	ProbesPending int
+	PeersPending  int
+	// PeerReaches means that another host reaches the service.
+	PeerReaches bool
+	Elapsed     time.Duration
+}
+
+// Decide returns the verdict on a check. Replicas that are down refuse or ignore connections just
+// as a cut network path does, so that only another host's connection shows that the path is at
+// fault. A path that is cut without a reset ignores connections for as long as a probe lasts;
+// requests that arrive meanwhile are served earlier if the check does not wait for its end.
+func Decide(e Evidence) Verdict {
+	switch {
+	case e.Connected:
+		return VerdictReachable
+	case e.PeerReaches && (e.ProbesPending == 0 || e.Elapsed >= silentTime):
+		return VerdictDetour
+	case e.ProbesPending == 0 && e.PeersPending == 0:
+		return VerdictNoPath
+	}
+	return VerdictUndecided
+}
+
+// PeersToAsk returns the daemons that one check asks: some at each distance, since all hosts of a
+// data centre may be cut off together. Hosts that are cut off at the same moment, and later
+// checks of the same host, ask different ones.
+func PeersToAsk(peers []gypsum.Peer, self gypsum.HostID, local gypsum.Location, check int64) []gypsum.Peer {
+	seed := string(self) + "/" + strconv.FormatInt(check, 10)
+	sorted := slices.DeleteFunc(slices.Clone(peers), func(peer gypsum.Peer) bool { return peer.Host == self })
+	slices.SortFunc(sorted, func(a, b gypsum.Peer) int {
+		return cmp.Or(
+			cmp.Compare(a.Location.DistanceTo(local), b.Location.DistanceTo(local)),
+			cmp.Compare(gypsum.RendezvousScore(seed, string(a.Host)), gypsum.RendezvousScore(seed, string(b.Host))),
+		)
+	})
+	chosen := make(map[gypsum.Distance]int)
+	return slices.DeleteFunc(sorted, func(peer gypsum.Peer) bool {
+		distance := peer.Location.DistanceTo(local)
+		chosen[distance]++
+		return chosen[distance] > peersPerDistance
+	})
+}
--- /dev/null
+++ b/reach/tracker.go
@@ -0,0 +1,460 @@
+package reach
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/state"
+)
+
+// Tracker knows which services this host reaches. Failed attempts start a check of their service
+// unless a response shows that the service is in reach; nothing is sent otherwise. Set the
+// exported fields before use. A Tracker is safe for concurrent use. A nil Tracker reaches all
+// services.
+type Tracker struct {
+	Self      gypsum.HostID
+	Location  gypsum.Location
+	Registry  *state.Registry
+	Prober    gypsum.Prober
+	ListPeers func() []gypsum.Peer
+	Peers     gypsum.PeerReplicas
+	// Forwarder sends the requests of other daemons.
+	Forwarder gypsum.ReplicaForwarder
+	// Stopping reports whether the daemon shuts down. It accepts no requests of other daemons
+	// then.
+	Stopping func() bool
+	Logger   *slog.Logger
+	// Stats counts since the start of the daemon.
+	Stats Stats
+
+	mu        sync.Mutex
+	services  map[gypsum.ServiceName]*serviceReach
+	cooldowns map[gypsum.HostID]time.Time
+	requests  chan gypsum.ServiceName
+	// forwarding is the number of requests of other daemons in progress.
+	forwarding atomic.Int64
+}
+
+// Stats counts checks, services that went out of reach, and requests of other daemons that were
+// forwarded and that were not accepted.
+type Stats struct {
+	Checks     atomic.Int64
+	OutOfReach atomic.Int64
+	Forwarded  atomic.Int64
+	Rejected   atomic.Int64
+}
+
+// serviceReach is what is known of the path to a service.
+type serviceReach struct {
+	lastResponse time.Time
+	lastCheck    time.Time
+	// checked is closed when the check in progress ends, nil if there is none.
+	checked chan struct{}
+	checks  int64
+	// unreachableSince is zero while the service is in reach.
+	unreachableSince time.Time
+	// detour is the daemon through which requests go while the service is out of reach, nil if
+	// none is known.
+	detour *gypsum.Peer
+	// doubted means that the daemon has to confirm that it still reaches the service.
+	doubted bool
+}
+
+// maxQueuedChecks is the capacity of the queue of checks.
+const maxQueuedChecks = 64
+
+// NewTracker returns a Tracker whose exported fields are not set yet.
+func NewTracker() *Tracker {
+	return &Tracker{services: make(map[gypsum.ServiceName]*serviceReach), cooldowns: make(map[gypsum.HostID]time.Time), requests: make(chan gypsum.ServiceName, maxQueuedChecks)}
+}
+
+// service returns the state of a service. The caller holds mu.
+func (t *Tracker) service(name gypsum.ServiceName) *serviceReach {
+	s := t.services[name]
+	if s == nil {
+		s = &serviceReach{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// RecordResponse records that a replica of a service has responded on a direct connection.
+func (t *Tracker) RecordResponse(service gypsum.ServiceName, at time.Time) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.service(service); at.After(s.lastResponse) {
+		s.lastResponse = at
+	}
+}
+
+// RecordFailure records that an attempt at a replica, started at a time, got no connection or no
+// response. It starts a check unless a replica of the service has responded since then.
+func (t *Tracker) RecordFailure(service gypsum.ServiceName, startedAt time.Time) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.service(service); s.lastResponse.Before(startedAt) {
+		t.queueCheck(service, s, time.Now())
+	}
+}
+
+// queueCheck queues a check of a service unless one is in progress or was started a short time
+// ago. The caller holds mu.
+func (t *Tracker) queueCheck(service gypsum.ServiceName, s *serviceReach, now time.Time) {
+	if s.checked != nil || now.Sub(s.lastCheck) < checkInterval {
+		return
+	}
+	select {
+	case t.requests <- service:
+		s.checked, s.lastCheck = make(chan struct{}), now
+		s.checks++
+	default:
+	}
+}
+
+// Detour returns the daemon through which requests to a service go, nil if they go to the replicas
+// directly.
+func (t *Tracker) Detour(service gypsum.ServiceName) *gypsum.Peer {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(service).detour
+}
+
+// AwaitCheck waits for the end of the check of a service that is in progress, if any.
+func (t *Tracker) AwaitCheck(ctx context.Context, service gypsum.ServiceName) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	checked := t.service(service).checked
+	t.mu.Unlock()
+	if checked == nil {
+		return
+	}
+	select {
+	case <-checked:
+	case <-ctx.Done():
+	}
+}
+
+// RecordDetourTimeout records that a request through another daemon got no response in time. The
+// replica may have been slow, so that a check asks the daemon again.
+func (t *Tracker) RecordDetourTimeout(service gypsum.ServiceName, host gypsum.HostID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.service(service); s.detour != nil && s.detour.Host == host {
+		s.doubted = true
+		t.queueCheck(service, s, time.Now())
+	}
+}
+
+// RecordDetourFailure records that another daemon could not forward a request. It is not used for
+// a while.
+func (t *Tracker) RecordDetourFailure(service gypsum.ServiceName, host gypsum.HostID) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cooldowns[host] = now.Add(peerCooldown)
+	s := t.service(service)
+	if s.detour == nil || s.detour.Host != host {
+		return
+	}
+	s.detour, s.lastCheck = nil, time.Time{}
+	t.queueCheck(service, s, now)
+}
+
+// Run checks services until ctx ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	ended := make(chan struct{})
+	running := 0
+	for {
+		select {
+		case <-ctx.Done():
+			for ; running > 0; running-- {
+				<-ended
+			}
+			return ctx.Err()
+		case service := <-t.requests:
+			running++
+			go func() {
+				t.check(ctx, service)
+				ended <- struct{}{}
+			}()
+		case <-ended:
+			running--
+		case now := <-ticker.C:
+			t.recheck(now)
+		}
+	}
+}
+
+// recheck queues checks of the services that are out of reach.
+func (t *Tracker) recheck(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.services {
+		if !s.unreachableSince.IsZero() {
+			t.queueCheck(name, s, now)
+		}
+	}
+	for host, until := range t.cooldowns {
+		if now.After(until) {
+			delete(t.cooldowns, host)
+		}
+	}
+}
+
+// check checks a service and records the verdict.
+func (t *Tracker) check(ctx context.Context, service gypsum.ServiceName) {
+	t.Stats.Checks.Add(1)
+	t.mu.Lock()
+	s := t.service(service)
+	number, inUse, known := s.checks, s.detour, s.detour
+	var doubted *gypsum.Peer
+	if s.doubted {
+		known, doubted, s.doubted = nil, s.detour, false
+	}
+	t.mu.Unlock()
+	verdict, detour := t.findPath(ctx, service, number, known, doubted)
+	t.mu.Lock()
+	wasReachable := s.unreachableSince.IsZero()
+	since := s.unreachableSince
+	switch {
+	case ctx.Err() != nil:
+	case verdict == VerdictReachable:
+		s.unreachableSince, s.detour = time.Time{}, nil
+	default:
+		if wasReachable {
+			s.unreachableSince = time.Now()
+		}
+		// A request through the known daemon may have failed meanwhile.
+		if s.detour == inUse {
+			s.detour = detour
+		}
+	}
+	close(s.checked)
+	s.checked = nil
+	t.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	t.logVerdict(service, verdict, wasReachable, since, inUse, detour)
+}
+
+// logVerdict logs a change that a check has found.
+func (t *Tracker) logVerdict(service gypsum.ServiceName, verdict Verdict, wasReachable bool, since time.Time, known, detour *gypsum.Peer) {
+	switch {
+	case verdict == VerdictReachable && !wasReachable:
+		t.Logger.Info("service is in reach again", "service", service, "unreachable_ms", time.Since(since).Milliseconds())
+	case verdict == VerdictDetour && (known == nil || known.Host != detour.Host):
+		if wasReachable {
+			t.Stats.OutOfReach.Add(1)
+		}
+		t.Logger.Warn("service is out of reach, requests go through another host", "service", service, "via", detour.Host)
+	case verdict == VerdictNoPath && (wasReachable || known != nil):
+		t.Logger.Warn("no replica of service accepts connections", "service", service)
+	}
+}
+
+// findPath probes a replica of a service and, unless that succeeds at once, other replicas, and asks
+// other daemons. It returns the daemon to use for VerdictDetour: the known one if there is one.
+// doubted is a daemon to ask in any case, nil for none.
+func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, number int64, known, doubted *gypsum.Peer) (Verdict, *gypsum.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	start := time.Now()
+	replicas := t.sample(service)
+	probes := make(chan bool, len(replicas))
+	first := replicas[:min(1, len(replicas))]
+	t.probe(ctx, first, probes)
+	widen, silent := time.NewTimer(widenDelay), time.NewTimer(silentTime)
+	defer widen.Stop()
+	defer silent.Stop()
+	// The questions count as one pending one until they are sent.
+	evidence := Evidence{ProbesPending: len(replicas), PeersPending: 1, PeerReaches: known != nil}
+	detour, widened := known, false
+	var answers <-chan *gypsum.Peer
+	for {
+		if !widened && (len(replicas)-evidence.ProbesPending == len(first) || time.Since(start) >= widenDelay) && !evidence.Connected {
+			widened = true
+			t.probe(ctx, replicas[len(first):], probes)
+			var peers []gypsum.Peer
+			if known == nil {
+				peers = t.availablePeers(number, doubted)
+			}
+			answers, evidence.PeersPending = t.askPeers(ctx, peers, gypsum.ReachQuery{Service: service}), len(peers)
+		}
+		evidence.Elapsed = time.Since(start)
+		if verdict := Decide(evidence); verdict != VerdictUndecided {
+			return verdict, detour
+		}
+		select {
+		case connected := <-probes:
+			evidence.ProbesPending--
+			evidence.Connected = evidence.Connected || connected
+		case answer := <-answers:
+			evidence.PeersPending--
+			if answer != nil && detour == nil {
+				evidence.PeerReaches, detour = true, answer
+			}
+		case <-widen.C:
+		case <-silent.C:
+		}
+	}
+}
+
+// sample returns random replicas of a service.
+func (t *Tracker) sample(service gypsum.ServiceName) []*gypsum.Replica {
+	var ready []*gypsum.Replica
+	for _, replica := range t.Registry.Current().Services[service] {
+		if replica.State == gypsum.ReplicaReady {
+			ready = append(ready, replica)
+		}
+	}
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	return ready[:min(maxProbes, len(ready))]
+}
+
+// probe connects to replicas and sends a result for each to a channel with room for all.
+func (t *Tracker) probe(ctx context.Context, replicas []*gypsum.Replica, results chan<- bool) {
+	for _, replica := range replicas {
+		go func() {
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			results <- t.Prober.AcceptsConnections(probeCtx, replica)
+		}()
+	}
+}
+
+// availablePeers returns the daemons that a check asks, among them the doubted one unless it is
+// nil.
+func (t *Tracker) availablePeers(number int64, doubted *gypsum.Peer) []gypsum.Peer {
+	now := time.Now()
+	peers := slices.Clone(t.ListPeers())
+	t.mu.Lock()
+	peers = slices.DeleteFunc(peers, func(peer gypsum.Peer) bool { return now.Before(t.cooldowns[peer.Host]) })
+	t.mu.Unlock()
+	peers = PeersToAsk(peers, t.Self, t.Location, number)
+	if doubted != nil && !slices.ContainsFunc(peers, func(peer gypsum.Peer) bool { return peer.Host == doubted.Host }) {
+		peers = append(peers, *doubted)
+	}
+	return peers
+}
+
+// askPeers asks daemons whether they reach replicas. Each sends itself to the channel if it does,
+// otherwise nil.
+func (t *Tracker) askPeers(ctx context.Context, peers []gypsum.Peer, query gypsum.ReachQuery) <-chan *gypsum.Peer {
+	answers := make(chan *gypsum.Peer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			reaches, err := t.Peers.ReplicasVia(peer.Address).Reaches(ctx, query)
+			if err != nil || !reaches {
+				answers <- nil
+				return
+			}
+			answers <- &peer
+		}()
+	}
+	return answers
+}
+
+// CanConnect reports whether this host reaches a service: a replica has responded a short time
+// ago or accepts a connection now. It is true for a service without replicas.
+func (t *Tracker) CanConnect(ctx context.Context, service gypsum.ServiceName) bool {
+	if t == nil {
+		return true
+	}
+	t.mu.Lock()
+	s := t.service(service)
+	unreachable, lastResponse := !s.unreachableSince.IsZero(), s.lastResponse
+	t.mu.Unlock()
+	switch {
+	case unreachable:
+		return false
+	case time.Since(lastResponse) < evidenceTime:
+		return true
+	}
+	return t.connects(ctx, service)
+}
+
+// connects reports whether a replica of a service accepts a connection of this host now, or the
+// service has none.
+func (t *Tracker) connects(ctx context.Context, service gypsum.ServiceName) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	replicas := t.sample(service)
+	probes := make(chan bool, len(replicas))
+	t.probe(ctx, replicas, probes)
+	for range replicas {
+		if <-probes {
+			return true
+		}
+	}
+	return len(replicas) == 0
+}
+
+// ConfirmDown reports whether a replica that accepts no connection of this host accepts none of
+// other hosts either, so that the path to it is not at fault. Without an answer of another host,
+// a replica counts as down while this host reaches others of its service.
+func (t *Tracker) ConfirmDown(ctx context.Context, replica *gypsum.Replica) bool {
+	if t == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	query := gypsum.ReachQuery{Service: replica.Service, Replica: replica.ID}
+	type answer struct {
+		reaches bool
+		err     error
+	}
+	peers := t.availablePeers(0, nil)
+	answers := make(chan answer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			reaches, err := t.Peers.ReplicasVia(peer.Address).Reaches(ctx, query)
+			answers <- answer{reaches, err}
+		}()
+	}
+	denied := false
+	for range peers {
+		received := <-answers
+		if received.reaches && received.err == nil {
+			return false
+		}
+		denied = denied || received.err == nil
+	}
+	return denied || t.CanConnect(ctx, replica.Service)
+}
+
+// Reaches implements gypsum.RemoteReplicas for other daemons.
+func (t *Tracker) Reaches(ctx context.Context, query gypsum.ReachQuery) (bool, error) {
+	if query.Replica == "" {
+		// Open connections may still work where new ones do not, so that only a probe shows it.
+		usable := !t.Stopping() && len(t.Registry.Current().Services[query.Service]) > 0 && !t.isUnreachable(query.Service)
+		return usable && t.connects(ctx, query.Service), nil
+	}
+	replica := t.Registry.Current().Replicas[query.Replica]
+	if replica == nil || replica.Service != query.Service {
+		return false, fmt.Errorf("replica %s is not registered here: %w", query.Replica, gypsum.ErrNotSent)
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return t.Prober.AcceptsConnections(ctx, replica), nil
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -22,6 +22,8 @@
 // Candidate is a replica that may be chosen, with what is known of it.
 type Candidate struct {
 	Replica *gypsum.Replica
+	// Via is the daemon through which the request goes, nil for the direct path.
+	Via *gypsum.Peer
 	// InFlight is the number of this daemon's requests there. Latency is the moving
 	// average of its response times, 0 if none was measured.
 	InFlight int
@@ -35,6 +37,17 @@
 	Tried bool
 }
 
+// via returns the host through which the request goes, empty for the direct path.
+func (c *Candidate) via() gypsum.HostID {
+	if c.Via == nil {
+		return ""
+	}
+	return c.Via.Host
+}
+
+// path returns the path of an attempt at the candidate.
+func (c *Candidate) path() attemptPath { return attemptPath{replica: c.Replica.ID, via: c.via()} }
+
 // ChooseReplica returns the replica with the lowest expected time to a response, nil if there
 // are no candidates. A failed attempt is expected to cost failureCost. Replicas of a
 // service differ in speed, and some are temporarily several times slower; each daemon
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
+	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -26,7 +27,12 @@
 	// Limiter keeps the requests to each replica within the rate that it accepts.
 	Limiter *limit.Limiter
 	// Origins remembers which software versions began the streams.
-	Origins  *origin.Tracker
+	Origins *origin.Tracker
+	// Reach knows the services that only other hosts reach. TransportVia returns the transport
+	// through the daemon at an address.
+	Reach        *reach.Tracker
+	TransportVia func(address string) gypsum.ReplicaTransport
+
 	Location gypsum.Location
 	Logger   *slog.Logger
 	Stats    Stats
@@ -42,6 +48,8 @@
 	Responses atomic.Int64
 	Attempts  atomic.Int64
 	Resumes   atomic.Int64
+	// Detours counts the attempts through other hosts.
+	Detours atomic.Int64
 	// ClientResumes counts the streams that clients took up again.
 	ClientResumes atomic.Int64
 	Refused       atomic.Int64
@@ -68,22 +76,34 @@
 	// Only replicas of the same version can continue it.
 	software    *gypsum.SoftwareVersion
 	fingerprint gypsum.Fingerprint
-	tried       map[gypsum.BackendID]bool
+	// tried are the paths that attempts used, reached the replicas that may have received the
+	// request.
+	tried   map[attemptPath]bool
+	reached map[gypsum.BackendID]bool
 	// sentAttempts is the number of replicas that the request was sent to. mayHaveRun
 	// means that one of them may have run it.
 	sentAttempts int
 	mayHaveRun   bool
 	lastReason   gypsum.Reason
+	// lastUnconnected means that the last attempt got no connection.
+	lastUnconnected bool
 	// permitWait is the shortest time until a replica that limits its request rate accepts
 	// the request, 0 if none was tried.
 	permitWait time.Duration
 }
 
+// attemptPath is a replica and the host through which the request goes to it, empty for the
+// direct path.
+type attemptPath struct {
+	replica gypsum.BackendID
+	via     gypsum.HostID
+}
+
 // prepareRequest initializes the state of a request. It refuses requests without remaining time
 // and those that crash replicas. Reward calls belong to accepted items, which are owed a result
 // whatever crashed while they ran.
 func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
-	request.tried = make(map[gypsum.BackendID]bool)
+	request.tried, request.reached = make(map[attemptPath]bool), make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
 	switch {
 	case !time.Now().Before(request.Deadline):
@@ -125,6 +145,7 @@
 // request to it, or returns the refusal if there can be none.
 func (r *Relay) nextReplica(ctx context.Context, request *Request) (*Candidate, *gypsum.Refusal) {
 	for {
+		r.awaitDetour(ctx, request)
 		candidate, isLast, refusal := r.chooseReplica(request)
 		if refusal != nil {
 			return nil, refusal
@@ -138,6 +159,9 @@
 		switch {
 		case err == nil:
 			r.Stats.Attempts.Add(1)
+			if candidate.Via != nil {
+				r.Stats.Detours.Add(1)
+			}
 			return candidate, nil
 		case errors.As(err, &limited):
 			if request.permitWait == 0 || limited.RetryAfter < request.permitWait {
@@ -169,7 +193,7 @@
 	candidates := slices.DeleteFunc(r.candidates(request.Service, false, now), func(c Candidate) bool { return !request.canContinueOn(c.Replica) })
 	untried := 0
 	for i := range candidates {
-		candidates[i].Tried = request.tried[candidates[i].Replica.ID]
+		candidates[i].Tried = request.reached[candidates[i].Replica.ID] || request.tried[candidates[i].path()]
 		if !candidates[i].Tried {
 			untried++
 		}
@@ -185,7 +209,7 @@
 	if candidate.Tried {
 		return nil, false, r.exhaustedRefusal(request)
 	}
-	request.tried[candidate.Replica.ID] = true
+	request.tried[candidate.path()] = true
 	return candidate, untried == 1, nil
 }
 
@@ -254,7 +278,38 @@
 
 // attemptTimeout returns how long a replica may take to respond or to start a stream.
 func (r *Relay) attemptTimeout(request *Request, candidate *Candidate, now time.Time) time.Duration {
-	return AttemptTimeout(candidate.Latency, request.Route.LatencyTarget, request.Deadline.Sub(now), r.isLastAttempt(request))
+	timeout := AttemptTimeout(candidate.Latency, request.Route.LatencyTarget, request.Deadline.Sub(now), r.isLastAttempt(request))
+	if candidate.Via != nil {
+		timeout = min(timeout+detourTime, request.Deadline.Sub(now))
+	}
+	return timeout
+}
+
+// transport returns the transport of an attempt.
+func (r *Relay) transport(candidate *Candidate) gypsum.ReplicaTransport {
+	if candidate.Via == nil {
+		return r.Transport
+	}
+	return r.TransportVia(candidate.Via.Address)
+}
+
+// detourTime is what another host on the way to a replica adds to the time of an attempt: a round
+// trip between regions and a busy host.
+const detourTime = 150 * time.Millisecond
+
+// maxDetourWait bounds the wait of a request, which no replica has accepted a connection for, for
+// the check whether another host reaches the service.
+const maxDetourWait = 700 * time.Millisecond
+
+// awaitDetour waits for the check of the request's service if an attempt has failed to connect and
+// no other host is known that reaches the service.
+func (r *Relay) awaitDetour(ctx context.Context, request *Request) {
+	if !request.lastUnconnected || r.Reach.Detour(request.Service) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxDetourWait, time.Until(request.Deadline)/2))
+	defer cancel()
+	r.Reach.AwaitCheck(ctx, request.Service)
 }
 
 // runAttempt sends the request to one replica, which has to respond within timeout.
@@ -263,25 +318,47 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	tracked := r.beginAttempt(replica)
-	response, err := r.Transport.RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
+	response, err := r.transport(candidate).RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
 	elapsed := time.Since(startedAt)
-	r.endAttempt(tracked, request, elapsed, attemptResultOf(ctx, response, err))
+	r.endAttempt(tracked, request, elapsed, attemptResultOf(ctx, candidate, response, err))
 	status := 0
 	if response != nil {
 		status = response.Status
 	}
-	r.Logger.Info("attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "attempt", request.sentAttempts+1,
+	r.Logger.Info("attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "via", candidate.via(), "attempt", request.sentAttempts+1,
 		"open", candidate.InFlight, "latency_ms", candidate.Latency.Milliseconds(), "failing", candidate.FailureRate, "patience_ms", timeout.Milliseconds(),
 		"took_ms", elapsed.Milliseconds(), "status", status, "error", err)
+	r.recordReach(ctx, request, candidate, startedAt, response, err)
 	r.recordAttempt(request, replica, err)
 	return response, err
 }
 
+// recordReach records what an attempt shows about the path to the service.
+func (r *Relay) recordReach(ctx context.Context, request *Request, candidate *Candidate, startedAt time.Time, response *gypsum.LiveResponse, err error) {
+	responded := (response != nil && !errors.Is(err, errStreamIdleTimeout) && !errors.Is(err, context.DeadlineExceeded)) || errors.Is(err, gypsum.ErrNotRun) || errors.Is(err, gypsum.ErrResponseMismatch) || errors.Is(err, gypsum.ErrIncompleteResponse)
+	switch {
+	case !responded && ctx.Err() != nil:
+	case candidate.Via != nil && errors.Is(err, context.DeadlineExceeded):
+		r.Reach.RecordDetourTimeout(request.Service, candidate.Via.Host)
+	case candidate.Via != nil && !responded:
+		r.Reach.RecordDetourFailure(request.Service, candidate.Via.Host)
+	case candidate.Via != nil:
+	case responded:
+		r.Reach.RecordResponse(request.Service, time.Now())
+	default:
+		r.Reach.RecordFailure(request.Service, startedAt)
+	}
+}
+
 // recordAttempt updates the state of the request after an attempt. If the connection
 // broke, it queues a probe of the replica.
 func (r *Relay) recordAttempt(request *Request, replica *gypsum.Replica, err error) {
+	request.lastUnconnected = errors.Is(err, gypsum.ErrNotSent)
+	if !request.lastUnconnected {
+		request.reached[replica.ID] = true
+	}
 	switch {
-	case errors.Is(err, gypsum.ErrNotSent):
+	case request.lastUnconnected:
 		request.lastReason = gypsum.ReasonNoBackend
 	case errors.Is(err, gypsum.ErrNotRun):
 		request.sentAttempts++
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -25,7 +25,7 @@
 // candidates returns the ready replicas of a service, with the response times to live
 // requests or to reward calls.
 func (r *Relay) candidates(service gypsum.ServiceName, isReward bool, now time.Time) []Candidate {
-	replicas := r.Registry.Current().Services[service]
+	replicas, detour := r.Registry.Current().Services[service], r.Reach.Detour(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	candidates := make([]Candidate, 0, len(replicas))
@@ -33,7 +33,7 @@
 		if replica.State != gypsum.ReplicaReady {
 			continue
 		}
-		candidate := Candidate{Replica: replica, Full: r.Limiter.IsDenied(replica.ID, now)}
+		candidate := Candidate{Replica: replica, Via: detour, Full: r.Limiter.IsDenied(replica.ID, now)}
 		if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
 			candidate.InFlight, candidate.Latency = tracked.inFlight, tracked.estimator.Latency()
 			if isReward {
@@ -92,11 +92,14 @@
 )
 
 // attemptResultOf returns what an attempt shows about its replica. Status 504 is not counted
-// as a failure: the replica reports that it was given too little time.
-func attemptResultOf(ctx context.Context, response *gypsum.LiveResponse, err error) attemptResult {
+// as a failure: the replica reports that it was given too little time. A request that did not
+// get through another host shows nothing about the replica.
+func attemptResultOf(ctx context.Context, candidate *Candidate, response *gypsum.LiveResponse, err error) attemptResult {
 	switch {
 	case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
 		return resultUnknown
+	case candidate.Via != nil && errors.Is(err, gypsum.ErrNotSent):
+		return resultUnknown
 	case errors.Is(err, gypsum.ErrNotRun):
 		return resultFull
 	case err != nil:
@@ -171,7 +174,7 @@
 func (r *Relay) checkCrash(ctx context.Context, probe crashProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if r.Transport.AcceptsConnections(ctx, probe.replica) || ctx.Err() != nil {
+	if r.Transport.AcceptsConnections(ctx, probe.replica) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
 		return
 	}
 	err := r.Crashes.RecordCrash(ctx, probe.fingerprint, probe.replica.ID)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -120,7 +120,7 @@
 	lastAttempt := false
 	var firstEvent time.Duration
 	tracked := r.beginAttempt(replica)
-	response, err := r.forwardEvents(streamCtx, request, replica, sink, begun, lastEvent, func() {
+	response, err := r.forwardEvents(streamCtx, request, candidate, sink, begun, lastEvent, func() {
 		if firstEvent == 0 {
 			firstEvent = time.Since(startedAt)
 			lastAttempt = r.isLastAttempt(request)
@@ -137,9 +137,10 @@
 	if firstEvent == 0 {
 		firstEvent = time.Since(startedAt) // a response without events
 	}
-	r.endAttempt(tracked, request, firstEvent, attemptResultOf(ctx, response, err))
+	r.endAttempt(tracked, request, firstEvent, attemptResultOf(ctx, candidate, response, err))
+	r.recordReach(ctx, request, candidate, startedAt, response, err)
 	r.recordAttempt(request, replica, err)
-	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID,
+	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "via", candidate.via(),
 		"attempt", request.sentAttempts, "open", candidate.InFlight, "latency_ms", candidate.Latency.Milliseconds(), "failing", candidate.FailureRate,
 		"patience_ms", timeout.Milliseconds(), "last_event", *lastEvent, "first_ms", firstEvent.Milliseconds(),
 		"took_ms", time.Since(startedAt).Milliseconds(), "error", err)
@@ -148,8 +149,9 @@
 
 // forwardEvents forwards the response of a replica to the sink and calls onEvent for
 // each event.
-func (r *Relay) forwardEvents(ctx context.Context, request *Request, replica *gypsum.Replica, sink Sink, begun *bool, lastEvent *int64, onEvent func()) (*gypsum.LiveResponse, error) {
-	stream, err := r.Transport.Stream(ctx, replica, &request.LiveRequest, time.Until(request.Deadline), *lastEvent)
+func (r *Relay) forwardEvents(ctx context.Context, request *Request, candidate *Candidate, sink Sink, begun *bool, lastEvent *int64, onEvent func()) (*gypsum.LiveResponse, error) {
+	replica := candidate.Replica
+	stream, err := r.transport(candidate).Stream(ctx, replica, &request.LiveRequest, time.Until(request.Deadline), *lastEvent)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/wire/replicas.go
@@ -0,0 +1,274 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+)
+
+// The procedures with which a daemon reaches replicas through another one.
+const (
+	replicaPrefix    = procedurePrefix + "replica_"
+	reachesProcedure = replicaPrefix + "reaches"
+	forwardProcedure = replicaPrefix + "forward"
+)
+
+const (
+	// forwardChunkBytes is the size of one read of a forwarded response.
+	forwardChunkBytes = 16 << 10
+	// notAcceptedHeader is set in the response to a forwarded request that was not read.
+	notAcceptedHeader = "Gypsumhook-Not-Accepted"
+)
+
+// reachesMessage is the response of the procedure that asks whether replicas are in reach.
+type reachesMessage struct {
+	Reaches bool `cbor:"1,keyasint"`
+}
+
+// forwardErrorCode is the kind of error of a forwarded request, as transmitted.
+type forwardErrorCode string
+
+// The codes of errors.
+const (
+	forwardNotSent  forwardErrorCode = "not_sent"
+	forwardMismatch forwardErrorCode = "mismatch"
+	forwardBroken   forwardErrorCode = "broken"
+)
+
+// errForwardBroken is the error of a response that broke off at the other daemon.
+var errForwardBroken = errors.New("response broke off")
+
+// forwardErrors are the errors of forwarded requests by their codes.
+var forwardErrors = map[forwardErrorCode]error{
+	forwardNotSent: gypsum.ErrNotSent, forwardMismatch: gypsum.ErrResponseMismatch, forwardBroken: errForwardBroken,
+}
+
+// forwardErrorCodeOf returns the code of an error.
+func forwardErrorCodeOf(err error) forwardErrorCode {
+	switch {
+	case errors.Is(err, gypsum.ErrNotSent):
+		return forwardNotSent
+	case errors.Is(err, gypsum.ErrResponseMismatch):
+		return forwardMismatch
+	}
+	return forwardBroken
+}
+
+// forwardMessage is a part of the response to a forwarded request. The first one has the status
+// and the header, the last one is marked as the end or has an error.
+type forwardMessage struct {
+	Status int              `cbor:"1,keyasint,omitempty"`
+	Header http.Header      `cbor:"2,keyasint,omitempty"`
+	Data   []byte           `cbor:"3,keyasint,omitempty"`
+	End    bool             `cbor:"4,keyasint,omitempty"`
+	Error  forwardErrorCode `cbor:"5,keyasint,omitempty"`
+	Detail string           `cbor:"6,keyasint,omitempty"`
+}
+
+// ReplicaHandler returns the HTTP handlers that give other daemons access to the replicas that
+// this one reaches, by their paths. memory limits the total size of the forwarded requests.
+func ReplicaHandler(replicas gypsum.RemoteReplicas, memory gypsum.Bytes) map[string]http.Handler {
+	options := []connect.HandlerOption{connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(int(memory))}
+	forward := connect.NewServerStreamHandler(forwardProcedure,
+		func(ctx context.Context, request *connect.Request[gypsum.ForwardedRequest], stream *connect.ServerStream[forwardMessage]) error {
+			return sendForwarded(ctx, replicas, request.Msg, stream)
+		}, options...)
+	return map[string]http.Handler{
+		reachesProcedure: connect.NewUnaryHandler(reachesProcedure,
+			func(ctx context.Context, request *connect.Request[gypsum.ReachQuery]) (*connect.Response[reachesMessage], error) {
+				reaches, err := replicas.Reaches(ctx, *request.Msg)
+				return newResponse(&reachesMessage{Reaches: reaches}, err)
+			}, options...),
+		forwardProcedure: &requestMemory{next: forward, limit: int64(memory)},
+	}
+}
+
+// requestMemory limits the total size of the requests that a handler reads. It does not read
+// those beyond the limit.
+type requestMemory struct {
+	next  http.Handler
+	limit int64
+	used  atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (m *requestMemory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	size := r.ContentLength
+	if size >= 0 {
+		defer m.used.Add(-size)
+	}
+	if size < 0 || m.used.Add(size) > m.limit {
+		w.Header().Set(notAcceptedHeader, "1")
+		http.Error(w, "no memory left for forwarded requests", http.StatusServiceUnavailable)
+		return
+	}
+	m.next.ServeHTTP(w, r)
+}
+
+// sendForwarded forwards a request to a replica and sends the parts of the response as they
+// arrive.
+func sendForwarded(ctx context.Context, replicas gypsum.RemoteReplicas, request *gypsum.ForwardedRequest, stream *connect.ServerStream[forwardMessage]) error {
+	response, err := replicas.Forward(ctx, request)
+	if err != nil {
+		return stream.Send(&forwardMessage{Error: forwardErrorCodeOf(err), Detail: err.Error()})
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := stream.Send(&forwardMessage{Status: response.Status, Header: response.Header}); err != nil {
+		return err
+	}
+	buffer := make([]byte, forwardChunkBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			if err := stream.Send(&forwardMessage{Data: buffer[:n]}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return stream.Send(&forwardMessage{End: true})
+		case err != nil:
+			return stream.Send(&forwardMessage{Error: forwardBroken, Detail: err.Error()})
+		}
+	}
+}
+
+// forwardTransport sends each request at most once: a request without GetBody is never repeated
+// by http.Transport.
+type forwardTransport struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper. The error wraps gypsum.ErrNotSent if no connection was
+// obtained or the other daemon did not read the request.
+func (t forwardTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	single := request.Clone(httptrace.WithClientTrace(request.Context(), trace))
+	single.GetBody = nil
+	response, err := t.RoundTripper.RoundTrip(single)
+	switch {
+	case err != nil && !connected:
+		return nil, fmt.Errorf("connect to peer daemon: %w: %w", gypsum.ErrNotSent, err)
+	case err == nil && response.Header.Get(notAcceptedHeader) != "":
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("forwarded request not accepted: %w", gypsum.ErrNotSent)
+	}
+	return response, err
+}
+
+// ReplicasVia implements gypsum.PeerReplicas.
+func (p *PeerClients) ReplicasVia(address string) gypsum.RemoteReplicas {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if client, ok := p.replicas[address]; ok {
+		return client
+	}
+	forwardClient := &http.Client{Transport: forwardTransport{p.httpClient.Transport}}
+	client := &peerReplicas{
+		peers:   p,
+		reaches: connect.NewClient[gypsum.ReachQuery, reachesMessage](p.httpClient, "http://"+address+reachesProcedure, clientOption()),
+		forward: connect.NewClient[gypsum.ForwardedRequest, forwardMessage](forwardClient, "http://"+address+forwardProcedure, clientOption()),
+	}
+	p.replicas[address] = client
+	return client
+}
+
+// peerReplicas is a client of the replicas that another daemon reaches. It implements
+// gypsum.RemoteReplicas.
+type peerReplicas struct {
+	peers   *PeerClients
+	reaches *connect.Client[gypsum.ReachQuery, reachesMessage]
+	forward *connect.Client[gypsum.ForwardedRequest, forwardMessage]
+}
+
+// Reaches implements gypsum.RemoteReplicas.
+func (p *peerReplicas) Reaches(ctx context.Context, query gypsum.ReachQuery) (bool, error) {
+	response, err := p.reaches.CallUnary(ctx, connect.NewRequest(&query))
+	if err != nil {
+		return false, fmt.Errorf("ask a peer daemon for replicas: %w", err)
+	}
+	return response.Msg.Reaches, nil
+}
+
+// Forward implements gypsum.RemoteReplicas.
+func (p *peerReplicas) Forward(ctx context.Context, request *gypsum.ForwardedRequest) (*gypsum.ForwardedResponse, error) {
+	size := int64(len(request.Body))
+	defer p.peers.forwardBytes.Add(-size)
+	if p.peers.forwardBytes.Add(size) > int64(p.peers.ForwardMemory) {
+		return nil, fmt.Errorf("no memory left to forward a request of %d bytes: %w", size, gypsum.ErrNotSent)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := p.forward.CallServerStream(ctx, connect.NewRequest(request))
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("forward request through a peer daemon: %w", err)
+	}
+	body := &forwardedBody{stream: stream, cancel: cancel}
+	first, err := body.receive()
+	if err != nil {
+		_ = body.Close()
+		return nil, fmt.Errorf("forward request through a peer daemon: %w", err)
+	}
+	return &gypsum.ForwardedResponse{Status: first.Status, Header: first.Header, Body: body}, nil
+}
+
+// forwardedBody is the body of a forwarded response.
+type forwardedBody struct {
+	stream *connect.ServerStreamForClient[forwardMessage]
+	cancel context.CancelFunc
+	unread []byte
+	ended  bool
+}
+
+// receive returns the next part of the response, or the error of the other daemon.
+func (b *forwardedBody) receive() (*forwardMessage, error) {
+	if !b.stream.Receive() {
+		if err := b.stream.Err(); err != nil {
+			return nil, err
+		}
+		return nil, errForwardBroken
+	}
+	message := b.stream.Msg()
+	if message.Error == "" {
+		return message, nil
+	}
+	sentinel, ok := forwardErrors[message.Error]
+	if !ok {
+		sentinel = errForwardBroken
+	}
+	return nil, fmt.Errorf("peer daemon: %s: %w", message.Detail, sentinel)
+}
+
+// Read implements io.Reader.
+func (b *forwardedBody) Read(buffer []byte) (int, error) {
+	for len(b.unread) == 0 {
+		if b.ended {
+			return 0, io.EOF
+		}
+		message, err := b.receive()
+		if err != nil {
+			return 0, fmt.Errorf("read forwarded response: %w", err)
+		}
+		b.unread, b.ended = message.Data, message.End
+	}
+	n := copy(buffer, b.unread)
+	b.unread = b.unread[n:]
+	return n, nil
+}
+
+// Close implements io.Closer. It ends the request if the response is not complete.
+func (b *forwardedBody) Close() error {
+	b.cancel()
+	// The error is that of the cancellation.
+	_ = b.stream.Close()
+	return nil
+}
--- a/wire/store.go
+++ b/wire/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -83,27 +84,38 @@
 }
 
 // PeerClients holds the clients of other daemons. It implements gypsum.PeerStores,
-// gypsum.PeerPermits and gypsum.PeerOrigins.
+// gypsum.PeerPermits, gypsum.PeerOrigins and gypsum.PeerReplicas.
 type PeerClients struct {
-	httpClient *http.Client
+	// ForwardMemory limits the total size of the requests that are being forwarded to other
+	// daemons. It must be set before ReplicasVia is used.
+	ForwardMemory gypsum.Bytes
 
-	mu      sync.Mutex
-	stores  map[string]*peerStore
-	permits map[string]*peerPermits
-	origins map[string]*peerOrigins
+	httpClient *http.Client
+	// forwardBytes is the size of the requests that are being forwarded.
+	forwardBytes atomic.Int64
+
+	mu       sync.Mutex
+	stores   map[string]*peerStore
+	permits  map[string]*peerPermits
+	origins  map[string]*peerOrigins
+	replicas map[string]*peerReplicas
 }
 
 // peerIdleConnTimeout is how long an idle connection to another daemon is kept. Calls to
 // other daemons are rare and come in bursts of seconds.
 const peerIdleConnTimeout = 10 * time.Second
 
+// peerIdleConns is the number of idle connections to another daemon. All live requests of a host
+// may be forwarded to one.
+const peerIdleConns = 16
+
 // NewPeerClients returns an empty set of clients, and a function that closes their idle
 // connections.
 func NewPeerClients() (peers *PeerClients, cleanup func()) {
-	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: 4}
+	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: peerIdleConns}
 	return &PeerClients{
 		httpClient: &http.Client{Transport: transport}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
-		origins: make(map[string]*peerOrigins),
+		origins: make(map[string]*peerOrigins), replicas: make(map[string]*peerReplicas),
 	}, transport.CloseIdleConnections
 }
 
