A holder releases a service whose engines only other hosts reach

Cause: a holder is replaced only when its heartbeats in the store stop; one that reaches the store but no engine keeps the service, and a host that reaches none may claim it. Class: liveness judged by one dependency while the work needs another. While engines still send events on open connections, the service is kept: a new holder must not send load orders for the lease time.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -217,7 +217,7 @@
 	d.runner = runner.New()
 	d.runner.Host, d.runner.Incarnation, d.runner.Batches, d.runner.Engines = d.Settings.Host, d.incarnation, d.batches, backends
 	d.runner.Registry, d.runner.Logger = d.registry, d.Logger
-	d.runner.Relay, d.runner.Limiter = d.relay, d.limiter
+	d.runner.Relay, d.runner.Limiter, d.runner.Reach = d.relay, d.limiter, d.reach
 	d.runner.Lease, d.runner.ResultRetention = d.Settings.LeaseDuration, d.Settings.StatusRetention
 	d.runner.CPUShare = d.Settings.CPUShare
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -65,6 +65,7 @@
 	LoadOrders       int64            `json:"orders"`
 	Claims           int64            `json:"claims"`
 	Takeovers        int64            `json:"takeovers"`
+	Releases         int64            `json:"releases_out_of_reach"`
 	DecisionRounds   int64            `json:"decision_rounds"`
 	DecisionMS       int64            `json:"decision_ms"`
 }
@@ -109,7 +110,7 @@
 			ServerErrors: runnerStats.RewardServerErrors.Load(), TimedOut: runnerStats.RewardTimeouts.Load(), Broken: runnerStats.RewardsBroken.Load(),
 			WaitMS: time.Duration(runnerStats.RewardWait.Load()).Milliseconds(),
 		},
-		LoadOrders: runnerStats.LoadOrders.Load(), Claims: runnerStats.Claims.Load(), Takeovers: runnerStats.Takeovers.Load(),
+		LoadOrders: runnerStats.LoadOrders.Load(), Claims: runnerStats.Claims.Load(), Takeovers: runnerStats.Takeovers.Load(), Releases: runnerStats.UnreachableReleases.Load(),
 		DecisionRounds: runnerStats.Rounds.Load(), DecisionMS: time.Duration(runnerStats.RoundTime.Load()).Milliseconds(),
 	}
 	if snapshot.Config != nil {
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -140,6 +140,9 @@
 	if gotEvent {
 		a.waitingSince = now
 	}
+	if !gotEvent && (errors.Is(cause, errAttemptStalled) || errors.Is(err, gypsum.ErrNotSent)) {
+		s.runner.Reach.RecordFailure(s.service, a.startedAt)
+	}
 	s.runner.Logger.Info("attempt ended early", "batch", a.batch.header.ID, "item", a.request.ID, "replica", e.replica.ID,
 		"events", last, "error", err, "cause", cause)
 	switch {
@@ -201,7 +204,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, ioTimeout)
 		defer cancel()
-		if s.runner.Engines.AcceptsConnections(ctx, replica) || ctx.Err() != nil {
+		if s.runner.Engines.AcceptsConnections(ctx, replica) || ctx.Err() != nil || !s.runner.Reach.ConfirmDown(ctx, replica) {
 			return
 		}
 		s.runner.postUpdate(s.ctx, func() {
@@ -241,17 +244,27 @@
 	}()
 }
 
+// silentFor returns how long no engine has sent an event.
+func (s *heldService) silentFor(now time.Time) time.Duration {
+	since := time.Unix(0, s.lastEvent.Load())
+	if s.heldSince.After(since) {
+		since = s.heldSince
+	}
+	return now.Sub(since)
+}
+
 // observeSilence notices when all engines with attempts become silent, and when one sends an event
 // again. oldestStart is the start of the oldest attempt, zero if there is none.
 func (s *heldService) observeSilence(oldestStart, now time.Time) {
-	silentSince := time.Unix(0, s.lastEvent.Load())
-	if oldestStart.After(silentSince) {
-		silentSince = oldestStart
+	s.runner.Reach.RecordResponse(s.service, time.Unix(0, s.lastEvent.Load()))
+	silentFor := min(s.silentFor(now), now.Sub(oldestStart))
+	silent := !oldestStart.IsZero() && silentFor >= silenceNoticeTime
+	if silent {
+		s.runner.Reach.RecordFailure(s.service, now)
 	}
-	silent := !oldestStart.IsZero() && now.Sub(silentSince) >= silenceNoticeTime
 	if silent != s.silent {
 		s.silent = silent
-		s.runner.Logger.Warn("engines became silent or responsive", "service", s.service, "silent", silent, "silent_ms", now.Sub(silentSince).Milliseconds())
+		s.runner.Logger.Warn("engines became silent or responsive", "service", s.service, "silent", silent, "silent_ms", silentFor.Milliseconds())
 	}
 }
 
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -134,6 +134,11 @@
 	defer r.postUpdate(ctx, func() { delete(r.pendingClaims, service) })
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	if !r.Reach.CanConnect(ctx, service) {
+		r.Logger.Warn("service not claimed: its engines are out of reach", "service", service, "term", term+1)
+		waitForRetry(ctx)
+		return
+	}
 	err := r.Batches.Follower.CatchUp(ctx)
 	if err == nil {
 		holder, lastHeartbeat, _ := r.Batches.State.Holder(service)
@@ -146,6 +151,34 @@
 	}
 }
 
+// unreachableRetryDelay is the delay after a claim that was not made since the engines are out
+// of reach.
+const unreachableRetryDelay = 500 * time.Millisecond
+
+// waitForRetry waits for unreachableRetryDelay, or until ctx ends.
+func waitForRetry(ctx context.Context) {
+	timer := time.NewTimer(unreachableRetryDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// releaseUnreachable releases the services whose engines only other hosts reach. While engines
+// still send events on open connections, the service is kept: a new holder has to wait before
+// it may send load orders.
+func (r *Runner) releaseUnreachable(ctx context.Context, now time.Time) {
+	for service, held := range r.heldServices {
+		if detour := r.Reach.Detour(service); detour != nil && held.silentFor(now) >= silenceNoticeTime {
+			r.Logger.Warn("releasing service: its engines are out of reach", "service", service, "reached_by", detour.Host,
+				"silent_ms", held.silentFor(now).Milliseconds())
+			r.Stats.UnreachableReleases.Add(1)
+			r.releaseService(ctx, service, held)
+		}
+	}
+}
+
 // releaseToStrongHosts releases the services of a daemon on a weak host if one on a strong host
 // is known, which then claims first. The delay between two such releases of a service
 // doubles each time, so that they become rare while no such daemon takes over.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/limit"
+	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 )
@@ -68,6 +69,8 @@
 	// Limiter keeps the requests to each engine within the rate that it accepts. The holder
 	// of a service is the keeper of its engines.
 	Limiter *limit.Limiter
+	// Reach knows whether this host reaches the engines.
+	Reach *reach.Tracker
 	// StoreUnavailable reports whether the store does not respond.
 	StoreUnavailable func() bool
 	// CPUShare is the host's share of a CPU core.
@@ -110,6 +113,8 @@
 	LoadOrders       atomic.Int64
 	Claims           atomic.Int64
 	Takeovers        atomic.Int64
+	// UnreachableReleases counts the services released because their engines were out of reach.
+	UnreachableReleases atomic.Int64
 	// RewardCalls counts the reward calls sent, RewardResponses those that gave a score. The
 	// others were rejected, answered with a server error, not answered in time, or broken
 	// off or answered otherwise.
@@ -271,6 +276,7 @@
 		}
 		held.runRound(snapshot, batches[service], now)
 	}
+	r.releaseUnreachable(ctx, now)
 	r.releaseToStrongHosts(ctx, now)
 	r.sendHeartbeat(ctx, now)
 	r.cleanStore(ctx, now)
