Requests through another host: a replica's fault does not count against that host

Cause: any attempt without a response counted against the other daemon. Now it says whether it did not accept a request or the replica failed; a timeout only makes the next check ask it again.

--- a/errors.go
+++ b/errors.go
@@ -116,6 +116,9 @@
 	ErrStaleFencingToken = errors.New("stale fencing token")
 	// ErrNotSent marks a failure before the first byte of the request was sent.
 	ErrNotSent = errors.New("request not sent")
+	// ErrPeerFailed is returned when a request did not get through another daemon: that one did
+	// not accept it, or the connection to it broke.
+	ErrPeerFailed = errors.New("other daemon failed")
 	// ErrResponseMismatch is returned when a response belongs to another request.
 	ErrResponseMismatch = errors.New("response to another request")
 	// ErrIncompleteResponse is returned when a response ended early or has a gap.
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -25,6 +25,7 @@
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
+	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/store"
@@ -40,13 +41,17 @@
 	recordStore *fake.KeyedStore
 	origins     *origin.Tracker
 	peerOrigins *fake.PeerOrigins
-	replicas    []*mimic.Replica
-	addresses   []string // of the replicas
+	hosts       *hostList
+	reach       *reach.Tracker
+	// closeInternal ends the connections of other hosts.
+	closeInternal func()
+	replicas      []*mimic.Replica
+	addresses     []string // of the replicas
 }
 
 // newTestServer starts a frontend with replicaCount replicas. It has no configuration yet.
 func newTestServer(t *testing.T, replicaCount int) *testServer {
-	s := startHost(t, "host-1", fake.NewKeyedStore(), &fake.PeerOrigins{})
+	s := startHost(t, "host-1", fake.NewKeyedStore(), &fake.PeerOrigins{}, &hostList{})
 	for i := range replicaCount {
 		replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("r-", i+1)), ServiceTime: time.Millisecond}
 		backend := httptest.NewServer(replica.Handler())
@@ -59,7 +64,7 @@
 
 // startPeer starts another host with the same replicas.
 func (s *testServer) startPeer(name gypsum.HostID) *testServer {
-	peer := startHost(s.t, name, s.recordStore, s.peerOrigins)
+	peer := startHost(s.t, name, s.recordStore, s.peerOrigins, s.hosts)
 	peer.replicas, peer.addresses = s.replicas, s.addresses
 	peer.registerReplicas()
 	peer.applyConfig()
@@ -76,9 +81,9 @@
 }
 
 // startHost starts a frontend without replicas and configuration.
-func startHost(t *testing.T, name gypsum.HostID, recordStore *fake.KeyedStore, peerOrigins *fake.PeerOrigins) *testServer {
+func startHost(t *testing.T, name gypsum.HostID, recordStore *fake.KeyedStore, peerOrigins *fake.PeerOrigins, hosts *hostList) *testServer {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil)).With("host", name)
-	s := &testServer{t: t, recordStore: recordStore, peerOrigins: peerOrigins, registry: state.NewRegistry(logger)}
+	s := &testServer{t: t, recordStore: recordStore, peerOrigins: peerOrigins, hosts: hosts, registry: state.NewRegistry(logger)}
 	rateLimits := limit.NewTable(logger)
 	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits, 8<<20)
 	t.Cleanup(closeBackends)
@@ -120,6 +125,10 @@
 	liveRelay := relay.New()
 	liveRelay.Limiter, liveRelay.Origins = limiter, s.origins
 	liveRelay.Transport, liveRelay.Crashes, liveRelay.Registry, liveRelay.Logger = backends, manager, s.registry, logger
+	s.startReach(name, backends, logger)
+	start(s.reach.Run)
+	liveRelay.Reach = s.reach
+	liveRelay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(s.reach.Peers.ReplicasVia(address)) }
 	start(liveRelay.Run)
 	s.frontend = &front.Server{
 		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger,
@@ -225,7 +234,10 @@
 
 // TestReplicaFaults checks the response to an idempotent and to a non-idempotent request
 // for each fault of a replica, and that a non-idempotent request never runs twice.
-func TestReplicaFaults(t *testing.T) {
+func TestReplicaFaults(t *testing.T) { testReplicaFaults(t, newTestServer) }
+
+// testReplicaFaults checks the responses to requests at a server with a number of replicas.
+func testReplicaFaults(t *testing.T, newServer func(*testing.T, int) *testServer) {
 	for _, row := range []struct {
 		fault mimic.Fault
 		// allReplicas means that all replicas have the fault.
@@ -247,7 +259,7 @@
 	} {
 		t.Run(fmt.Sprint(row.fault, row.allReplicas), func(t *testing.T) {
 			is := is.New(t)
-			s := newTestServer(t, 2)
+			s := newServer(t, 2)
 			s.applyConfig()
 			s.replicas[0].SetFault(row.fault)
 			if row.allReplicas {
@@ -259,7 +271,7 @@
 			is.Equal(status, row.idempotent)
 			is.True(status != http.StatusServiceUnavailable || (header.Get("Retry-After") != "" && s.executionCount("i1") == 0))
 			if !row.allReplicas {
-				s = newTestServer(t, 2)
+				s = newServer(t, 2)
 				s.applyConfig()
 				s.replicas[0].SetFault(row.fault)
 				s.preferFirstReplica()
@@ -294,13 +306,13 @@
 // replica. The response of a stream has not begun yet.
 func TestClientCancels(t *testing.T) {
 	for _, target := range []string{"/i/a", "/i/stream/a"} {
-		t.Run(target, func(t *testing.T) { testClientCancels(t, target) })
+		t.Run(target, func(t *testing.T) { testClientCancels(t, target, newTestServer) })
 	}
 }
 
-func testClientCancels(t *testing.T, target string) {
+func testClientCancels(t *testing.T, target string, newServer func(*testing.T, int) *testServer) {
 	is := is.New(t)
-	s := newTestServer(t, 2)
+	s := newServer(t, 2)
 	s.applyConfig()
 	s.preferFirstReplica()
 	s.replicas[0].SetFault(mimic.FaultSilent)
--- a/reach/forward.go
+++ b/reach/forward.go
@@ -15,12 +15,13 @@
 // maxForwarding is the number of requests of other daemons that a daemon forwards at one time.
 const maxForwarding = 256
 
-// Reasons for which a request of another daemon is not accepted.
+// Reasons for which a request of another daemon is not accepted. Another host may accept those
+// that wrap gypsum.ErrPeerFailed.
 var (
-	errStopping      = errors.New("daemon is stopping")
 	errNotRegistered = errors.New("replica is not ready here")
-	errOutOfReach    = errors.New("service is out of reach")
-	errTooMany       = errors.New("too many forwarded requests")
+	errStopping      = fmt.Errorf("%w: it is stopping", gypsum.ErrPeerFailed)
+	errOutOfReach    = fmt.Errorf("%w: service is out of reach there", gypsum.ErrPeerFailed)
+	errTooMany       = fmt.Errorf("%w: too many forwarded requests", gypsum.ErrPeerFailed)
 )
 
 // Forward implements gypsum.RemoteReplicas for other daemons. Their requests keep to what this
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -26,9 +26,10 @@
 	widenDelay = 80 * time.Millisecond
 	// maxProbes is the number of replicas that one check probes.
 	maxProbes = 3
-	// checkInterval is the least time between two checks of a service, also of one that is out
-	// of reach.
-	checkInterval = 500 * time.Millisecond
+	// minCheckInterval is the least time between two checks of a service that is in reach,
+	// checkInterval the time between those of one that is not.
+	minCheckInterval = 100 * time.Millisecond
+	checkInterval    = 500 * time.Millisecond
 	// evidenceTime is how long a response shows that a service is in reach.
 	evidenceTime = time.Second
 	// peersPerDistance is the number of daemons at each distance that one check asks.
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -113,7 +113,11 @@
 // queueCheck queues a check of a service unless one is in progress or was started a short time
 // ago. The caller holds mu.
 func (t *Tracker) queueCheck(service gypsum.ServiceName, s *serviceReach, now time.Time) {
-	if s.checked != nil || now.Sub(s.lastCheck) < checkInterval {
+	interval := checkInterval
+	if s.unreachableSince.IsZero() {
+		interval = minCheckInterval
+	}
+	if s.checked != nil || now.Sub(s.lastCheck) < interval {
 		return
 	}
 	select {
@@ -152,9 +156,10 @@
 	}
 }
 
-// RecordDetourTimeout records that a request through another daemon got no response in time. The
-// replica may have been slow, so that a check asks the daemon again.
-func (t *Tracker) RecordDetourTimeout(service gypsum.ServiceName, host gypsum.HostID) {
+// DoubtDetour records that a request through another daemon got no connection or no response in
+// time. The replica may be at fault, so that a check asks the daemon whether it still reaches the
+// service.
+func (t *Tracker) DoubtDetour(service gypsum.ServiceName, host gypsum.HostID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.service(service); s.detour != nil && s.detour.Host == host {
@@ -281,6 +286,9 @@
 	defer cancel()
 	start := time.Now()
 	replicas := t.sample(service)
+	if len(replicas) == 0 {
+		return VerdictReachable, nil
+	}
 	probes := make(chan bool, len(replicas))
 	first := replicas[:min(1, len(replicas))]
 	t.probe(ctx, first, probes)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -338,10 +338,10 @@
 	responded := (response != nil && !errors.Is(err, errStreamIdleTimeout) && !errors.Is(err, context.DeadlineExceeded)) || errors.Is(err, gypsum.ErrNotRun) || errors.Is(err, gypsum.ErrResponseMismatch) || errors.Is(err, gypsum.ErrIncompleteResponse)
 	switch {
 	case !responded && ctx.Err() != nil:
-	case candidate.Via != nil && errors.Is(err, context.DeadlineExceeded):
-		r.Reach.RecordDetourTimeout(request.Service, candidate.Via.Host)
-	case candidate.Via != nil && !responded:
+	case candidate.Via != nil && errors.Is(err, gypsum.ErrPeerFailed) && !errors.Is(err, context.DeadlineExceeded):
 		r.Reach.RecordDetourFailure(request.Service, candidate.Via.Host)
+	case candidate.Via != nil && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gypsum.ErrNotSent)):
+		r.Reach.DoubtDetour(request.Service, candidate.Via.Host)
 	case candidate.Via != nil:
 	case responded:
 		r.Reach.RecordResponse(request.Service, time.Now())
--- a/remote.go
+++ b/remote.go
@@ -39,8 +39,9 @@
 	// Reaches reports whether that daemon can connect to the replicas of a query.
 	Reaches(ctx context.Context, query ReachQuery) (bool, error)
 	// Forward sends a request to a replica. It returns ErrNotSent if no byte was sent to the
-	// replica and ErrResponseMismatch for a response to another request. After any other error
-	// the replica may have run the request.
+	// replica, ErrPeerFailed if that daemon did not accept the request or did not respond, and
+	// ErrResponseMismatch for a response to another request. After an error that is not
+	// ErrNotSent the replica may have run the request.
 	Forward(ctx context.Context, request *ForwardedRequest) (*ForwardedResponse, error)
 }
 
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -38,22 +38,29 @@
 
 // The codes of errors.
 const (
-	forwardNotSent  forwardErrorCode = "not_sent"
-	forwardMismatch forwardErrorCode = "mismatch"
-	forwardBroken   forwardErrorCode = "broken"
+	forwardNotSent     forwardErrorCode = "not_sent"
+	forwardNotAccepted forwardErrorCode = "not_accepted"
+	forwardMismatch    forwardErrorCode = "mismatch"
+	forwardBroken      forwardErrorCode = "broken"
 )
 
-// errForwardBroken is the error of a response that broke off at the other daemon.
-var errForwardBroken = errors.New("response broke off")
+var (
+	// errForwardBroken is the error of a response that broke off at the other daemon.
+	errForwardBroken = errors.New("response broke off")
+	// errNotAccepted is the error of a request that the other daemon did not accept.
+	errNotAccepted = fmt.Errorf("%w: %w", gypsum.ErrPeerFailed, gypsum.ErrNotSent)
+)
 
 // forwardErrors are the errors of forwarded requests by their codes.
 var forwardErrors = map[forwardErrorCode]error{
-	forwardNotSent: gypsum.ErrNotSent, forwardMismatch: gypsum.ErrResponseMismatch, forwardBroken: errForwardBroken,
+	forwardNotSent: gypsum.ErrNotSent, forwardNotAccepted: errNotAccepted, forwardMismatch: gypsum.ErrResponseMismatch, forwardBroken: errForwardBroken,
 }
 
 // forwardErrorCodeOf returns the code of an error.
 func forwardErrorCodeOf(err error) forwardErrorCode {
 	switch {
+	case errors.Is(err, gypsum.ErrPeerFailed):
+		return forwardNotAccepted
 	case errors.Is(err, gypsum.ErrNotSent):
 		return forwardNotSent
 	case errors.Is(err, gypsum.ErrResponseMismatch):
@@ -157,10 +164,10 @@
 	response, err := t.RoundTripper.RoundTrip(single)
 	switch {
 	case err != nil && !connected:
-		return nil, fmt.Errorf("connect to peer daemon: %w: %w", gypsum.ErrNotSent, err)
+		return nil, fmt.Errorf("connect to peer daemon: %w: %w", errNotAccepted, err)
 	case err == nil && response.Header.Get(notAcceptedHeader) != "":
 		_ = response.Body.Close()
-		return nil, fmt.Errorf("forwarded request not accepted: %w", gypsum.ErrNotSent)
+		return nil, fmt.Errorf("no memory left there: %w", errNotAccepted)
 	}
 	return response, err
 }
@@ -210,7 +217,7 @@
 	stream, err := p.forward.CallServerStream(ctx, connect.NewRequest(request))
 	if err != nil {
 		cancel()
-		return nil, fmt.Errorf("forward request through a peer daemon: %w", err)
+		return nil, fmt.Errorf("forward request through a peer daemon: %w: %w", gypsum.ErrPeerFailed, err)
 	}
 	body := &forwardedBody{stream: stream, cancel: cancel}
 	first, err := body.receive()
@@ -232,10 +239,7 @@
 // receive returns the next part of the response, or the error of the other daemon.
 func (b *forwardedBody) receive() (*forwardMessage, error) {
 	if !b.stream.Receive() {
-		if err := b.stream.Err(); err != nil {
-			return nil, err
-		}
-		return nil, errForwardBroken
+		return nil, fmt.Errorf("%w: response ended early: %w", gypsum.ErrPeerFailed, b.stream.Err())
 	}
 	message := b.stream.Msg()
 	if message.Error == "" {
