Tests of the path to services and of requests through other hosts; a deadline ends them at the first host

front.TestReplicaFaultsOnDetour failed once in five runs: a silent replica gave 502, not 504. Cause: both daemons gave the request up at its deadline, and the other one's error, a broken response, came first.

--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/platform"
@@ -192,6 +193,9 @@
 	s.replicas[0].SetLeaving(true)
 	status, _, _ := s.sendRequest("POST", "/i/a", "first", "x")
 	is.Equal(status, http.StatusOK)
+	for _, server := range []*testServer{s, peer} {
+		is.Equal(server.registry.Current().Replicas["r-1"].State, gypsum.ReplicaDraining)
+	}
 	for i, server := range []*testServer{s, peer, s, peer} {
 		id := fmt.Sprint("later-", i)
 		status, _, _ = server.sendRequest("POST", "/i/a", id, "x")
@@ -255,6 +259,29 @@
 		is.True(err != nil)
 		is.Equal(len(s.replicas[0].ExecutedRequests()), 0)
 	}
+	s.replicas[0].ServiceTime = 300 * time.Millisecond
+	results := make(chan error, 4)
+	for i := range 4 {
+		go func() {
+			request := &gypsum.ForwardedRequest{
+				Replica: "r-1", Method: "POST", Target: "/i/a", Header: http.Header{platform.HeaderRequestID: {fmt.Sprint("q", i)}}, Body: make([]byte, forwardMemory/3),
+			}
+			response, err := peers.ReplicasVia(s.hosts.list()[1].Address).Forward(t.Context(), request)
+			if err == nil {
+				err = response.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	refused := 0
+	for range 4 {
+		if err := <-results; err != nil {
+			is.True(errors.Is(err, gypsum.ErrNotSent) || errors.Is(err, gypsum.ErrPeerFailed))
+			refused++
+		}
+	}
+	is.True(refused >= 2) // together they exceed the memory
+	is.True(len(s.replicas[0].ExecutedRequests()) <= 2)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	request := &gypsum.ForwardedRequest{ID: "small", Replica: "r-1", Method: "POST", Target: "/i/a", Header: http.Header{}, Body: []byte("x")}
@@ -281,3 +308,20 @@
 		is.True(body == streamText(id, "v1", 1) || body == streamText(id, "v2", 1))
 	}
 }
+
+// TestCutIsNotACrash guards against requests that are refused everywhere because the connections of
+// their replicas broke while the path to them was cut, which looks like a crash from one host.
+func TestCutIsNotACrash(t *testing.T) {
+	is := is.New(t)
+	s, peer := newCutOffPair(t, 2)
+	for i := range 6 {
+		// The connection breaks after the request was sent, and new ones are refused.
+		s.replicas[i%2].SetFault(mimic.FaultReset)
+		status, _, _ := s.sendRequest("POST", "/i/a", fmt.Sprint("q", i), "same")
+		is.Equal(status, http.StatusOK) // the other replica answers
+		s.replicas[i%2].SetFault("")
+		time.Sleep(50 * time.Millisecond) // the probe of the replica ends
+	}
+	status, _, _ := peer.sendRequest("POST", "/i/a", "last", "same")
+	is.Equal(status, http.StatusOK)
+}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -63,6 +63,8 @@
 	// detour is the daemon through which requests go while the service is out of reach, nil if
 	// none is known.
 	detour *gypsum.Peer
+	// checkAgain means that the result of the check in progress will be outdated.
+	checkAgain bool
 	// doubted means that the daemon has to confirm that it still reaches the service.
 	doubted bool
 }
@@ -180,6 +182,7 @@
 		return
 	}
 	s.detour, s.lastCheck = nil, time.Time{}
+	s.checkAgain = s.checked != nil
 	t.queueCheck(service, s, now)
 }
 
@@ -256,6 +259,10 @@
 	}
 	close(s.checked)
 	s.checked = nil
+	if s.checkAgain && ctx.Err() == nil {
+		s.checkAgain, s.lastCheck = false, time.Time{}
+		t.queueCheck(service, s, time.Now())
+	}
 	t.mu.Unlock()
 	if ctx.Err() != nil {
 		return
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/proxy"
+	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/runner"
 	"github.com/gypsumhook/gypsum/state"
@@ -46,6 +47,8 @@
 	daemons []*testDaemon
 	// useProxies lets daemons that cannot reach the store use it through others.
 	useProxies bool
+	// trackers are the trackers of daemons that know which engines they reach, by address.
+	trackers map[string]*reach.Tracker
 	// proxies are the stores that daemons serve to others, by address.
 	proxies map[string]gypsum.KeyedStore
 }
@@ -53,10 +56,13 @@
 // StoreVia implements gypsum.PeerStores.
 func (d *deployment) StoreVia(address string) gypsum.KeyedStore { return d.proxies[address] }
 
+// ReplicasVia implements gypsum.PeerReplicas.
+func (d *deployment) ReplicasVia(address string) gypsum.RemoteReplicas { return d.trackers[address] }
+
 // peers returns all daemons of the deployment.
 func (d *deployment) peers() []gypsum.Peer {
 	var peers []gypsum.Peer
-	for name := range d.proxies {
+	for name := range d.trackers {
 		peers = append(peers, gypsum.Peer{Host: gypsum.HostID(name), Address: name})
 	}
 	return peers
@@ -69,6 +75,7 @@
 	runner        *runner.Runner
 	registry      *state.Registry
 	direct        *fake.StoreClient // the direct connection to the store
+	link          *fake.EngineLink  // the path to the engines
 	follower      *store.Follower
 	kill          context.CancelFunc
 	goroutines    int
@@ -82,7 +89,7 @@
 
 // startDeployment starts the daemons of d, one per CPU share.
 func startDeployment(d *deployment, shares []float64) *deployment {
-	d.proxies = make(map[string]gypsum.KeyedStore)
+	d.proxies, d.trackers = make(map[string]gypsum.KeyedStore), make(map[string]*reach.Tracker)
 	d.store.Latency = 5 * time.Millisecond
 	if d.rewards == nil {
 		d.rewards = fake.NewRewardService(rewardService, 3, 6, 200*time.Millisecond)
@@ -163,7 +170,13 @@
 	daemon.startGoroutine(ctx, rewardRelay.Run)
 	daemon.runner.Relay = rewardRelay
 	daemon.runner.Host, daemon.runner.Incarnation, daemon.runner.Batches = gypsum.HostID(name), incarnation, daemon.batches
-	daemon.runner.Engines = &fake.LimitedEngines{EngineTransport: d.engines, Limits: &d.limits, Observer: rateLimits}
+	daemon.link = &fake.EngineLink{EngineTransport: &fake.LimitedEngines{EngineTransport: d.engines, Limits: &d.limits, Observer: rateLimits}}
+	daemon.runner.Engines = daemon.link
+	tracker := reach.NewTracker()
+	tracker.Self, tracker.Registry, tracker.Prober, tracker.Peers, tracker.Logger = gypsum.HostID(name), daemon.registry, daemon.link, d, logger
+	tracker.ListPeers, tracker.Stopping = d.peers, func() bool { return false }
+	d.trackers[name], daemon.runner.Reach = tracker, tracker
+	daemon.startGoroutine(ctx, tracker.Run)
 	daemon.runner.Registry, daemon.runner.CPUShare, daemon.runner.Lease = daemon.registry, share, testLease
 	daemon.runner.StoreUnavailable = func() bool { _, unavailable := daemon.follower.LastResponse(); return unavailable }
 	daemon.runner.Logger = logger
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -213,23 +214,58 @@
 	if p.peers.forwardBytes.Add(size) > int64(p.peers.ForwardMemory) {
 		return nil, fmt.Errorf("no memory left to forward a request of %d bytes: %w", size, gypsum.ErrNotSent)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := p.forward.CallServerStream(ctx, connect.NewRequest(request))
+	callCtx, cancel := withLaterDeadline(ctx)
+	stream, err := p.forward.CallServerStream(callCtx, connect.NewRequest(request))
 	if err != nil {
 		cancel()
-		return nil, fmt.Errorf("forward request through a peer daemon: %w: %w", gypsum.ErrPeerFailed, err)
+		return nil, forwardError(ctx, fmt.Errorf("%w: %w", gypsum.ErrPeerFailed, err))
 	}
-	body := &forwardedBody{stream: stream, cancel: cancel}
+	body := &forwardedBody{ctx: ctx, stream: stream, cancel: cancel}
 	first, err := body.receive()
 	if err != nil {
 		_ = body.Close()
-		return nil, fmt.Errorf("forward request through a peer daemon: %w", err)
+		return nil, forwardError(ctx, err)
 	}
 	return &gypsum.ForwardedResponse{Status: first.Status, Header: first.Header, Body: body}, nil
 }
 
+// forwardDeadlineSlack is how much later than this daemon another one gives a request up, which
+// otherwise ends with the connection. A request that both give up at once would look as if the
+// replica had broken off its response.
+const forwardDeadlineSlack = 250 * time.Millisecond
+
+// withLaterDeadline returns a context that ends with ctx and whose deadline, which is transmitted,
+// is later by forwardDeadlineSlack.
+func withLaterDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	later, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	cancelAll := func() {
+		stop()
+		cancel()
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return later, cancelAll
+	}
+	later, cancelDeadline := context.WithDeadline(later, deadline.Add(forwardDeadlineSlack))
+	return later, func() {
+		cancelDeadline()
+		cancelAll()
+	}
+}
+
+// forwardError adds the cause to the error of a request whose context has ended.
+func forwardError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("forward request through a peer daemon: %w: %w", ctx.Err(), err)
+	}
+	return fmt.Errorf("forward request through a peer daemon: %w", err)
+}
+
 // forwardedBody is the body of a forwarded response.
 type forwardedBody struct {
+	// ctx is that of the caller.
+	ctx    context.Context
 	stream *connect.ServerStreamForClient[forwardMessage]
 	cancel context.CancelFunc
 	unread []byte
@@ -260,7 +296,7 @@
 		}
 		message, err := b.receive()
 		if err != nil {
-			return 0, fmt.Errorf("read forwarded response: %w", err)
+			return 0, forwardError(b.ctx, err)
 		}
 		b.unread, b.ended = message.Data, message.End
 	}
