Checks of a path ask more hosts with each miss, leave out silent ones, and stay rare while a service is down

Load pattern: nine of ten hosts of 60 are cut off at once (four checks of two hosts at each distance miss the others more often than not); records of hosts that are gone; a service down everywhere on 780 hosts, each of which asks others. Tests replay the patterns (reach.TestMorePeersAreAsked, TestServiceDownEverywhere).

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -32,8 +32,12 @@
 	checkInterval    = 500 * time.Millisecond
 	// evidenceTime is how long a response shows that a service is in reach.
 	evidenceTime = time.Second
-	// peersPerDistance is the number of daemons at each distance that one check asks.
-	peersPerDistance = 2
+	// peersPerDistance is the number of daemons at each distance that a check asks. It doubles
+	// with each check that finds no path, maxWidenings times. Then the service is taken to be down:
+	// few daemons are asked again, and downCheckInterval is the time between checks.
+	peersPerDistance  = 2
+	maxWidenings      = 3
+	downCheckInterval = time.Second
 	// peerCooldown is how long a daemon through which a request failed is not used.
 	peerCooldown = 2 * time.Second
 )
@@ -80,8 +84,13 @@
 
 // PeersToAsk returns the daemons that one check asks: some at each distance, since all hosts of a
 // data centre may be cut off together. Hosts that are cut off at the same moment, and later
-// checks of the same host, ask different ones.
-func PeersToAsk(peers []gypsum.Peer, self gypsum.HostID, local gypsum.Location, check int64) []gypsum.Peer {
+// checks of the same host, ask different ones. misses is the number of checks before that found
+// no path: hosts ask more daemons if most hosts are cut off, and few while a service is down.
+func PeersToAsk(peers []gypsum.Peer, self gypsum.HostID, local gypsum.Location, check int64, misses int) []gypsum.Peer {
+	perDistance := peersPerDistance
+	if misses <= maxWidenings {
+		perDistance <<= misses
+	}
 	seed := string(self) + "/" + strconv.FormatInt(check, 10)
 	sorted := slices.DeleteFunc(slices.Clone(peers), func(peer gypsum.Peer) bool { return peer.Host == self })
 	slices.SortFunc(sorted, func(a, b gypsum.Peer) int {
@@ -94,6 +103,6 @@
 	return slices.DeleteFunc(sorted, func(peer gypsum.Peer) bool {
 		distance := peer.Location.DistanceTo(local)
 		chosen[distance]++
-		return chosen[distance] > peersPerDistance
+		return chosen[distance] > perDistance
 	})
 }
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	asked := make(map[gypsum.HostID]int)
 	for check := range int64(40) {
-		peers := reach.PeersToAsk(testPeers(), "a0", gypsum.Location{DataCentre: "a", Region: "r"}, check)
+		peers := reach.PeersToAsk(testPeers(), "a0", gypsum.Location{DataCentre: "a", Region: "r"}, check, 0)
 		is.Equal(len(peers), 6)
 		var centres []gypsum.DataCentre
 		for _, peer := range peers {
@@ -74,6 +74,26 @@
 	}
 }
 
+// TestMorePeersAreAsked replays a cut of nine of ten hosts of 60: a host that finds no path asks more
+// hosts with each check and has found one within four.
+func TestMorePeersAreAsked(t *testing.T) {
+	is := is.New(t)
+	var peers []gypsum.Peer
+	for i := range 60 {
+		location := gypsum.Location{DataCentre: gypsum.DataCentre([]string{"a", "b", "c"}[i%3]), Region: "r"}
+		peers = append(peers, gypsum.Peer{Host: gypsum.HostID(fmt.Sprint("host-", i)), Location: location})
+	}
+	for self := range 54 { // the last six are not cut off
+		found := false
+		for check := range 4 {
+			asked := reach.PeersToAsk(peers, peers[self].Host, peers[self].Location, int64(check), check)
+			is.True(len(asked) <= 32)
+			found = found || slices.ContainsFunc(asked, func(peer gypsum.Peer) bool { return slices.Contains(peers[54:], peer) })
+		}
+		is.True(found)
+	}
+}
+
 // testNetwork is the network between hosts and replicas.
 type testNetwork struct {
 	mu sync.Mutex
@@ -249,7 +269,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		probes, questions := n.counts("a0")
-		is.True(probes <= 3*12) // a check each 0.5 s
+		is.True(probes <= 3*12) // a check each 0.5 s at most
 		is.True(questions <= 6*12)
 		is.True(n.trackers["a0"].ConfirmDown(t.Context(), &gypsum.Replica{ID: "r-1", Service: "desk"}))
 	})
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -58,6 +58,8 @@
 	// checked is closed when the check in progress ends, nil if there is none.
 	checked chan struct{}
 	checks  int64
+	// misses is the number of checks since the last one that found a path.
+	misses int
 	// unreachableSince is zero while the service is in reach.
 	unreachableSince time.Time
 	// detour is the daemon through which requests go while the service is out of reach, nil if
@@ -116,8 +118,11 @@
 // ago. The caller holds mu.
 func (t *Tracker) queueCheck(service gypsum.ServiceName, s *serviceReach, now time.Time) {
 	interval := checkInterval
-	if s.unreachableSince.IsZero() {
+	switch {
+	case s.unreachableSince.IsZero():
 		interval = minCheckInterval
+	case s.misses > maxWidenings:
+		interval = downCheckInterval
 	}
 	if s.checked != nil || now.Sub(s.lastCheck) < interval {
 		return
@@ -234,16 +239,20 @@
 	t.Stats.Checks.Add(1)
 	t.mu.Lock()
 	s := t.service(service)
-	number, inUse, known := s.checks, s.detour, s.detour
+	number, misses, inUse, known := s.checks, s.misses, s.detour, s.detour
 	var doubted *gypsum.Peer
 	if s.doubted {
 		known, doubted, s.doubted = nil, s.detour, false
 	}
 	t.mu.Unlock()
-	verdict, detour := t.findPath(ctx, service, number, known, doubted)
+	verdict, detour := t.findPath(ctx, service, t.peersToAsk(number, misses, doubted), known)
 	t.mu.Lock()
 	wasReachable := s.unreachableSince.IsZero()
 	since := s.unreachableSince
+	s.misses++
+	if verdict != VerdictNoPath {
+		s.misses = 0
+	}
 	switch {
 	case ctx.Err() != nil:
 	case verdict == VerdictReachable:
@@ -286,9 +295,9 @@
 }
 
 // findPath probes a replica of a service and, unless that succeeds at once, other replicas, and asks
-// other daemons. It returns the daemon to use for VerdictDetour: the known one if there is one.
-// doubted is a daemon to ask in any case, nil for none.
-func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, number int64, known, doubted *gypsum.Peer) (Verdict, *gypsum.Peer) {
+// other daemons if none is known. It returns the daemon to use for VerdictDetour: the known one
+// if there is one.
+func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, peers []gypsum.Peer, known *gypsum.Peer) (Verdict, *gypsum.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	start := time.Now()
@@ -310,9 +319,8 @@
 		if !widened && (len(replicas)-evidence.ProbesPending == len(first) || time.Since(start) >= widenDelay) && !evidence.Connected {
 			widened = true
 			t.probe(ctx, replicas[len(first):], probes)
-			var peers []gypsum.Peer
-			if known == nil {
-				peers = t.availablePeers(number, doubted)
+			if known != nil {
+				peers = nil
 			}
 			answers, evidence.PeersPending = t.askPeers(ctx, peers, gypsum.ReachQuery{Service: service}), len(peers)
 		}
@@ -358,15 +366,14 @@
 	}
 }
 
-// availablePeers returns the daemons that a check asks, among them the doubted one unless it is
-// nil.
-func (t *Tracker) availablePeers(number int64, doubted *gypsum.Peer) []gypsum.Peer {
+// peersToAsk returns the daemons that a check asks, among them the doubted one unless it is nil.
+func (t *Tracker) peersToAsk(number int64, misses int, doubted *gypsum.Peer) []gypsum.Peer {
 	now := time.Now()
 	peers := slices.Clone(t.ListPeers())
 	t.mu.Lock()
 	peers = slices.DeleteFunc(peers, func(peer gypsum.Peer) bool { return now.Before(t.cooldowns[peer.Host]) })
 	t.mu.Unlock()
-	peers = PeersToAsk(peers, t.Self, t.Location, number)
+	peers = PeersToAsk(peers, t.Self, t.Location, number, misses)
 	if doubted != nil && !slices.ContainsFunc(peers, func(peer gypsum.Peer) bool { return peer.Host == doubted.Host }) {
 		peers = append(peers, *doubted)
 	}
@@ -380,16 +387,27 @@
 	for _, peer := range peers {
 		go func() {
 			reaches, err := t.Peers.ReplicasVia(peer.Address).Reaches(ctx, query)
-			if err != nil || !reaches {
+			switch {
+			case err != nil && ctx.Err() == nil:
+				t.startCooldown(peer.Host)
 				answers <- nil
-				return
+			case err != nil || !reaches:
+				answers <- nil
+			default:
+				answers <- &peer
 			}
-			answers <- &peer
 		}()
 	}
 	return answers
 }
 
+// startCooldown excludes a daemon that did not answer from checks for a while.
+func (t *Tracker) startCooldown(host gypsum.HostID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cooldowns[host] = time.Now().Add(peerCooldown)
+}
+
 // CanConnect reports whether this host reaches a service: a replica has responded a short time
 // ago or accepts a connection now. It is true for a service without replicas.
 func (t *Tracker) CanConnect(ctx context.Context, service gypsum.ServiceName) bool {
@@ -439,7 +457,7 @@
 		reaches bool
 		err     error
 	}
-	peers := t.availablePeers(0, nil)
+	peers := t.peersToAsk(0, 0, nil)
 	answers := make(chan answer, len(peers))
 	for _, peer := range peers {
 		go func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,6 +96,7 @@
 	env.store.SetFault(0)
 	for _, daemon := range env.daemons {
 		daemon.storeProxy.setFault(proxyForward)
+		daemon.cutOff(linkUp)
 		daemon.signal(syscall.SIGCONT)
 		env.waitReady(daemon)
 	}
@@ -109,7 +110,8 @@
 	responseFault := []mimic.Fault{
 		mimic.FaultMismatch, mimic.FaultTruncated, mimic.FaultReset, mimic.FaultUnsigned, mimic.FaultFull, mimic.FaultError, mimic.FaultSilent, mimic.FaultWrongReplica,
 	}[rng.IntN(8)]
-	kind := rng.IntN(10)
+	cut := linkFaults[rng.IntN(len(linkFaults))]
+	kind := rng.IntN(12)
 	if kind <= 2 && !daemon.faultActive.CompareAndSwap(false, true) {
 		kind = 3 // a process has one fault at a time
 	}
@@ -128,6 +130,8 @@
 		}
 	case 2:
 		return func() { daemon.signal(syscall.SIGTERM) }, restart
+	case 10, 11:
+		return func() { daemon.cutOff(cut) }, func() { daemon.cutOff(linkUp) }
 	case 3, 4:
 		return func() { daemon.storeProxy.setFault(linkFault) }, func() { daemon.storeProxy.setFault(proxyForward) }
 	case 5:
