A request without a response waits for the check before its next attempt

Load pattern: few requests a host, kept connections, a cut without resets. A request that may be repeated waits up to 250 ms for the check that its attempt has started; a replica that was only slow costs a round trip.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -85,8 +85,10 @@
 	sentAttempts int
 	mayHaveRun   bool
 	lastReason   gypsum.Reason
-	// lastUnconnected means that the last attempt got no connection.
+	// lastUnconnected means that the last attempt got no connection, lastUnanswered that it got
+	// no response in time.
 	lastUnconnected bool
+	lastUnanswered  bool
 	// permitWait is the shortest time until a replica that limits its request rate accepts
 	// the request, 0 if none was tried.
 	permitWait time.Duration
@@ -297,17 +299,31 @@
 // trip between regions and a busy host.
 const detourTime = 150 * time.Millisecond
 
-// maxDetourWait bounds the wait of a request, which no replica has accepted a connection for, for
-// the check whether another host reaches the service.
-const maxDetourWait = 700 * time.Millisecond
+// Bounds of the wait for the check whether another host reaches a service.
+const (
+	// maxDetourWait applies to a request for which no replica has accepted a connection.
+	maxDetourWait = 700 * time.Millisecond
+	// maxUnansweredWait applies to a request that got no response in time. The next attempt could
+	// be its last and use an open connection that is cut off as well. If the replica was only
+	// slow, the check takes a round trip.
+	maxUnansweredWait = 250 * time.Millisecond
+)
 
-// awaitDetour waits for the check of the request's service if an attempt has failed to connect and
-// no other host is known that reaches the service.
+// awaitDetour waits for the check of the request's service if the last attempt got no connection or
+// no response and no other host is known that reaches the service.
 func (r *Relay) awaitDetour(ctx context.Context, request *Request) {
-	if !request.lastUnconnected || r.Reach.Detour(request.Service) != nil {
+	maxWait := time.Duration(0)
+	switch {
+	case r.Reach.Detour(request.Service) != nil:
+	case request.lastUnconnected:
+		maxWait = maxDetourWait
+	case request.lastUnanswered && request.Route.Retryable():
+		maxWait = maxUnansweredWait
+	}
+	if maxWait == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxDetourWait, time.Until(request.Deadline)/2))
+	ctx, cancel := context.WithTimeout(ctx, min(maxWait, time.Until(request.Deadline)/2))
 	defer cancel()
 	r.Reach.AwaitCheck(ctx, request.Service)
 }
@@ -354,6 +370,7 @@
 // broke, it queues a probe of the replica.
 func (r *Relay) recordAttempt(request *Request, replica *gypsum.Replica, err error) {
 	request.lastUnconnected = errors.Is(err, gypsum.ErrNotSent)
+	request.lastUnanswered = errors.Is(err, context.DeadlineExceeded)
 	if !request.lastUnconnected {
 		request.reached[replica.ID] = true
 	}
