--- a/reach/reach.go
+++ b/reach/reach.go
@@ -3,7 +3,7 @@
 package reach
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -92,17 +92,16 @@
 		perDistance <<= misses
 	}
 	seed := string(self) + "/" + strconv.FormatInt(check, 10)
-	sorted := slices.DeleteFunc(slices.Clone(peers), func(peer gypsum.Peer) bool { return peer.Host == self })
-	slices.SortFunc(sorted, func(a, b gypsum.Peer) int {
-		return cmp.Or(
-			cmp.Compare(a.Location.DistanceTo(local), b.Location.DistanceTo(local)),
-			cmp.Compare(gypsum.RendezvousScore(seed, string(a.Host)), gypsum.RendezvousScore(seed, string(b.Host))),
-		)
-	})
-	chosen := make(map[gypsum.Distance]int)
-	return slices.DeleteFunc(sorted, func(peer gypsum.Peer) bool {
-		distance := peer.Location.DistanceTo(local)
-		chosen[distance]++
-		return chosen[distance] > perDistance
-	})
+	byDistance := make(map[gypsum.Distance][]gypsum.Peer)
+	for _, peer := range peers {
+		if peer.Host != self {
+			distance := peer.Location.DistanceTo(local)
+			byDistance[distance] = append(byDistance[distance], peer)
+		}
+	}
+	var chosen []gypsum.Peer
+	for _, distance := range slices.Sorted(maps.Keys(byDistance)) {
+		chosen = append(chosen, gypsum.RendezvousPeers(seed, byDistance[distance], perDistance)...)
+	}
+	return chosen
 }
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -245,7 +245,7 @@
 		known, doubted, s.doubted = nil, s.detour, false
 	}
 	t.mu.Unlock()
-	verdict, detour := t.findPath(ctx, service, t.peersToAsk(number, misses, doubted), known)
+	verdict, detour := t.findPath(ctx, service, func() []gypsum.Peer { return t.peersToAsk(number, misses, doubted) }, known)
 	t.mu.Lock()
 	wasReachable := s.unreachableSince.IsZero()
 	since := s.unreachableSince
@@ -297,7 +297,7 @@
 // findPath probes a replica of a service and, unless that succeeds at once, other replicas, and asks
 // other daemons if none is known. It returns the daemon to use for VerdictDetour: the known one
 // if there is one.
-func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, peers []gypsum.Peer, known *gypsum.Peer) (Verdict, *gypsum.Peer) {
+func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, choosePeers func() []gypsum.Peer, known *gypsum.Peer) (Verdict, *gypsum.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	start := time.Now()
@@ -319,8 +319,9 @@
 		if !widened && (len(replicas)-evidence.ProbesPending == len(first) || time.Since(start) >= widenDelay) && !evidence.Connected {
 			widened = true
 			t.probe(ctx, replicas[len(first):], probes)
-			if known != nil {
-				peers = nil
+			var peers []gypsum.Peer
+			if known == nil {
+				peers = choosePeers()
 			}
 			answers, evidence.PeersPending = t.askPeers(ctx, peers, gypsum.ReachQuery{Service: service}), len(peers)
 		}
