--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -59,7 +59,13 @@
 	for path, handler := range wire.ReplicaHandler(s.reach, forwardMemory) {
 		internal.Handle(path, handler)
 	}
-	server := httptest.NewServer(internal)
+	server := httptest.NewUnstartedServer(internal)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.internalConns.Add(1)
+		}
+	}
+	server.Start()
 	s.closeInternal = server.CloseClientConnections
 	s.t.Cleanup(server.Close)
 	s.hosts.add(gypsum.Peer{Host: name, Address: strings.TrimPrefix(server.URL, "http://")})
@@ -245,6 +251,18 @@
 	is.True(budget > 0 && budget <= 1500)
 }
 
+// TestConnectionsOnDetour checks that requests one after the other use one connection between the hosts.
+func TestConnectionsOnDetour(t *testing.T) {
+	is := is.New(t)
+	s, peer := newCutOffPair(t, 2)
+	before := peer.internalConns.Load() // that of the question whether the service is in reach
+	for i := range 10 {
+		status, _, _ := s.sendRequest("POST", "/i/a", fmt.Sprint("q", i), "x")
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(peer.internalConns.Load()-before <= 1)
+}
+
 // TestMemoryOnDetour checks that requests beyond the memory for forwarding are refused as not run,
 // at the first host and at the other one.
 func TestMemoryOnDetour(t *testing.T) {
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -45,6 +45,8 @@
 	reach       *reach.Tracker
 	// closeInternal ends the connections of other hosts.
 	closeInternal func()
+	// internalConns is the number of connections that other hosts have opened.
+	internalConns atomic.Int64
 	replicas      []*mimic.Replica
 	addresses     []string // of the replicas
 }
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -299,6 +299,10 @@
 			return 0, forwardError(b.ctx, err)
 		}
 		b.unread, b.ended = message.Data, message.End
+		if b.ended {
+			// The connection can be used again once the end of the stream has been read.
+			_ = b.stream.Receive()
+		}
 	}
 	n := copy(buffer, b.unread)
 	b.unread = b.unread[n:]
