Crashes: hosts that reach no other replica cannot tell; several crashed replicas do not hide a crash

Cause: a failed connection of a host says nothing about a replica unless that host reaches others. Only hosts that connect to another replica, of any service, are asked for their verdict now, up to 12 are tried; the loss of the host in between is no sign of a crash.

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -30,6 +30,9 @@
 	// checkInterval the time between those of one that is not.
 	minCheckInterval = 100 * time.Millisecond
 	checkInterval    = 500 * time.Millisecond
+	// maxOtherProbes is the number of other replicas that are probed when one may have crashed.
+	// Several may have crashed at the same time.
+	maxOtherProbes = 12
 	// evidenceTime is how long a response shows that a service is in reach.
 	evidenceTime = time.Second
 	// peersPerDistance is the number of daemons at each distance that a check asks. It doubles
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -254,9 +254,14 @@
 // connects reports whether a replica of a service accepts a connection of this host now, or the
 // service has none.
 func (t *Tracker) connects(ctx context.Context, service gypsum.ServiceName) bool {
+	replicas := t.sample(service)
+	return len(replicas) == 0 || t.anyAccepts(ctx, replicas)
+}
+
+// anyAccepts reports whether one of several replicas accepts a connection.
+func (t *Tracker) anyAccepts(ctx context.Context, replicas []*gypsum.Replica) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	replicas := t.sample(service)
 	probes := make(chan bool, len(replicas))
 	t.probe(ctx, replicas, probes)
 	for range replicas {
@@ -264,12 +269,12 @@
 			return true
 		}
 	}
-	return len(replicas) == 0
+	return false
 }
 
 // ConfirmDown reports whether a replica that accepts no connection of this host accepts none of
-// other hosts either, so that the path to it is not at fault. Without an answer of another host,
-// a replica counts as down while this host reaches others of its service.
+// other hosts either, so that the path to it is not at fault. Only hosts that reach other replicas,
+// of any service, can tell. Without an answer of one of them, it is up to this host.
 func (t *Tracker) ConfirmDown(ctx context.Context, replica *gypsum.Replica) bool {
 	if t == nil {
 		return true
@@ -297,7 +302,21 @@
 		}
 		denied = denied || received.err == nil
 	}
-	return denied || t.CanConnect(ctx, replica.Service)
+	return denied || t.reachesOthers(ctx, replica)
+}
+
+// reachesOthers reports whether this host can connect to a replica other than the given one.
+func (t *Tracker) reachesOthers(ctx context.Context, except *gypsum.Replica) bool {
+	var others []*gypsum.Replica
+	for _, replica := range t.Registry.Current().Replicas { // in random order
+		if replica.ID != except.ID && replica.State == gypsum.ReplicaReady {
+			others = append(others, replica)
+		}
+		if len(others) == maxOtherProbes {
+			break
+		}
+	}
+	return t.anyAccepts(ctx, others)
 }
 
 // Reaches implements gypsum.RemoteReplicas for other daemons.
@@ -313,5 +332,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return t.Prober.AcceptsConnections(ctx, replica), nil
+	othersReached := make(chan bool, 1)
+	go func() { othersReached <- t.reachesOthers(ctx, replica) }()
+	switch {
+	case t.Prober.AcceptsConnections(ctx, replica):
+		return true, nil
+	case !<-othersReached:
+		return false, errOutOfReach
+	}
+	return false, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -385,7 +385,7 @@
 		request.mayHaveRun = true
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
-			!errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse)
+			!errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
 		if connectionBroke && !request.isReward {
 			r.queueProbe(request, replica)
 		}
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -134,7 +134,7 @@
 
 // Bounds of the probes of replicas whose connection broke.
 const (
-	probeTimeout = time.Second
+	probeTimeout = 1500 * time.Millisecond
 	// maxQueuedProbes is the length of the probe queue: one probe for each replica of a
 	// large service.
 	maxQueuedProbes = 64
@@ -174,7 +174,8 @@
 func (r *Relay) checkCrash(ctx context.Context, probe crashProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if r.Transport.AcceptsConnections(ctx, probe.replica) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
+	outOfReach := r.Reach.Detour(probe.replica.Service) != nil
+	if (!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
 		return
 	}
 	err := r.Crashes.RecordCrash(ctx, probe.fingerprint, probe.replica.ID)
