A host in between that is lost is replaced without waiting for this host's own connections

The request went on with direct attempts, 0.4 s each, and failed with 502 after 1 s; the check waited 0.2 s for connections that were known to be silent. Now the check ends with the first host that connects, and a request that lost its host waits for it (reach.TestDetourFails: 50 ms at most, red before).

--- a/reach/check.go
+++ b/reach/check.go
@@ -14,13 +14,13 @@
 	t.Stats.Checks.Add(1)
 	t.mu.Lock()
 	s := t.service(service)
-	number, misses, inUse := s.checks, s.misses, s.detour
+	number, misses, inUse, outOfReach := s.checks, s.misses, s.detour, !s.unreachableSince.IsZero()
 	confirmed, doubted := s.detour, (*gypsum.Peer)(nil)
 	if s.doubted {
 		confirmed, doubted, s.doubted = nil, s.detour, false
 	}
 	t.mu.Unlock()
-	verdict, detour := t.findPath(ctx, service, func() []gypsum.Peer { return t.peersToAsk(number, misses, doubted) }, confirmed)
+	verdict, detour := t.findPath(ctx, service, func() []gypsum.Peer { return t.peersToAsk(number, misses, doubted) }, confirmed, outOfReach)
 	unreachableSince := t.recordVerdict(ctx, service, verdict, inUse, detour)
 	if ctx.Err() == nil {
 		t.logVerdict(service, verdict, unreachableSince, inUse, detour)
@@ -79,8 +79,8 @@
 
 // findPath probes a replica of a service and, unless that succeeds at once, other replicas, and asks
 // other daemons if none is known. It returns the daemon to use for VerdictDetour: the known one
-// if there is one.
-func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, choosePeers func() []gypsum.Peer, known *gypsum.Peer) (Verdict, *gypsum.Peer) {
+// if there is one. outOfReach means that the service was out of reach before.
+func (t *Tracker) findPath(ctx context.Context, service gypsum.ServiceName, choosePeers func() []gypsum.Peer, known *gypsum.Peer, outOfReach bool) (Verdict, *gypsum.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	start := time.Now()
@@ -95,11 +95,12 @@
 	defer widen.Stop()
 	defer silent.Stop()
 	// The questions count as one pending one until they are sent.
-	evidence := Evidence{ProbesPending: len(replicas), PeersPending: 1, PeerReaches: known != nil}
+	evidence := Evidence{ProbesPending: len(replicas), PeersPending: 1, PeerReaches: known != nil, OutOfReach: outOfReach && known == nil}
 	detour, widened := known, false
 	var answers <-chan *gypsum.Peer
 	for {
-		if !widened && (len(replicas)-evidence.ProbesPending == len(first) || time.Since(start) >= widenDelay) && !evidence.Connected {
+		firstFailed := len(replicas)-evidence.ProbesPending == len(first) && !evidence.Connected
+		if !widened && (firstFailed || evidence.OutOfReach || time.Since(start) >= widenDelay) {
 			widened = true
 			t.probe(ctx, replicas[len(first):], probes)
 			var peers []gypsum.Peer
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -66,7 +66,9 @@
 	PeersPending  int
 	// PeerReaches means that another host reaches the service.
 	PeerReaches bool
-	Elapsed     time.Duration
+	// OutOfReach means that the service was out of reach before, and that no other host is in use.
+	OutOfReach bool
+	Elapsed    time.Duration
 }
 
 // Decide returns the verdict on a check. Replicas that are down refuse or ignore connections just
@@ -77,7 +79,7 @@
 	switch {
 	case e.Connected:
 		return VerdictReachable
-	case e.PeerReaches && (e.ProbesPending == 0 || e.Elapsed >= silentTime):
+	case e.PeerReaches && (e.ProbesPending == 0 || e.Elapsed >= silentTime || e.OutOfReach):
 		return VerdictDetour
 	case e.ProbesPending == 0 && e.PeersPending == 0:
 		return VerdictNoPath
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -34,6 +34,7 @@
 		{"refused everywhere", reach.Evidence{}, reach.VerdictNoPath},
 		{"silent for a moment, another host connects", reach.Evidence{ProbesPending: 3, PeerReaches: true, Elapsed: 70 * time.Millisecond}, reach.VerdictUndecided},
 		{"silent for long, another host connects", reach.Evidence{ProbesPending: 3, PeerReaches: true, Elapsed: 250 * time.Millisecond}, reach.VerdictDetour},
+		{"silent for a moment, but out of reach before", reach.Evidence{ProbesPending: 3, PeerReaches: true, OutOfReach: true}, reach.VerdictDetour},
 		{"silent here and for others", reach.Evidence{ProbesPending: 3, Elapsed: 250 * time.Millisecond}, reach.VerdictUndecided},
 	} {
 		t.Run(row.name, func(t *testing.T) { is.New(t).Equal(reach.Decide(row.evidence), row.verdict) })
@@ -300,6 +301,16 @@
 		tracker.AwaitCheck(t.Context(), "desk")
 		second := tracker.Detour("desk")
 		is.True(second != nil && second.Host != first.Host)
+		// Silent connections do not delay the choice of the next host.
+		time.Sleep(time.Second)
+		n.set(func() { n.silent["a0"] = true })
+		failedAt := time.Now()
+		tracker.RecordDetourFailure("desk", second.Host)
+		for tracker.Detour("desk") == nil {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(time.Since(failedAt) < 50*time.Millisecond)
+		second = tracker.Detour("desk")
 		time.Sleep(time.Second)
 		n.set(func() { n.refused[second.Host] = true })
 		tracker.DoubtDetour("desk", second.Host)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -86,7 +86,7 @@
 	mayHaveRun   bool
 	lastReason   gypsum.Reason
 	// lastUnconnected means that the last attempt got no connection, lastUnanswered that it got
-	// no response in time.
+	// no response in time or did not get through another host.
 	lastUnconnected bool
 	lastUnanswered  bool
 	// permitWait is the shortest time until a replica that limits its request rate accepts
@@ -370,7 +370,7 @@
 // broke, it queues a probe of the replica.
 func (r *Relay) recordAttempt(request *Request, replica *gypsum.Replica, err error) {
 	request.lastUnconnected = errors.Is(err, gypsum.ErrNotSent)
-	request.lastUnanswered = errors.Is(err, context.DeadlineExceeded)
+	request.lastUnanswered = errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gypsum.ErrPeerFailed)
 	if !request.lastUnconnected {
 		request.reached[replica.ID] = true
 	}
