--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -95,7 +95,7 @@
 	first := true
 	go func() {
 		err := s.runner.Engines.GenerateItem(ctx, attempt, func(event gypsum.StreamEvent) error {
-			s.lastEvent.Store(time.Now().UnixNano())
+			s.lastEvent.Store(int64(time.Since(s.heldSince)))
 			err := a.progress.appendEvent(event, e, attempt.Replica.Software, &a.batch.versions)
 			if first && err == nil {
 				first = false
@@ -244,19 +244,21 @@
 	}()
 }
 
-// silentFor returns how long no engine has sent an event.
-func (s *heldService) silentFor(now time.Time) time.Duration {
-	since := time.Unix(0, s.lastEvent.Load())
-	if s.heldSince.After(since) {
-		since = s.heldSince
-	}
-	return now.Sub(since)
+// lastEventTime returns the time of the newest event of any engine, or that at which the service
+// was acquired.
+func (s *heldService) lastEventTime() time.Time {
+	return s.heldSince.Add(time.Duration(s.lastEvent.Load()))
 }
 
+// silentFor returns how long no engine has sent an event.
+func (s *heldService) silentFor(now time.Time) time.Duration { return now.Sub(s.lastEventTime()) }
+
 // observeSilence notices when all engines with attempts become silent, and when one sends an event
 // again. oldestStart is the start of the oldest attempt, zero if there is none.
 func (s *heldService) observeSilence(oldestStart, now time.Time) {
-	s.runner.Reach.RecordResponse(s.service, time.Unix(0, s.lastEvent.Load()))
+	if s.lastEvent.Load() > 0 {
+		s.runner.Reach.RecordResponse(s.service, s.lastEventTime())
+	}
 	silentFor := min(s.silentFor(now), now.Sub(oldestStart))
 	silent := !oldestStart.IsZero() && silentFor >= silenceNoticeTime
 	if silent {
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -70,8 +70,9 @@
 	// startTime is the moving average of the time from the start of an attempt to its first
 	// event.
 	startTime time.Duration
-	// lastEvent is the time of the newest event of any engine, in Unix nanoseconds. It is
-	// shared with the goroutines of attempts.
+	// lastEvent is the time of the newest event of any engine, as a duration since heldSince: a
+	// Unix time would jump with the host's time of day. It is shared with the goroutines of
+	// attempts.
 	lastEvent atomic.Int64
 	// silent means that no engine has sent an event for silenceNoticeTime.
 	silent bool
