--- a/reach/check.go
+++ b/reach/check.go
@@ -15,12 +15,12 @@
 	t.mu.Lock()
 	s := t.service(service)
 	number, misses, inUse, outOfReach := s.checks, s.misses, s.detour, !s.unreachableSince.IsZero()
-	confirmed, doubted := s.detour, (*gypsum.Peer)(nil)
-	if s.doubted {
-		confirmed, doubted, s.doubted = nil, s.detour, false
+	confirmed, unconfirmed := s.detour, (*gypsum.Peer)(nil)
+	if s.unconfirmed {
+		confirmed, unconfirmed, s.unconfirmed = nil, s.detour, false
 	}
 	t.mu.Unlock()
-	verdict, detour := t.findPath(ctx, service, func() []gypsum.Peer { return t.peersToAsk(number, misses, doubted) }, confirmed, outOfReach)
+	verdict, detour := t.findPath(ctx, service, func() []gypsum.Peer { return t.peersToAsk(number, misses, unconfirmed) }, confirmed, outOfReach)
 	unreachableSince := t.recordVerdict(ctx, service, verdict, inUse, detour)
 	if ctx.Err() == nil {
 		t.logVerdict(service, verdict, unreachableSince, inUse, detour)
@@ -151,16 +151,16 @@
 	}
 }
 
-// peersToAsk returns the daemons that a check asks, among them the doubted one unless it is nil.
-func (t *Tracker) peersToAsk(number int64, misses int, doubted *gypsum.Peer) []gypsum.Peer {
+// peersToAsk returns the daemons that a check asks, among them the unconfirmed one unless it is nil.
+func (t *Tracker) peersToAsk(number int64, misses int, unconfirmed *gypsum.Peer) []gypsum.Peer {
 	now := time.Now()
 	peers := slices.Clone(t.ListPeers())
 	t.mu.Lock()
 	peers = slices.DeleteFunc(peers, func(peer gypsum.Peer) bool { return now.Before(t.cooldowns[peer.Host]) })
 	t.mu.Unlock()
 	peers = PeersToAsk(peers, t.Self, t.Location, number, misses)
-	if doubted != nil && !slices.ContainsFunc(peers, func(peer gypsum.Peer) bool { return peer.Host == doubted.Host }) {
-		peers = append(peers, *doubted)
+	if unconfirmed != nil && !slices.ContainsFunc(peers, func(peer gypsum.Peer) bool { return peer.Host == unconfirmed.Host }) {
+		peers = append(peers, *unconfirmed)
 	}
 	return peers
 }
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -293,7 +293,7 @@
 		is.True(first != nil)
 		tracker := n.trackers["a0"]
 		time.Sleep(time.Second)
-		tracker.DoubtDetour("desk", first.Host)
+		tracker.RecheckDetour("desk", first.Host)
 		tracker.AwaitCheck(t.Context(), "desk")
 		is.True(tracker.Detour("desk") != nil)
 		first = tracker.Detour("desk")
@@ -313,7 +313,7 @@
 		second = tracker.Detour("desk")
 		time.Sleep(time.Second)
 		n.set(func() { n.refused[second.Host] = true })
-		tracker.DoubtDetour("desk", second.Host)
+		tracker.RecheckDetour("desk", second.Host)
 		time.Sleep(time.Second) // at the next check
 		third := tracker.Detour("desk")
 		is.True(third != nil && third.Host != second.Host)
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -65,8 +65,8 @@
 	detour *gypsum.Peer
 	// checkAgain means that the result of the check in progress will be outdated.
 	checkAgain bool
-	// doubted means that the daemon has to confirm that it still reaches the service.
-	doubted bool
+	// unconfirmed means that the daemon has to confirm that it still reaches the service.
+	unconfirmed bool
 }
 
 // maxQueuedChecks is the capacity of the queue of checks.
@@ -161,14 +161,14 @@
 	}
 }
 
-// DoubtDetour records that a request through another daemon got no connection or no response in
+// RecheckDetour records that a request through another daemon got no connection or no response in
 // time. The replica may be at fault, so that a check asks the daemon whether it still reaches the
 // service.
-func (t *Tracker) DoubtDetour(service gypsum.ServiceName, host gypsum.HostID) {
+func (t *Tracker) RecheckDetour(service gypsum.ServiceName, host gypsum.HostID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.service(service); s.detour != nil && s.detour.Host == host {
-		s.doubted = true
+		s.unconfirmed = true
 		t.queueCheck(service, s, time.Now())
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -357,7 +357,7 @@
 	case candidate.Via != nil && errors.Is(err, gypsum.ErrPeerFailed) && !errors.Is(err, context.DeadlineExceeded):
 		r.Reach.RecordDetourFailure(request.Service, candidate.Via.Host)
 	case candidate.Via != nil && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gypsum.ErrNotSent)):
-		r.Reach.DoubtDetour(request.Service, candidate.Via.Host)
+		r.Reach.RecheckDetour(request.Service, candidate.Via.Host)
 	case candidate.Via != nil:
 	case responded:
 		r.Reach.RecordResponse(request.Service, time.Now())
