A path that comes back for all hosts at once makes no host choose another one

Cause: since the change of the host in between, a check of a service that was out of reach ended with the first answer.

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -67,6 +67,7 @@
 	// PeerReaches means that another host reaches the service.
 	PeerReaches bool
 	// OutOfReach means that the service was out of reach before, and that no other host is in use.
+	// The path may have come back for all hosts at the same moment.
 	OutOfReach bool
 	Elapsed    time.Duration
 }
@@ -79,7 +80,7 @@
 	switch {
 	case e.Connected:
 		return VerdictReachable
-	case e.PeerReaches && (e.ProbesPending == 0 || e.Elapsed >= silentTime || e.OutOfReach):
+	case e.PeerReaches && (e.ProbesPending == 0 || e.Elapsed >= silentTime || (e.OutOfReach && e.Elapsed >= widenDelay)):
 		return VerdictDetour
 	case e.ProbesPending == 0 && e.PeersPending == 0:
 		return VerdictNoPath
