reach: the first probe of a check needs no slice of its own

A check returns early without replicas, so that its first probe is always that of the first replica. The same behaviour; lint and the tests of reach (with -race), runner, relay and front are green.

--- a/reach/check.go
+++ b/reach/check.go
@@ -89,8 +89,7 @@
 		return VerdictReachable, nil
 	}
 	probes := make(chan bool, len(replicas))
-	first := replicas[:min(1, len(replicas))]
-	t.probe(ctx, first, probes)
+	t.probe(ctx, replicas[:1], probes)
 	widen, silent := time.NewTimer(widenDelay), time.NewTimer(silentTime)
 	defer widen.Stop()
 	defer silent.Stop()
@@ -99,10 +98,10 @@
 	detour, widened := known, false
 	var answers <-chan *gypsum.Peer
 	for {
-		firstFailed := len(replicas)-evidence.ProbesPending == len(first) && !evidence.Connected
+		firstFailed := evidence.ProbesPending < len(replicas) && !evidence.Connected
 		if !widened && (firstFailed || evidence.OutOfReach || time.Since(start) >= widenDelay) {
 			widened = true
-			t.probe(ctx, replicas[len(first):], probes)
+			t.probe(ctx, replicas[1:], probes)
 			var peers []gypsum.Peer
 			if known == nil {
 				peers = choosePeers()
