--- a/batch.go
+++ b/batch.go
@@ -41,7 +41,9 @@
 
 // Batch is a set of requests that are submitted together and run later.
 type Batch struct {
-	ID         BatchID
+	ID BatchID
+	// Account is the client account that the batch belongs to, empty for none.
+	Account    AccountName
 	Route      string
 	HostName   string
 	Service    ServiceName
--- a/live.go
+++ b/live.go
@@ -14,6 +14,8 @@
 	HostName string
 	Header   http.Header
 	Body     []byte
+	// Account is the client account of the request, empty for none.
+	Account AccountName
 }
 
 // LiveResponse is a replica's complete response.
--- a/routing.go
+++ b/routing.go
@@ -33,7 +33,9 @@
 	Timeout       time.Duration
 	LatencyTarget time.Duration
 	// Priority is the priority of the route, 0 being the highest.
-	Priority        int
+	Priority int
+	// NoAuth means that requests of the route need no API key.
+	NoAuth          bool
 	MaxAttempts     int
 	Services        []WeightedService
 	SessionAffinity bool
--- a/store.go
+++ b/store.go
@@ -48,6 +48,9 @@
 	// that retention has kept.
 	Next  Offset
 	First Offset
+	// Age is how long before the return the read behind the page was sent to the store, at most.
+	// Records that the store accepted earlier are in the page or before it.
+	Age time.Duration
 }
 
 // LatestPage is a page of the latest records of the keys of a partition.
@@ -73,6 +76,9 @@
 var (
 	// ErrStoreRefused is returned when the store refused the call without executing it.
 	ErrStoreRefused = errors.New("store refused the call")
+	// ErrStoreRateLimited is returned when all daemons together made too many calls. It was not
+	// executed, and the error says nothing about the path to the store.
+	ErrStoreRateLimited = errors.New("store limited the rate of calls")
 	// ErrStoreUnknown is returned when a call got no response. It may have been executed.
 	ErrStoreUnknown = errors.New("no response from the store")
 	// ErrStoreFenced is returned for an append with a lower epoch than the producer's newest.
