--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -119,6 +119,8 @@
 	storeProxy                      *proxy
 	// links are the paths to the replicas, by their IDs.
 	links map[string]*replicaLink
+	// binary is the path of the executable of the next start.
+	binary string
 
 	// faultActive is set while the process has a fault.
 	faultActive atomic.Bool
@@ -127,9 +129,14 @@
 	cmd *exec.Cmd
 }
 
-// newTestEnv starts the stand-ins, the replicas and the given number of daemons, and
-// waits until the daemons are ready.
+// newTestEnv starts the stand-ins, the replicas and the given number of daemons of the current
+// build, and waits until the daemons are ready.
 func newTestEnv(t *testing.T, daemons int) *testEnv {
+	return newTestEnvOfBuild(t, daemons, daemonBinary)
+}
+
+// newTestEnvOfBuild is newTestEnv with daemons that run the executable at a path.
+func newTestEnvOfBuild(t *testing.T, daemons int, binary string) *testEnv {
 	env := &testEnv{t: t, store: fake.NewKeyedStore(), settingsDir: t.TempDir()}
 	env.store.Latency = 2 * time.Millisecond
 	env.engines = fake.NewBatchEngines(engineCount, engineSlots, eventInterval, model)
@@ -154,7 +161,7 @@
 	for i := range daemons {
 		daemon := &daemonProcess{
 			name: fmt.Sprint("host-", i+1), dataCentre: "genova", region: "liguria", frontPort: freePort(t), readyPort: freePort(t), innerPort: freePort(t),
-			links: make(map[string]*replicaLink),
+			links: make(map[string]*replicaLink), binary: binary,
 		}
 		for _, replica := range env.replicas {
 			daemon.links[string(replica.ID)] = newReplicaLink(t, replica.address)
@@ -287,7 +294,7 @@
 		env.t.Error(err)
 		return
 	}
-	cmd := exec.Command(daemonBinary, "edge")
+	cmd := exec.Command(daemon.binary, "edge")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	logFile, err := os.OpenFile(env.logPath(daemon), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,8 +47,20 @@
 // runSeed runs the workload and the faults of one seed.
 func runSeed(t *testing.T, seed uint64) {
 	env := newTestEnv(t, *daemonCount)
-	load := newWorkload(env)
-	ctx, cancel := context.WithCancel(t.Context())
+	load, stop := startWorkload(t.Context(), env, seed)
+	limitRates(env, rand.New(rand.NewPCG(seed, 30)))
+	injectFaults(env, rand.New(rand.NewPCG(seed, 20)))
+	time.Sleep(2 * time.Second)
+	stop()
+	checkOutcomes(env, load)
+	t.Logf("streams %d, taken up again %d of %d; calls %d, served %d, non-idempotent calls refused %d; batches %d, attempts of items %d, load orders %d",
+		load.streams, load.resumedStreams, load.brokenStreams, load.calls, load.served, len(load.refusedIDs), len(load.batches), len(env.engines.Attempts()), len(env.engines.LoadOrders()))
+}
+
+// startWorkload starts the workload of a seed. The returned function stops it and waits for its end.
+func startWorkload(ctx context.Context, env *testEnv, seed uint64) (load *workload, stop func()) {
+	load = newWorkload(env)
+	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	for i := range 3 {
 		name, rng := fmt.Sprint("live", i), rand.New(rand.NewPCG(seed, uint64(i)))
@@ -59,14 +71,10 @@
 		wg.Go(func() { load.runStreams(ctx, name, rng) })
 	}
 	wg.Go(func() { load.runTrainer(ctx, "train", rand.New(rand.NewPCG(seed, 10))) })
-	limitRates(env, rand.New(rand.NewPCG(seed, 30)))
-	injectFaults(env, rand.New(rand.NewPCG(seed, 20)))
-	time.Sleep(2 * time.Second)
-	cancel()
-	wg.Wait()
-	checkOutcomes(env, load)
-	t.Logf("streams %d, taken up again %d of %d; calls %d, served %d, non-idempotent calls refused %d; batches %d, attempts of items %d, load orders %d",
-		load.streams, load.resumedStreams, load.brokenStreams, load.calls, load.served, len(load.refusedIDs), len(load.batches), len(env.engines.Attempts()), len(env.engines.LoadOrders()))
+	return load, func() {
+		cancel()
+		wg.Wait()
+	}
 }
 
 // limitRates makes an engine and a replica of the plain service limit their request rates for
