--- a/routing.go
+++ b/routing.go
@@ -99,6 +99,8 @@
 	Routes   []Route
 	Services map[ServiceName]ServiceConfig
 	Limits   ClientLimits
+	// Accounts are the client accounts, nil if requests need no API key.
+	Accounts *Accounts
 }
 
 // MatchRoute returns the route with the given host name and the longest prefix of the
