Package access: how long keys stay valid, and what is known of the configuration

A host must not run a request of a revoked key later than revoke_ms after the store accepted the configuration without it, also if it was cut off or frozen. Package access decides by the configuration in force and by the time, measured by the clock that counts suspended time, at which the read was sent that showed no newer one. The follower reports that time after each read that reaches the end of the topic, less the age of a page of another daemon, and the registry keeps the latest one.

--- a/errors.go
+++ b/errors.go
@@ -43,6 +43,8 @@
 	ReasonCancelled        Reason = "cancelled"
 	ReasonStepEnded        Reason = "step_past"
 	ReasonOriginUnknown    Reason = "stream_origin_unknown"
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonKeysOutdated     Reason = "keys_outdated"
 )
 
 // Refusal is the final error response to a request that got no complete response
--- a/state/state.go
+++ b/state/state.go
@@ -55,6 +55,12 @@
 	// leaving.
 	leavingReplicas map[gypsum.BackendID]leave
 	leavingCount    atomic.Int64
+	// configConfirmedAt is the latest time, by the steady clock, at which the configuration in
+	// force was known to be the current one. It is valid if configConfirmed is set.
+	configConfirmedAt atomic.Int64
+	configConfirmed   atomic.Bool
+	// configUnreadable means that the newest configuration cannot be decoded.
+	configUnreadable atomic.Bool
 }
 
 // NewRegistry returns an empty registry.
@@ -80,11 +86,43 @@
 // ApplyConfig applies a configuration unless one of the same or a newer revision is in
 // force.
 func (r *Registry) ApplyConfig(config *gypsum.RoutingConfig) {
+	r.configUnreadable.Store(false)
 	if current := r.Current().Config; current != nil && current.Revision >= config.Revision {
 		return
 	}
 	r.updateSnapshot(func(s *Snapshot) { s.Config = config })
-	r.Logger.Info("configuration in force", "revision", config.Revision, "routes", len(config.Routes), "services", len(config.Services))
+	accounts := 0
+	if config.Accounts != nil {
+		accounts = config.Accounts.Len()
+	}
+	r.Logger.Info("configuration in force", "revision", config.Revision, "routes", len(config.Routes), "services", len(config.Services),
+		"keys_required", config.Accounts != nil, "accounts", accounts)
+}
+
+// MarkConfigUnreadable records that the newest configuration cannot be decoded. The one in force
+// stays in force, and is not known to be current until a configuration is applied again.
+func (r *Registry) MarkConfigUnreadable() { r.configUnreadable.Store(true) }
+
+// ConfirmConfig records that the configuration in force was the current one at a time by the
+// steady clock. All configurations that the store had accepted by then must have been applied. It
+// must be called from the goroutine that applies configurations.
+func (r *Registry) ConfirmConfig(at time.Duration) {
+	if r.configUnreadable.Load() || (r.configConfirmed.Load() && int64(at) <= r.configConfirmedAt.Load()) {
+		return
+	}
+	r.configConfirmedAt.Store(int64(at))
+	r.configConfirmed.Store(true)
+}
+
+// ConfirmedConfig returns the configuration in force and the latest time, by the steady clock, at
+// which it or an earlier one was known to be the current one. confirmed is false if there is no
+// such time.
+func (r *Registry) ConfirmedConfig() (config *gypsum.RoutingConfig, at time.Duration, confirmed bool) {
+	// The time is read first: a configuration that is applied in between is newer than the time
+	// says, never older.
+	confirmed = r.configConfirmed.Load()
+	at = time.Duration(r.configConfirmedAt.Load())
+	return r.Current().Config, at, confirmed
 }
 
 // ApplyVersion applies the announced version of a model if it is newer than the known
--- a/store/follower.go
+++ b/store/follower.go
@@ -16,11 +16,11 @@
 
 // Timeouts and delays of reads.
 const (
-	// longPollWait is how long the store may hold a read open while there are no new
+	// LongPollWait is how long the store may hold a read open while there are no new
 	// records. It is below the time after which a holder without heartbeats counts
 	// as failed, so that a store that does not respond is not mistaken for a failed
 	// holder.
-	longPollWait = time.Second
+	LongPollWait = time.Second
 	// longPollGrace is how long a read may take beyond its wait before it times out and
 	// the store counts as unavailable.
 	longPollGrace = 800 * time.Millisecond
@@ -52,7 +52,13 @@
 	MinReadInterval time.Duration
 	// Handle is called with each update, from the goroutine of Run.
 	Handle func(Update)
-	Logger *slog.Logger
+	// Confirmed is called, from the same goroutine, after a read that shows that all records that
+	// the store had accepted at a time by Clock have been handled. Nil for none.
+	Confirmed func(at time.Duration)
+	Clock     gypsum.SteadyClock
+	// ReadWait returns how long the next read may wait for new records. Nil means LongPollWait.
+	ReadWait func() time.Duration
+	Logger   *slog.Logger
 
 	mu           sync.Mutex
 	nextOffset   gypsum.Offset
@@ -60,6 +66,8 @@
 	lastResponse time.Time
 	recoveredAt  time.Time
 	unavailable  bool
+	// hasConfirmed is used only by the goroutine of Run.
+	hasConfirmed bool
 	// offsetAdvanced is closed when nextOffset advances, nil if nothing waits for that.
 	offsetAdvanced chan struct{}
 }
@@ -173,14 +181,19 @@
 
 // readNewRecords reads the records that follow the last handled one.
 func (f *Follower) readNewRecords(ctx context.Context) error {
+	wait := f.readWait()
 	f.mu.Lock()
-	from, wait, timeout := f.nextOffset, longPollWait, longPollWait+longPollGrace
+	from, timeout := f.nextOffset, wait+longPollGrace
 	if f.unavailable {
 		wait, timeout = 0, outageReadTimeout
 	}
 	f.mu.Unlock()
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	var sentAt time.Duration
+	if f.Confirmed != nil {
+		sentAt = f.Clock()
+	}
 	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait})
 	if err != nil {
 		return fmt.Errorf("read topic %s: %w", f.Topic, err)
@@ -188,14 +201,34 @@
 	if page.First > from {
 		return fmt.Errorf("read topic %s from offset %d, oldest retained offset is %d: %w", f.Topic, from, page.First, gypsum.ErrTruncated)
 	}
-	if len(page.Records) == 0 {
-		return nil
+	next := from
+	if len(page.Records) > 0 {
+		next = page.Records[len(page.Records)-1].Offset + 1
+		f.Handle(Update{Records: page.Records})
+		f.advanceOffset(next)
+	}
+	// A page that does not reach the end, or that ends before what was read earlier, shows nothing
+	// about newer records. The age counts from the time of sending and not from the time of the
+	// response, since the process may have been suspended in between.
+	if f.Confirmed != nil && page.Next == next {
+		f.hasConfirmed = true
+		f.Confirmed(sentAt - page.Age)
 	}
-	f.Handle(Update{Records: page.Records})
-	f.advanceOffset(page.Records[len(page.Records)-1].Offset + 1)
 	return nil
 }
 
+// readWait returns how long the next read may wait for new records. The first read does not wait,
+// since what depends on Confirmed is not served before.
+func (f *Follower) readWait() time.Duration {
+	switch {
+	case f.Confirmed != nil && !f.hasConfirmed:
+		return 0
+	case f.ReadWait == nil:
+		return LongPollWait
+	}
+	return f.ReadWait()
+}
+
 // advanceOffset sets the offset before which all records have been handled.
 func (f *Follower) advanceOffset(nextOffset gypsum.Offset) {
 	f.mu.Lock()
