Authenticate requests, and pass on the account instead of the key

The host decides on a request by the header and the configuration in force, before it reads the body: 401 for an unknown key while the configuration is known to be current, 503 with a retry time otherwise. The key is removed at once, and the account's name is set on live requests, retries, resumed streams, requests through other daemons, items and reward calls. Transports replace both headers again, for items that were stored before the deployment had accounts. The key is checked again before each send to a replica. Batches belong to an account; other callers get the same response as for no batch. Without accounts headers are passed on as before.

--- a/batch.go
+++ b/batch.go
@@ -102,6 +102,11 @@
 	AfterEvent int64
 	// Budget is the time left for the attempt.
 	Budget time.Duration
+	// Account is the client account of the item's batch, empty for none.
+	Account AccountName
+	// AccountsInForce means that the deployment has accounts. What a client states about its key
+	// and its account in the header of the item is then not passed on.
+	AccountsInForce bool
 }
 
 // ReplicaLoadOrder is a load order (see LoadOrder) to an engine that is registered as a
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -28,6 +28,8 @@
 	ErrNoBatch = errors.New("no such batch")
 	// ErrNoItem means that the batch has no item with the id.
 	ErrNoItem = errors.New("no such item")
+	// ErrBatchTaken means that a batch of another account has the id.
+	ErrBatchTaken = errors.New("another batch has the id")
 )
 
 // Sizes of the caches and reads of a Manager.
@@ -79,10 +81,13 @@
 }
 
 // AcceptBatch stores a batch. It returns nil once the batch is known to be in the store,
-// gypsum.ErrStoreRefused if the batch is not stored and never will be, and
-// gypsum.ErrStoreUnknown otherwise.
+// gypsum.ErrStoreRefused if the batch is not stored and never will be, ErrBatchTaken if its id is
+// that of another account's batch, and gypsum.ErrStoreUnknown otherwise.
 func (m *Manager) AcceptBatch(ctx context.Context, batch *gypsum.Batch) error {
-	if m.State.HasBatch(batch.ID) {
+	if account, ok := m.State.AccountOf(batch.ID); ok {
+		if !mayAccess(batch.Account, account) {
+			return fmt.Errorf("accept batch %s: %w", batch.ID, ErrBatchTaken)
+		}
 		return nil
 	}
 	bodies, err := m.storeItems(ctx, batch)
@@ -95,6 +100,7 @@
 		MinVersion: batch.MinVersion, ItemCount: len(batch.Items), SingleVersion: batch.SingleVersion, MaxAttempts: batch.MaxAttempts,
 		SubmittedMS: batch.SubmittedAt.UnixMilli(), DueMS: batch.DueAt.UnixMilli(), ExpiresMS: batch.ExpiresAt.UnixMilli(),
 		Bodies: bodies, Origin: m.Host, Step: batch.Step, Scored: batch.IsScored(),
+		Account: batch.Account,
 	}
 	m.items.Add(batch.ID, batch.Items)
 	offset, err := m.appendRecord(ctx, header, kindHeader, string(batch.ID), m.uniqueKey())
@@ -121,6 +127,27 @@
 	return nil
 }
 
+// mayAccess reports whether a caller of an account, empty for none, may access a batch of an
+// account. Batches without an account are those of routes that need no key, and those that a
+// daemon of an older version accepted.
+func mayAccess(caller, account gypsum.AccountName) bool { return account == "" || account == caller }
+
+// CheckAccess returns nil if a caller of an account, empty for none, may access a batch. Otherwise
+// it returns the same errors, after the same reads of the store, as for a batch that does not
+// exist: ErrNoBatch only if the whole topic contains no batch that the caller may access.
+func (m *Manager) CheckAccess(ctx context.Context, id gypsum.BatchID, caller gypsum.AccountName) error {
+	if account, ok := m.State.AccountOf(id); ok && mayAccess(caller, account) {
+		return nil
+	}
+	if err := m.Follower.CatchUp(ctx); err != nil {
+		return err
+	}
+	if account, ok := m.State.AccountOf(id); ok && mayAccess(caller, account) {
+		return nil
+	}
+	return fmt.Errorf("batch %s: %w", id, ErrNoBatch)
+}
+
 // ItemBody returns the body of an item. It returns ErrNoBatch or ErrNoItem only if the
 // batch or the item is certain not to exist.
 func (m *Manager) ItemBody(ctx context.Context, id gypsum.BatchID, item gypsum.ItemID) ([]byte, error) {
--- a/batch/record.go
+++ b/batch/record.go
@@ -49,6 +49,9 @@
 	Step   int           `cbor:"15,keyasint"`
 	// Scored means that an item of the batch has a scorer.
 	Scored bool `cbor:"16,keyasint,omitempty"`
+	// Account is the client account that the batch belongs to, empty for none. Daemons of older
+	// versions leave it out.
+	Account gypsum.AccountName `cbor:"17,keyasint,omitempty"`
 }
 
 // ValueRef refers to a value that is stored in one of the batch's own topics as Count
--- a/batch/state.go
+++ b/batch/state.go
@@ -361,6 +361,18 @@
 	return ok
 }
 
+// AccountOf returns the account that a batch belongs to, empty for none, and whether the batch was
+// accepted.
+func (s *State) AccountOf(id gypsum.BatchID) (account gypsum.AccountName, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	entry, ok := s.batches[id]
+	if !ok {
+		return "", false
+	}
+	return entry.header.Account, true
+}
+
 // Snapshot returns a copy of a batch's state.
 func (s *State) Snapshot(id gypsum.BatchID) (Snapshot, bool) {
 	s.mu.RLock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -13,7 +13,9 @@
 	"github.com/go-kratos/kratos/v2"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
@@ -84,6 +86,7 @@
 	batches       *batch.Manager
 	relay         *relay.Relay
 	runner        *runner.Runner
+	access        *access.Checker
 	frontend      *front.Server
 	followers     []*store.Follower
 	writers       map[writerKey]*store.Writer
@@ -185,7 +188,12 @@
 	}
 	d.createWriters(topics)
 	follower := d.newFollower(topics.State, stateReadInterval, d.batchState.Apply)
-	d.newFollower(platform.TopicOperator, 0, d.applyOperatorRecords)
+	operator := d.newFollower(platform.TopicOperator, 0, d.applyOperatorRecords)
+	operator.Confirmed, operator.Clock, operator.ReadWait = d.registry.ConfirmConfig, clock.Steady, d.operatorReadWait
+	d.access = &access.Checker{
+		Policy:   access.Policy{StrictRevocation: d.Settings.StrictRevocation, RevocationDelay: d.Settings.RevocationDelay},
+		Registry: d.registry, Clock: clock.Steady, StoreDowntime: d.storeDowntime,
+	}
 	d.newFollower(platform.TopicReplicas, replicaReadInterval, d.applyReplicas)
 	d.batches = &batch.Manager{
 		Host: d.Settings.Host, Incarnation: d.incarnation, State: d.batchState, Follower: follower, Store: d.store, Topics: topics,
@@ -222,7 +230,7 @@
 	d.runner.CPUShare = d.Settings.CPUShare
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
-		Registry: d.registry, Relay: d.relay, Batches: d.batches, StoreDowntime: d.storeDowntime,
+		Registry: d.registry, Relay: d.relay, Batches: d.batches, Access: d.access, StoreDowntime: d.storeDowntime,
 		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Logger: d.Logger,
 	}
 	return func() {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/clock"
 )
 
 // appServer is a server that the kratos app starts and stops.
@@ -36,6 +37,12 @@
 	LiveRequests     map[string]int64 `json:"live_requests"`
 	BatchSubmissions map[string]int64 `json:"batch_submissions"`
 	BatchReads       map[string]int64 `json:"batch_reads"`
+	Accounts         int              `json:"accounts"`
+	ConfigAgeMS      int64            `json:"config_age_ms"`
+	Authenticated    int64            `json:"requests_authenticated"`
+	Unauthenticated  int64            `json:"requests_unauthenticated"`
+	KeysOutdated     int64            `json:"requests_refused_keys_outdated"`
+	RefusedSends     int64            `json:"sends_refused_keys"`
 	UnknownRoute     int64            `json:"unknown_route"`
 	BadInput         int64            `json:"bad_input"`
 	RelayRequests    int64            `json:"relay_requests"`
@@ -96,6 +103,8 @@
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
 		ReplicasLimited: d.limiter.Table.Count(), LimitsStated: d.limiter.Table.Stats.Stated.Load(), LimitsLifted: d.limiter.Table.Stats.Lifted.Load(),
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
+		Authenticated: d.access.Stats.Authenticated.Load(), Unauthenticated: d.access.Stats.Unauthenticated.Load(),
+		KeysOutdated: d.access.Stats.Outdated.Load(), RefusedSends: d.access.Stats.RefusedSends.Load(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), ClientResumes: relayStats.ClientResumes.Load(),
@@ -115,6 +124,12 @@
 	}
 	if snapshot.Config != nil {
 		current.Revision = snapshot.Config.Revision
+		if snapshot.Config.Accounts != nil {
+			current.Accounts = snapshot.Config.Accounts.Len()
+		}
+	}
+	if _, at, confirmed := d.registry.ConfirmedConfig(); confirmed {
+		current.ConfigAgeMS = (clock.Steady() - at).Milliseconds()
 	}
 	return current
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/store"
@@ -46,7 +48,13 @@
 		switch {
 		case err != nil:
 			d.Logger.Warn("skipped invalid operator record", "key", update.Records[i].Key, "offset", update.Records[i].Offset, "error", err)
+			if errors.Is(err, platform.ErrUnreadableConfig) {
+				d.registry.MarkConfigUnreadable()
+			}
 		case record.Config != nil:
+			for _, problem := range record.Problems {
+				d.Logger.Error("left out an invalid part of the configuration", "revision", record.Config.Revision, "error", problem)
+			}
 			d.registry.ApplyConfig(record.Config)
 		default:
 			d.registry.ApplyVersion(record.Version.Model, record.Version.Version)
@@ -54,6 +62,19 @@
 	}
 }
 
+// accountReadWait is how long a read of the configuration may wait for a newer one if there are
+// accounts. The configuration is known to be current for at most two reads with their round trips,
+// which must be less than the age by which keys count as unknown.
+const accountReadWait = 300 * time.Millisecond
+
+// operatorReadWait returns how long the next read of the operator topic may wait for new records.
+func (d *Daemon) operatorReadWait() time.Duration {
+	if config := d.registry.Current().Config; config != nil && config.Accounts != nil {
+		return accountReadWait
+	}
+	return store.LongPollWait
+}
+
 // applyReplicas applies registrations and their removals. Consecutive registrations are
 // applied as one change, since each change makes a new snapshot and the first update contains
 // the registrations of all replicas.
--- a/fake/batchengines.go
+++ b/fake/batchengines.go
@@ -39,6 +39,8 @@
 	Item       gypsum.ItemID
 	AfterEvent int64
 	StartedAt  time.Time
+	// Account is the account that the attempt names.
+	Account gypsum.AccountName
 }
 
 // BatchLoadOrder is a load order that an engine has accepted.
@@ -224,7 +226,7 @@
 		return nil, nil, gypsum.ErrNotRun
 	}
 	engine.running++
-	b.attempts = append(b.attempts, BatchAttempt{Engine: engine.ID, Item: attempt.Item.ID, AfterEvent: attempt.AfterEvent, StartedAt: time.Now()})
+	b.attempts = append(b.attempts, BatchAttempt{Engine: engine.ID, Item: attempt.Item.ID, AfterEvent: attempt.AfterEvent, StartedAt: time.Now(), Account: attempt.Account})
 	return engine, engine.crashed, nil
 }
 
--- a/fake/rewardservice.go
+++ b/fake/rewardservice.go
@@ -31,6 +31,8 @@
 	Replica    gypsum.BackendID
 	ReceivedAt time.Time
 	Signature  string
+	// Account is the account that the call names.
+	Account gypsum.AccountName
 }
 
 // RewardService is a set of in-memory replicas that answer reward calls. It implements
@@ -131,14 +133,14 @@
 }
 
 // receive records the arrival of a call. It returns the call's index and the replica's fault.
-func (s *RewardService) receive(replica gypsum.BackendID, id gypsum.RequestID) (int, RewardFault) {
+func (s *RewardService) receive(replica gypsum.BackendID, request *gypsum.LiveRequest) (int, RewardFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault := s.faults[replica]
 	if fault == RewardFull {
 		return 0, fault
 	}
-	s.calls = append(s.calls, RewardCall{ID: id, Replica: replica, ReceivedAt: time.Now()})
+	s.calls = append(s.calls, RewardCall{ID: request.ID, Replica: replica, ReceivedAt: time.Now(), Account: request.Account})
 	s.maxBusy[replica] = max(s.maxBusy[replica], len(s.slots[replica])+1)
 	return len(s.calls) - 1, fault
 }
@@ -148,7 +150,7 @@
 	if s.isDown(replica.ID) {
 		return nil, gypsum.ErrNotSent
 	}
-	index, fault := s.receive(replica.ID, request.ID)
+	index, fault := s.receive(replica.ID, request)
 	if fault == RewardFull {
 		return nil, gypsum.ErrNotRun
 	}
--- a/front/batch.go
+++ b/front/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
@@ -27,7 +29,7 @@
 	uncertainRetryAfter = 250 * time.Millisecond
 )
 
-func (s *Server) serveSubmitBatch(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, arrived time.Time) {
+func (s *Server) serveSubmitBatch(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	content, release, ok := s.readBody(w, r, config.Limits.MaxBody)
 	if !ok {
@@ -41,6 +43,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if grant.AccountsInForce {
+		platform.TakeItemKeys(submitted.Items)
+	}
+	// The body may have taken long to arrive.
+	if refusal := s.Access.Recheck(grant); refusal != nil {
+		s.logAndRefuse(w, r, refusal)
+		return
+	}
+	submitted.Account = grant.AccountName()
 	submitted.Route, submitted.HostName, submitted.Service = route.Name, r.Host, route.PickService()
 	submitted.SingleVersion, submitted.MaxAttempts = route.SingleVersion, route.MaxAttempts
 	submitted.SubmittedAt = time.Now()
@@ -48,11 +59,13 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), min(storeWriteTimeout, requestTimeout(r, route)))
 	defer cancel()
 	err = s.Batches.AcceptBatch(ctx, submitted)
-	s.Logger.Info("batch submitted", "batch", id, "route", route.Name, "items", len(submitted.Items), "step", submitted.Step,
+	s.Logger.Info("batch submitted", "batch", id, "account", submitted.Account, "route", route.Name, "items", len(submitted.Items), "step", submitted.Step,
 		"store_away_ms", s.StoreDowntime().Milliseconds(), "took_ms", time.Since(arrived).Milliseconds(), "error", err)
 	switch {
 	case err == nil:
 		w.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, batch.ErrBatchTaken):
+		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusConflict, 0, "another batch has the id"))
 	case errors.Is(err, gypsum.ErrStoreRefused):
 		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable,
 			relay.RetryAfter(s.StoreDowntime()), "the batch cannot be stored now"))
@@ -61,18 +74,40 @@
 	}
 }
 
+// checkBatchAccess checks that the caller may access a batch.
+func (s *Server) checkBatchAccess(r *http.Request, id gypsum.BatchID, caller gypsum.AccountName) error {
+	ctx, cancel := context.WithTimeout(r.Context(), storeReadTimeout)
+	defer cancel()
+	if err := s.Batches.CheckAccess(ctx, id, caller); err != nil {
+		// Nothing of the request has been done.
+		return fmt.Errorf("check access: %w: %w", gypsum.ErrStoreRefused, err)
+	}
+	return nil
+}
+
+// serveAnonymousBatchRequest serves a request without a key about a batch. Only batches of routes
+// that need no key can be accessed so. unauthenticated is the refusal in all other cases, whether
+// or not there is a batch.
+func (s *Server) serveAnonymousBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, unauthenticated *gypsum.Refusal) {
+	switch err := s.checkBatchAccess(r, batchRequest.ID, ""); {
+	case err == nil:
+		s.serveBatchRequest(w, r, batchRequest, &access.Grant{AccountsInForce: true})
+	case errors.Is(err, batch.ErrNoBatch):
+		s.refuseAccess(w, r, access.Credential{Missing: true}, unauthenticated)
+	default:
+		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, uncertainRetryAfter, "the batch cannot be read now"))
+	}
+}
+
 // serveBatchRequest serves a request about a submitted batch.
-func (s *Server) serveBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest) {
+func (s *Server) serveBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, grant *access.Grant) {
 	startedAt := time.Now()
 	var err error
-	switch batchRequest.Kind {
-	case platform.BatchRequestReadResults:
-		err = s.serveResults(w, r, batchRequest)
-		s.Stats.ResultReads.RecordDuration(time.Since(startedAt))
-	case platform.BatchRequestReadItem:
-		err = s.serveItemBody(w, r, batchRequest)
-	case platform.BatchRequestEndBatch:
-		err = s.serveEndBatch(w, r, batchRequest.ID)
+	if grant.AccountsInForce {
+		err = s.checkBatchAccess(r, batchRequest.ID, grant.AccountName())
+	}
+	if err == nil {
+		err = s.runBatchRequest(w, r, batchRequest, startedAt)
 	}
 	if err == nil {
 		return
@@ -91,6 +126,20 @@
 	writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable, uncertainRetryAfter, "the batch cannot be read now"))
 }
 
+// runBatchRequest runs a request about a batch that the caller may access.
+func (s *Server) runBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, startedAt time.Time) (err error) {
+	switch batchRequest.Kind {
+	case platform.BatchRequestReadResults:
+		err = s.serveResults(w, r, batchRequest)
+		s.Stats.ResultReads.RecordDuration(time.Since(startedAt))
+	case platform.BatchRequestReadItem:
+		err = s.serveItemBody(w, r, batchRequest)
+	case platform.BatchRequestEndBatch:
+		err = s.serveEndBatch(w, r, batchRequest.ID)
+	}
+	return err
+}
+
 // serveResults serves a request for the results of a batch.
 func (s *Server) serveResults(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest) error {
 	wait := batchRequest.Wait
--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -59,7 +59,7 @@
 	for path, handler := range wire.ReplicaHandler(s.reach, forwardMemory) {
 		internal.Handle(path, handler)
 	}
-	server := httptest.NewUnstartedServer(internal)
+	server := httptest.NewUnstartedServer(s.watchForKeys(internal))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			s.internalConns.Add(1)
--- a/front/server.go
+++ b/front/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
@@ -25,6 +27,8 @@
 	Registry *state.Registry
 	Relay    *relay.Relay
 	Batches  *batch.Manager
+	// Access decides about the API keys of requests.
+	Access *access.Checker
 	// StoreDowntime returns how long the store has not responded, zero if it does.
 	StoreDowntime func() time.Duration
 	// Stopping is set when the process begins to shut down. Connections are then closed
@@ -61,45 +65,78 @@
 	if s.Stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	config := s.Registry.Current().Config
+	view := s.Access.View()
+	config := view.Config
 	if config == nil {
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
+	var credential access.Credential
+	if config.Accounts != nil {
+		// The key is removed before anything else is done with the request.
+		credential = access.NewCredential(platform.TakeAPIKey(r.Header))
+	}
 	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
+	if route == nil {
+		s.serveUnrouted(w, r, view, credential)
+		return
+	}
+	grant, refusal := s.Access.Admit(view, route.NoAuth, credential)
 	switch {
-	case route == nil:
-		s.serveUnrouted(w, r, config)
+	case refusal != nil:
+		s.refuseAccess(w, r, credential, refusal)
 	case route.Kind == gypsum.RouteRollout && r.Method == http.MethodPost:
-		s.serveSubmitBatch(w, r, config, route, arrived)
+		s.serveSubmitBatch(w, r, config, route, &grant, arrived)
 		s.Stats.BatchSubmissions.RecordDuration(time.Since(arrived))
 	default:
-		s.serveLive(w, r, config, route, arrived)
+		s.serveLive(w, r, config, route, &grant, arrived)
 		s.Stats.LiveRequests.RecordDuration(time.Since(arrived))
 	}
 }
 
 // serveUnrouted serves a request that matches no route. It may be a request about a
 // batch.
-func (s *Server) serveUnrouted(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig) {
+func (s *Server) serveUnrouted(w http.ResponseWriter, r *http.Request, view *access.View, credential access.Credential) {
 	batchRequest, err := platform.DecodeBatchRequest(r)
+	grant, refusal := s.Access.Admit(view, false, credential)
 	switch {
+	case refusal != nil && batchRequest != nil && isAnonymous(view.Config, credential):
+		s.serveAnonymousBatchRequest(w, r, batchRequest, refusal)
+	case refusal != nil:
+		s.refuseAccess(w, r, credential, refusal)
 	case err != nil:
 		s.Stats.BadInput.Add(1)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case batchRequest != nil:
-		s.serveBatchRequest(w, r, batchRequest)
+		s.serveBatchRequest(w, r, batchRequest, &grant)
 	case s.StoreDowntime() > maxConfigAge:
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, uncertainRetryAfter,
 			"no route is known, and the configuration may have changed"))
 	default:
 		s.Stats.UnknownRoute.Add(1)
 		s.Logger.Info("no route matches request", "request", r.Header.Get(platform.HeaderRequestID), "host_name", requestHostName(r),
-			"path", r.URL.EscapedPath(), "revision", config.Revision)
+			"path", r.URL.EscapedPath(), "revision", view.Config.Revision)
 		http.Error(w, "no route", http.StatusNotFound)
 	}
 }
 
+// isAnonymous reports whether a request without a key may be one about a batch of a route that
+// needs none.
+func isAnonymous(config *gypsum.RoutingConfig, credential access.Credential) bool {
+	return credential.Missing && slices.ContainsFunc(config.Routes, func(route gypsum.Route) bool {
+		return route.NoAuth && route.Kind == gypsum.RouteRollout
+	})
+}
+
+// refuseAccess logs and writes the refusal of a request for its key, which is logged as a prefix of
+// its hash.
+func (s *Server) refuseAccess(w http.ResponseWriter, r *http.Request, credential access.Credential, refusal *gypsum.Refusal) {
+	s.Logger.Info("request refused for its key", "request", r.Header.Get(platform.HeaderRequestID), "method", r.Method, "host_name", requestHostName(r),
+		"path", r.URL.EscapedPath(), "key", credential.String(), "status", refusal.Status, "detail", refusal.Detail,
+		"retry_after_ms", refusal.RetryAfter.Milliseconds(), "store_away_ms", s.StoreDowntime().Milliseconds())
+	writeRefusal(w, refusal)
+}
+
 // requestHostName returns the host name of a request, without the port.
 func requestHostName(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
@@ -109,7 +146,7 @@
 }
 
 // serveLive serves a live request, whose response may be streamed.
-func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, arrived time.Time) {
+func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
 	body, release, ok := s.readBody(w, r, config.Limits.MaxBody)
 	if !ok {
 		return
@@ -120,9 +157,10 @@
 	request := &relay.Request{
 		LiveRequest: gypsum.LiveRequest{
 			ID: gypsum.RequestID(r.Header.Get(platform.HeaderRequestID)), Method: r.Method, Target: r.RequestURI,
-			HostName: r.Host, Header: header, Body: body,
+			HostName: r.Host, Header: header, Body: body, Account: grant.AccountName(), AccountsInForce: grant.AccountsInForce,
 		},
 		Route: route, Service: route.PickService(), Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
+		Priority: grant.Priority(route), Recheck: func() *gypsum.Refusal { return s.Access.Recheck(grant) },
 	}
 	if route.Kind == gypsum.RouteStreaming {
 		var err error
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/front"
@@ -33,7 +34,11 @@
 
 // testServer is a frontend with plain replicas behind it, all reached over loopback.
 type testServer struct {
-	t           *testing.T
+	t      *testing.T
+	access *access.Checker
+	logs   *logBuffer
+	// clock is the steady clock of the host.
+	clock       atomic.Int64
 	url         string
 	stop        func()
 	frontend    *front.Server
@@ -84,8 +89,9 @@
 
 // startHost starts a frontend without replicas and configuration.
 func startHost(t *testing.T, name gypsum.HostID, recordStore *fake.KeyedStore, peerOrigins *fake.PeerOrigins, hosts *hostList) *testServer {
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil)).With("host", name)
-	s := &testServer{t: t, recordStore: recordStore, peerOrigins: peerOrigins, hosts: hosts, registry: state.NewRegistry(logger)}
+	logs := &logBuffer{}
+	logger := slog.New(slog.NewTextHandler(logs, nil)).With("host", name)
+	s := &testServer{t: t, logs: logs, recordStore: recordStore, peerOrigins: peerOrigins, hosts: hosts, registry: state.NewRegistry(logger)}
 	rateLimits := limit.NewTable(logger)
 	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits, 8<<20)
 	t.Cleanup(closeBackends)
@@ -132,14 +138,15 @@
 	liveRelay.Reach = s.reach
 	liveRelay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(s.reach.Peers.ReplicasVia(address)) }
 	start(liveRelay.Run)
+	storeDowntime := func() time.Duration {
+		if at, unavailable := follower.LastResponse(); unavailable {
+			return time.Since(at)
+		}
+		return 0
+	}
+	s.access = &access.Checker{Registry: s.registry, Clock: func() time.Duration { return time.Duration(s.clock.Load()) }, StoreDowntime: storeDowntime}
 	s.frontend = &front.Server{
-		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger,
-		StoreDowntime: func() time.Duration {
-			if at, unavailable := follower.LastResponse(); unavailable {
-				return time.Since(at)
-			}
-			return 0
-		},
+		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
 	}
 	server := httptest.NewServer(s.frontend.Handler())
 	t.Cleanup(server.Close)
@@ -152,7 +159,10 @@
 }
 
 // applyConfig applies a configuration with a route of each kind.
-func (s *testServer) applyConfig() {
+func (s *testServer) applyConfig() { s.registry.ApplyConfig(newConfig(1)) }
+
+// newConfig returns a configuration with a route of each kind.
+func newConfig(revision gypsum.Revision) *gypsum.RoutingConfig {
 	desk := []gypsum.WeightedService{{Service: "desk", Weight: 1}}
 	route := func(prefix string, kind gypsum.RouteKind) gypsum.Route {
 		return gypsum.Route{
@@ -162,13 +172,13 @@
 	}
 	resumable := route("/i/resumed/stream/", gypsum.RouteStreaming)
 	resumable.Resumable = true
-	s.registry.ApplyConfig(&gypsum.RoutingConfig{
-		Revision: 1, Limits: gypsum.ClientLimits{MaxBody: 64 << 10}, Services: map[gypsum.ServiceName]gypsum.ServiceConfig{"desk": {Name: "desk"}},
+	return &gypsum.RoutingConfig{
+		Revision: revision, Limits: gypsum.ClientLimits{MaxBody: 64 << 10}, Services: map[gypsum.ServiceName]gypsum.ServiceConfig{"desk": {Name: "desk"}},
 		Routes: []gypsum.Route{
 			route("/i/", gypsum.RouteIdempotent), route("/n/", gypsum.RouteNonIdempotent), route("/i/stream/", gypsum.RouteStreaming),
 			route("/t/", gypsum.RouteRollout), resumable,
 		},
-	})
+	}
 }
 
 // sendRequest sends a request to the frontend and returns the status, the header and the
--- a/live.go
+++ b/live.go
@@ -16,6 +16,9 @@
 	Body     []byte
 	// Account is the client account of the request, empty for none.
 	Account AccountName
+	// AccountsInForce means that the deployment has accounts. What a client states about its key
+	// and its account in Header is then not passed on.
+	AccountsInForce bool
 }
 
 // LiveResponse is a replica's complete response.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,6 +68,11 @@
 	Service  gypsum.ServiceName
 	Arrived  time.Time
 	Deadline time.Time
+	// Priority is that of the account or, without one, of the route, 0 being the highest.
+	Priority int
+	// Recheck decides before each send to a replica whether the request may still be sent. It
+	// returns nil if so. It is nil for the requests of the daemon itself.
+	Recheck func() *gypsum.Refusal
 	// Resume says where the client takes up a stream again, nil for a new request.
 	Resume *gypsum.StreamResume
 
@@ -160,6 +165,9 @@
 		var limited *gypsum.RateLimitError
 		switch {
 		case err == nil:
+			if refusal := r.recheck(request); refusal != nil {
+				return nil, refusal
+			}
 			r.Stats.Attempts.Add(1)
 			if candidate.Via != nil {
 				r.Stats.Detours.Add(1)
@@ -176,6 +184,19 @@
 	}
 }
 
+// recheck returns the refusal of a request that may no longer be sent. It is called after all waits
+// before a send.
+func (r *Relay) recheck(request *Request) *gypsum.Refusal {
+	if request.Recheck == nil {
+		return nil
+	}
+	refusal := request.Recheck()
+	if refusal != nil && request.mayHaveRun {
+		return r.failureRefusal(refusal.Reason, http.StatusBadGateway, refusal.Detail)
+	}
+	return refusal
+}
+
 // chooseReplica chooses the replica of the next attempt, or returns the refusal if there can
 // be none. isLast means that no other replica is left to try.
 func (r *Relay) chooseReplica(request *Request) (chosen *Candidate, isLast bool, refusal *gypsum.Refusal) {
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -90,7 +90,7 @@
 		"left", a.remainingEvents(), "due_in_ms", header.DueAt().Sub(now).Milliseconds())
 	attempt := &gypsum.ItemAttempt{
 		Replica: e.replica, HostName: header.HostName, Item: a.request, AfterEvent: after,
-		Budget: max(0, header.ExpiresAt().Sub(now)),
+		Budget: max(0, header.ExpiresAt().Sub(now)), Account: header.Account, AccountsInForce: s.runner.accountsInForce(),
 	}
 	first := true
 	go func() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -298,3 +298,9 @@
 		r.postUpdate(ctx, func() { r.cleanupRunning = false })
 	}()
 }
+
+// accountsInForce reports whether the configuration has accounts.
+func (r *Runner) accountsInForce() bool {
+	config := r.Registry.Current().Config
+	return config != nil && config.Accounts != nil
+}
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -227,6 +227,7 @@
 	request := &relay.Request{
 		LiveRequest: gypsum.LiveRequest{
 			ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, HostName: scorer.HostName, Header: make(http.Header), Body: scorer.Body,
+			Account: a.batch.header.Account, AccountsInForce: s.runner.accountsInForce(),
 		},
 		Route: route, Service: service, Arrived: a.scoring.completedAt, Deadline: deadline,
 	}
