--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -78,7 +78,7 @@
 grace_s = 8
 lease_ms = 1000
 status_s = 120
-[platform]
+%s[platform]
 addr = "%s"
 parts = 4
 record_bytes = 262144
@@ -94,6 +94,10 @@
 	replicas    []*registeredReplica
 	daemons     []*daemonProcess
 	settingsDir string
+	// accounts are the client accounts with their keys, nil for none. Keys of accounts are revoked
+	// strictly, within revokeTime.
+	accounts   map[gypsum.AccountName][]string
+	revokeTime time.Duration
 }
 
 // registeredReplica is a replica that renews its registration.
@@ -130,7 +134,13 @@
 // newTestEnv starts the stand-ins, the replicas and the given number of daemons, and
 // waits until the daemons are ready.
 func newTestEnv(t *testing.T, daemons int) *testEnv {
-	env := &testEnv{t: t, store: fake.NewKeyedStore(), settingsDir: t.TempDir()}
+	return startTestEnv(&testEnv{t: t}, daemons)
+}
+
+// startTestEnv does what newTestEnv does for an environment whose accounts may be set.
+func startTestEnv(env *testEnv, daemons int) *testEnv {
+	t := env.t
+	env.store, env.settingsDir = fake.NewKeyedStore(), t.TempDir()
 	env.store.Latency = 2 * time.Millisecond
 	env.engines = fake.NewBatchEngines(engineCount, engineSlots, eventInterval, model)
 	env.engines.EventCount = eventCount
@@ -143,7 +153,7 @@
 	for i := range plainReplicaCount {
 		env.addReplica(&mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("desk-", i+1)), ServiceTime: plainServiceTime, Software: softwareOf(i)}, plainService)
 	}
-	env.putRecord("keyed.op", "config", newConfiguration(1))
+	env.putRecord("keyed.op", "config", env.newConfiguration(1))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -256,8 +266,8 @@
 }
 
 // newConfiguration returns a configuration of the given revision, with a route for each
-// kind of request.
-func newConfiguration(revision int) map[string]any {
+// kind of request, and the accounts.
+func (env *testEnv) newConfiguration(revision int) map[string]any {
 	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": routeHost, "path_prefix": prefix, "kind": kind, "timeout_ms": 4000, "target_latency_ms": 250,
@@ -266,10 +276,12 @@
 	}
 	streams := route(streamPrefix, "streaming", plainService)
 	streams["resumable"] = true
-	return map[string]any{
+	open := route("/open/", "idempotent", plainService)
+	open["no_auth"] = true
+	config := map[string]any{
 		"version": revision, "limits": map[string]any{"max_body_bytes": 1 << 20},
 		"routes": []any{
-			route("/i/", "idempotent", plainService), streams, route("/n/", "non_idempotent", plainService), route(rewardPrefix, "idempotent", plainService), route("/t/", "rollout", modelService),
+			route("/i/", "idempotent", plainService), streams, route("/n/", "non_idempotent", plainService), route(rewardPrefix, "idempotent", plainService), route("/t/", "rollout", modelService), open,
 		},
 		"services": []any{
 			map[string]any{"name": plainService}, map[string]any{
@@ -277,12 +289,24 @@
 			},
 		},
 	}
+	if env.accounts != nil {
+		tenants := make([]any, 0, len(env.accounts))
+		for name, keys := range env.accounts {
+			tenants = append(tenants, map[string]any{"name": name, "api_keys": keys})
+		}
+		config["tenants"] = tenants
+	}
+	return config
 }
 
 // startDaemon writes a daemon's settings file and starts its process.
 func (env *testEnv) startDaemon(daemon *daemonProcess) {
 	path := filepath.Join(env.settingsDir, daemon.name+".toml")
-	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, daemon.storeProxy.address())
+	bounds := ""
+	if env.accounts != nil {
+		bounds = fmt.Sprintf("strict_revoke = true\nrevoke_ms = %d\n", env.revokeTime.Milliseconds())
+	}
+	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address())
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		env.t.Error(err)
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,14 +40,16 @@
 	}
 	for i := range *seedCount {
 		seed := base + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			env := newTestEnv(t, *daemonCount)
+			runSeed(env, newWorkload(env), seed)
+		})
 	}
 }
 
-// runSeed runs the workload and the faults of one seed.
-func runSeed(t *testing.T, seed uint64) {
-	env := newTestEnv(t, *daemonCount)
-	load := newWorkload(env)
+// runSeed runs a workload and the faults of one seed.
+func runSeed(env *testEnv, load *workload, seed uint64) {
+	t := env.t
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for i := range 3 {
--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -41,6 +41,8 @@
 type workload struct {
 	env        *testEnv
 	httpClient *http.Client
+	// apiKey is the key of all requests, empty for none.
+	apiKey string
 
 	mu sync.Mutex
 	// refusedIDs are the non-idempotent requests that were refused as not run.
@@ -94,6 +96,7 @@
 	req.ContentLength = int64(len(body))
 	req.Host = routeHost
 	mimic.SetRequestHeaders(req.Header, id, 3*time.Second, 200*time.Millisecond)
+	w.setKey(req)
 	resp, err := w.httpClient.Do(req)
 	if err != nil {
 		return 0, nil
@@ -106,6 +109,13 @@
 	return resp.StatusCode, content
 }
 
+// setKey sets the key of a request, and an account that its client pretends to be of.
+func (w *workload) setKey(req *http.Request) {
+	if w.apiKey != "" {
+		mimic.SetAPIKey(req.Header, w.apiKey, "pretended")
+	}
+}
+
 func (w *workload) randomDaemon(rng *rand.Rand) *daemonProcess {
 	return w.env.daemons[rng.IntN(len(w.env.daemons))]
 }
@@ -190,6 +200,7 @@
 	}
 	req.Host = routeHost
 	mimic.SetRequestHeaders(req.Header, id, 3*time.Second, 0)
+	w.setKey(req)
 	if after > 0 {
 		mimic.SetResumeHeaders(req.Header, first, after)
 	}
