--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,14 +40,17 @@
 	}
 	for i := range *seedCount {
 		seed := base + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			env := newTestEnv(t, *daemonCount)
+			runSeed(env, newWorkload(env), seed)
+		})
 	}
 }
 
-// runSeed runs the workload and the faults of one seed.
-func runSeed(t *testing.T, seed uint64) {
-	env := newTestEnv(t, *daemonCount)
-	load, stop := startWorkload(t.Context(), env, seed)
+// runSeed runs a workload and the faults of one seed.
+func runSeed(env *testEnv, load *workload, seed uint64) {
+	t := env.t
+	stop := load.start(t.Context(), seed)
 	limitRates(env, rand.New(rand.NewPCG(seed, 30)))
 	injectFaults(env, rand.New(rand.NewPCG(seed, 20)))
 	time.Sleep(2 * time.Second)
@@ -57,9 +60,9 @@
 		load.streams, load.resumedStreams, load.brokenStreams, load.calls, load.served, len(load.refusedIDs), len(load.batches), len(env.engines.Attempts()), len(env.engines.LoadOrders()))
 }
 
-// startWorkload starts the workload of a seed. The returned function stops it and waits for its end.
-func startWorkload(ctx context.Context, env *testEnv, seed uint64) (load *workload, stop func()) {
-	load = newWorkload(env)
+// start starts the clients and the trainer of a seed. The returned function stops them and waits
+// for their end.
+func (load *workload) start(ctx context.Context, seed uint64) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	for i := range 3 {
@@ -71,7 +74,7 @@
 		wg.Go(func() { load.runStreams(ctx, name, rng) })
 	}
 	wg.Go(func() { load.runTrainer(ctx, "train", rand.New(rand.NewPCG(seed, 10))) })
-	return load, func() {
+	return func() {
 		cancel()
 		wg.Wait()
 	}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -44,8 +44,9 @@
 // other, the first one is rolled back in between, and every build holds the engines for a time.
 func TestUpgradeFromProduction(t *testing.T) {
 	earlier := buildProduction(t)
-	env := newTestEnvOfBuild(t, 3, earlier)
-	load, stop := startWorkload(t.Context(), env, *firstSeed)
+	env := startTestEnv(&testEnv{t: t, binary: earlier}, 3)
+	load := newWorkload(env)
+	stop := load.start(t.Context(), *firstSeed)
 	time.Sleep(upgradePause)
 	env.replace(env.daemons[0], daemonBinary)
 	env.replace(env.daemons[1], daemonBinary)
