--- a/batch/claim.go
+++ b/batch/claim.go
@@ -22,12 +22,32 @@
 	return m.Follower.WaitForOffset(ctx, offset+1)
 }
 
+// OwnHeartbeat is a heartbeat that this daemon has stored. SentAt is when its first call was made.
+type OwnHeartbeat struct {
+	SentAt time.Duration
+	Offset gypsum.Offset
+}
+
 // RecordHeartbeat stores a heartbeat of this daemon.
 func (m *Manager) RecordHeartbeat(ctx context.Context, sequence int64) error {
-	_, err := m.appendRecord(ctx, Heartbeat{Host: m.Host, Incarnation: m.Incarnation, Sequence: sequence}, kindHeartbeat, string(m.Host))
-	return err
+	sentAt := time.Duration(0)
+	if m.Clock != nil {
+		sentAt = m.Clock()
+	}
+	offset, err := m.appendRecord(ctx, Heartbeat{Host: m.Host, Incarnation: m.Incarnation, Sequence: sequence}, kindHeartbeat, string(m.Host))
+	if err != nil {
+		return err
+	}
+	if m.Clock != nil {
+		m.lastHeartbeat.Store(&OwnHeartbeat{SentAt: sentAt, Offset: offset})
+	}
+	return nil
 }
 
+// LastHeartbeat returns the heartbeat that this daemon has stored last, nil if there is none or
+// the Manager has no Clock.
+func (m *Manager) LastHeartbeat() *OwnHeartbeat { return m.lastHeartbeat.Load() }
+
 // RecordCrash implements gypsum.CrashCounter. It stores that a replica crashed.
 func (m *Manager) RecordCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica gypsum.BackendID) error {
 	_, err := m.appendRecord(ctx, Crash{Fingerprint: fingerprint, Replica: replica, AtMS: time.Now().UnixMilli()},
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -54,11 +54,14 @@
 	// partition.
 	StateWriter *store.Writer
 	WriterFor   func(gypsum.Topic, gypsum.Partition) *store.Writer
-	Logger      *slog.Logger
-
-	keySerial atomic.Int64
-	texts     textCache
-	items     *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
+	// Clock dates the daemon's own heartbeats. It may be nil if nothing asks for them.
+	Clock  gypsum.SteadyClock
+	Logger *slog.Logger
+
+	keySerial     atomic.Int64
+	lastHeartbeat atomic.Pointer[OwnHeartbeat]
+	texts         textCache
+	items         *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
 }
 
 // Init creates the caches.
--- a/batch/state.go
+++ b/batch/state.go
@@ -60,6 +60,10 @@
 	MakesRewardCalls bool
 	// PreviousHost is the previous holder, empty if there was none.
 	PreviousHost gypsum.HostID
+	// EarlierHeartbeat is when the latest heartbeat or claim of an earlier holder on another host
+	// arrived that did not release the service, zero if there was none. Until that holder learns
+	// of the claim, it acts on its own lease, which it renewed before that time.
+	EarlierHeartbeat time.Time
 	// AppliedAt is when this daemon applied the claim.
 	AppliedAt time.Time
 }
@@ -295,7 +299,10 @@
 		MakesRewardCalls: claim.MakesRewardCalls, AppliedAt: now,
 	}
 	if ok {
-		holder.PreviousHost = current.Host
+		holder.PreviousHost, holder.EarlierHeartbeat = current.Host, current.EarlierHeartbeat
+		if last := s.lastHeartbeat(current); current.Host != claim.Host && !current.Released && last.After(holder.EarlierHeartbeat) {
+			holder.EarlierHeartbeat = last
+		}
 	}
 	s.holders[claim.Service] = holder
 	s.Logger.Info("holder changed", "service", claim.Service, "holder", claim.Host, "fence", record.Offset, "released", claim.Released)
@@ -316,11 +323,24 @@
 	if !ok {
 		return Holder{}, time.Time{}, false
 	}
-	lastHeartbeat = current.AppliedAt
-	if last, hasHeartbeat := s.heartbeats[current.Host]; hasHeartbeat && last.incarnation == current.Incarnation && last.receivedAt.After(lastHeartbeat) {
-		lastHeartbeat = last.receivedAt
+	return *current, s.lastHeartbeat(current), true
+}
+
+// lastHeartbeat returns when the latest heartbeat of a holder or, without one, its claim arrived.
+// The caller holds mu.
+func (s *State) lastHeartbeat(holder *Holder) time.Time {
+	last, ok := s.heartbeats[holder.Host]
+	if ok && last.incarnation == holder.Incarnation && last.receivedAt.After(holder.AppliedAt) {
+		return last.receivedAt
 	}
-	return *current, lastHeartbeat, true
+	return holder.AppliedAt
+}
+
+// AppliedOffset returns the offset of the newest applied record, -1 if there is none.
+func (s *State) AppliedOffset() gypsum.Offset {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.appliedOffset
 }
 
 // CrashCount returns how many replicas have crashed within crashRetention while they ran a
