usage: counts of live requests by account, closed and reported by the holder of the duty

Change: relay tells a RunObserver once of each request of an account, with the estimated start of the work: one way after the bytes were written to the connection. A request without a response counts 1.5 s after its send. Package usage writes cumulative counts by host and window to keyed.usage, at most every 0.3 s and only if they changed. The holder reads that topic (store.Reader) once for each window, 3 s after its end, and appends the sums; the first such record is the report, sent until it is accepted or too late. After an outage of the store, windows are closed once the counts of the hosts have come. Wired in edge, with counters; nothing runs without [cloud_api].

--- a/duty.go
+++ b/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -32,6 +33,13 @@
 	Counts map[AccountName]int64
 }
 
+// RunObserver is told of the live requests that replicas began to run.
+type RunObserver interface {
+	// ObserveRun is called once for a request of an account of which a replica began to run it,
+	// or most probably did, with the estimated moment. It must not block.
+	ObserveRun(account AccountName, began time.Time)
+}
+
 // CapacityOrder orders a number of replicas of a service in a data centre. Reclaimable replicas
 // cost less and may be taken away, all of a data centre at the same time.
 type CapacityOrder struct {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -85,9 +85,11 @@
 	relay         *relay.Relay
 	runner        *runner.Runner
 	frontend      *front.Server
-	followers     []*store.Follower
-	writers       map[writerKey]*store.Writer
-	tasks         taskGroup
+	// duties are the duties of the platform's API, nil if there are none.
+	duties    *duties
+	followers []*store.Follower
+	writers   map[writerKey]*store.Writer
+	tasks     taskGroup
 }
 
 // writerKey identifies the partition that a writer appends to.
@@ -142,6 +144,7 @@
 	if err := app.Run(); err != nil {
 		return fmt.Errorf("run servers: %w", err)
 	}
+	d.duties.flush(taskCtx)
 	d.Logger.Info("stopped", "host", d.Settings.Host)
 	return nil
 }
@@ -155,10 +158,16 @@
 	balancerNoticed := time.After(balancerNoticeTime)
 	ctx, cancel := context.WithTimeout(ctx, balancerNoticeTime)
 	defer cancel()
+	dutiesReleased := make(chan struct{})
+	go func() {
+		defer close(dutiesReleased)
+		d.duties.stop(ctx)
+	}()
 	d.runner.Stop(ctx)
 	if err := d.batches.RemoveDaemon(ctx); err != nil {
 		d.Logger.Warn("failed to remove daemon address from store", "error", err)
 	}
+	<-dutiesReleased
 	<-balancerNoticed
 	return nil
 }
@@ -225,10 +234,12 @@
 		Registry: d.registry, Relay: d.relay, Batches: d.batches, StoreDowntime: d.storeDowntime,
 		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Logger: d.Logger,
 	}
+	closeDuties := d.createDuties()
 	return func() {
 		closeBackends()
 		closePeers()
 		closeStore()
+		closeDuties()
 	}, nil
 }
 
@@ -246,6 +257,9 @@
 		addWriter(topics.Bodies, partition)
 		addWriter(topics.Texts, partition)
 	}
+	if d.Settings.HasDuty(gypsum.DutyUsage) {
+		addWriter(usageTopic, 0)
+	}
 }
 
 // startTasks starts the background goroutines of the daemon.
@@ -264,6 +278,7 @@
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
+	d.duties.startTasks(ctx, &d.tasks)
 }
 
 // publishOnce ensures that the metrics are published once per process, as expvar panics
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -68,6 +68,7 @@
 	Releases         int64            `json:"releases_out_of_reach"`
 	DecisionRounds   int64            `json:"decision_rounds"`
 	DecisionMS       int64            `json:"decision_ms"`
+	Duties           *dutyMetrics     `json:"duties,omitempty"`
 }
 
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
@@ -112,6 +113,7 @@
 		},
 		LoadOrders: runnerStats.LoadOrders.Load(), Claims: runnerStats.Claims.Load(), Takeovers: runnerStats.Takeovers.Load(), Releases: runnerStats.UnreachableReleases.Load(),
 		DecisionRounds: runnerStats.Rounds.Load(), DecisionMS: time.Duration(runnerStats.RoundTime.Load()).Milliseconds(),
+		Duties: d.duties.metrics(),
 	}
 	if snapshot.Config != nil {
 		current.Revision = snapshot.Config.Revision
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,9 @@
 	// through the daemon at an address.
 	Reach        *reach.Tracker
 	TransportVia func(address string) gypsum.ReplicaTransport
+	// Runs is told of the requests of accounts that replicas began to run, nil if nothing counts
+	// them. Reward calls are not among them.
+	Runs gypsum.RunObserver
 
 	Location gypsum.Location
 	Logger   *slog.Logger
@@ -92,6 +95,8 @@
 	// permitWait is the shortest time until a replica that limits its request rate accepts
 	// the request, 0 if none was tried.
 	permitWait time.Duration
+	// runObserved means that Runs was told of the request.
+	runObserved bool
 }
 
 // attemptPath is a replica and the host through which the request goes to it, empty for the
@@ -333,9 +338,11 @@
 	replica, startedAt := candidate.Replica, time.Now()
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	attemptCtx, send := r.traceSend(attemptCtx, request, candidate, startedAt)
 	tracked := r.beginAttempt(replica)
 	response, err := r.transport(candidate).RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
 	elapsed := time.Since(startedAt)
+	r.observeRun(request, send, err)
 	r.endAttempt(tracked, request, elapsed, attemptResultOf(ctx, candidate, response, err))
 	status := 0
 	if response != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -151,7 +151,9 @@
 // each event.
 func (r *Relay) forwardEvents(ctx context.Context, request *Request, candidate *Candidate, sink Sink, begun *bool, lastEvent *int64, onEvent func()) (*gypsum.LiveResponse, error) {
 	replica := candidate.Replica
+	ctx, send := r.traceSend(ctx, request, candidate, time.Now())
 	stream, err := r.transport(candidate).Stream(ctx, replica, &request.LiveRequest, time.Until(request.Deadline), *lastEvent)
+	r.observeRun(request, send, err)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -94,6 +94,8 @@
 	replicas    []*registeredReplica
 	daemons     []*daemonProcess
 	settingsDir string
+	// dutySettings are the settings of the platform's API, empty for a deployment without duties.
+	dutySettings string
 }
 
 // registeredReplica is a replica that renews its registration.
@@ -129,8 +131,11 @@
 
 // newTestEnv starts the stand-ins, the replicas and the given number of daemons, and
 // waits until the daemons are ready.
-func newTestEnv(t *testing.T, daemons int) *testEnv {
-	env := &testEnv{t: t, store: fake.NewKeyedStore(), settingsDir: t.TempDir()}
+func newTestEnv(t *testing.T, daemons int) *testEnv { return newDutyEnv(t, daemons, "") }
+
+// newDutyEnv is newTestEnv with settings of the platform's API.
+func newDutyEnv(t *testing.T, daemons int, dutySettings string) *testEnv {
+	env := &testEnv{t: t, store: fake.NewKeyedStore(), settingsDir: t.TempDir(), dutySettings: dutySettings}
 	env.store.Latency = 2 * time.Millisecond
 	env.engines = fake.NewBatchEngines(engineCount, engineSlots, eventInterval, model)
 	env.engines.EventCount = eventCount
@@ -282,7 +287,7 @@
 // startDaemon writes a daemon's settings file and starts its process.
 func (env *testEnv) startDaemon(daemon *daemonProcess) {
 	path := filepath.Join(env.settingsDir, daemon.name+".toml")
-	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, daemon.storeProxy.address())
+	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, daemon.storeProxy.address()) + env.dutySettings
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		env.t.Error(err)
 		return
