--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -100,6 +100,8 @@
 	// strictly, within revokeTime.
 	accounts   map[gypsum.AccountName][]string
 	revokeTime time.Duration
+	// dutySettings are the settings of the platform's API, empty for a deployment without duties.
+	dutySettings string
 }
 
 // registeredReplica is a replica that renews its registration.
@@ -141,7 +143,7 @@
 	return startTestEnv(&testEnv{t: t}, daemons)
 }
 
-// startTestEnv does what newTestEnv does for an environment whose accounts and build may be set.
+// startTestEnv does what newTestEnv does for an environment whose accounts, build and duties may be set.
 func startTestEnv(env *testEnv, daemons int) *testEnv {
 	t := env.t
 	if env.binary == "" {
@@ -313,7 +315,7 @@
 	if env.accounts != nil {
 		bounds = fmt.Sprintf("strict_revoke = true\nrevoke_ms = %d\n", env.revokeTime.Milliseconds())
 	}
-	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address())
+	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address()) + env.dutySettings
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		env.t.Error(err)
 		return
