A refusal of the store for its rate is neither a lost path nor an outage

Cause: status 429 was ErrStoreRefused, which means a path that does not work. The daemon then made the call again through other daemons, probed its own path and counted an outage, so that each refusal caused more calls.

Change: status 429 is ErrStoreRateLimited in platform.Store and in the protocol between daemons (older builds still get the code of a refusal). It causes no failover, ends a probe as a response does, and neither begins nor ends an outage of a follower; retries have jitter. An append with it is known not to have run. Follower.LimitedFor says how long reads have been refused, so that 404 still needs a current configuration (front.Server.ConfigAge). Follower.recordRead is the one place where a read has succeeded, with the time at which it was sent.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -222,7 +222,7 @@
 	d.runner.CPUShare = d.Settings.CPUShare
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
-		Registry: d.registry, Relay: d.relay, Batches: d.batches, StoreDowntime: d.storeDowntime,
+		Registry: d.registry, Relay: d.relay, Batches: d.batches, StoreDowntime: d.storeDowntime, ConfigAge: d.configAge,
 		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Logger: d.Logger,
 	}
 	return func() {
--- a/edge/records.go
+++ b/edge/records.go
@@ -38,6 +38,18 @@
 	return longest
 }
 
+// configAge returns how long the configuration may be outdated because reads of its topic fail or
+// are refused for their rate, zero if they succeed.
+func (d *Daemon) configAge() time.Duration {
+	age := d.storeDowntime()
+	for _, follower := range d.followers {
+		if follower.Topic == platform.TopicOperator {
+			age = max(age, follower.LimitedFor())
+		}
+	}
+	return age
+}
+
 // applyOperatorRecords applies the records of operators and trainers: configurations and
 // announced versions.
 func (d *Daemon) applyOperatorRecords(update store.Update) {
--- a/front/server.go
+++ b/front/server.go
@@ -27,6 +27,9 @@
 	Batches  *batch.Manager
 	// StoreDowntime returns how long the store has not responded, zero if it does.
 	StoreDowntime func() time.Duration
+	// ConfigAge returns how long the configuration may have been outdated, zero if it is current. It
+	// is at least StoreDowntime.
+	ConfigAge func() time.Duration
 	// Stopping is set when the process begins to shut down. Connections are then closed
 	// after their current request, and reads of results no longer wait.
 	Stopping atomic.Bool
@@ -89,7 +92,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case batchRequest != nil:
 		s.serveBatchRequest(w, r, batchRequest)
-	case s.StoreDowntime() > maxConfigAge:
+	case s.ConfigAge() > maxConfigAge:
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, uncertainRetryAfter,
 			"no route is known, and the configuration may have changed"))
 	default:
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -141,6 +141,7 @@
 			return 0
 		},
 	}
+	s.frontend.ConfigAge = s.frontend.StoreDowntime
 	server := httptest.NewServer(s.frontend.Handler())
 	t.Cleanup(server.Close)
 	s.url, s.stop = server.URL, func() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -116,12 +116,14 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, err := s.DirectStore.Read(ctx, s.ProbeRead)
-	if err == nil || errors.Is(err, gypsum.ErrTruncated) {
+	if err == nil || errors.Is(err, gypsum.ErrTruncated) || errors.Is(err, gypsum.ErrStoreRateLimited) {
 		s.setDirectUnavailable(false, nil)
 	}
 }
 
 // isPathError reports whether an error is due to the path rather than to the call.
+// gypsum.ErrStoreRateLimited is not: the store responded, and the same call through another daemon
+// would exceed the rate as well.
 func isPathError(err error) bool {
 	return errors.Is(err, gypsum.ErrStoreUnknown) || errors.Is(err, gypsum.ErrStoreRefused)
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	// Handle is called with each update, from the goroutine of Run.
 	Handle func(Update)
 	Logger *slog.Logger
+	// Clock measures the ages of what has been read, the runtime's monotonic clock if it is nil.
+	Clock gypsum.SteadyClock
 
 	mu           sync.Mutex
 	nextOffset   gypsum.Offset
@@ -60,6 +63,11 @@
 	lastResponse time.Time
 	recoveredAt  time.Time
 	unavailable  bool
+	// rateLimited means that the newest read was refused since all daemons together made too many
+	// calls.
+	rateLimited bool
+	// readSentAt is the time by Clock at which the newest successful read was sent to the store.
+	readSentAt time.Duration
 	// offsetAdvanced is closed when nextOffset advances, nil if nothing waits for that.
 	offsetAdvanced chan struct{}
 }
@@ -79,6 +87,25 @@
 	return f.lastResponse, f.unavailable
 }
 
+// LimitedFor returns the time since the last response to a read if the newest read was refused
+// since all daemons together made too many calls, and 0 otherwise. The store is available then, but
+// what has been read may be outdated.
+func (f *Follower) LimitedFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.rateLimited || f.lastResponse.IsZero() {
+		return 0
+	}
+	return time.Since(f.lastResponse)
+}
+
+// ReadAge returns how long ago the newest successful read was sent to the store, by Clock.
+func (f *Follower) ReadAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now() - f.readSentAt
+}
+
 // RecoveredAt returns when the store last responded again after an outage, zero if
 // there was none.
 func (f *Follower) RecoveredAt() time.Time {
@@ -91,12 +118,13 @@
 func (f *Follower) Run(ctx context.Context) error {
 	reload := true
 	for {
+		var sentAt time.Duration
 		var err error
 		start := time.Now()
 		if reload {
-			err = f.loadLatestRecords(ctx)
+			sentAt, err = f.loadLatestRecords(ctx)
 		} else {
-			err = f.readNewRecords(ctx)
+			sentAt, err = f.readNewRecords(ctx)
 		}
 		f.recordResult(err)
 		switch {
@@ -106,18 +134,24 @@
 			f.Logger.Warn("records expired before they were read", "topic", f.Topic, "error", err)
 			reload = true
 		case err != nil:
-			sleep(ctx, readBackoff)
+			sleep(ctx, jittered(readBackoff))
 		default:
+			f.recordRead(sentAt)
 			reload = false
 			sleep(ctx, f.MinReadInterval-time.Since(start))
 		}
 	}
 }
 
-// recordResult updates whether the store is unavailable, and logs each change.
+// recordResult updates whether the store is unavailable, and logs each change. A read that was
+// refused for its rate neither begins nor ends an outage.
 func (f *Follower) recordResult(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rateLimited = errors.Is(err, gypsum.ErrStoreRateLimited)
+	if f.rateLimited {
+		return
+	}
 	failed := err != nil && !errors.Is(err, gypsum.ErrTruncated)
 	if failed != f.unavailable {
 		f.Logger.Warn("access to the store lost or recovered", "topic", f.Topic, "lost", failed, "last_answer_ms", time.Since(f.lastResponse).Milliseconds(), "error", err)
@@ -131,6 +165,29 @@
 	f.unavailable = failed
 }
 
+// recordRead records a successful read that was sent to the store at a time by Clock. All records
+// that the store had accepted by then have been handled, or their number exceeds one page.
+func (f *Follower) recordRead(sentAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readSentAt = sentAt
+}
+
+// now returns the time by Clock.
+func (f *Follower) now() time.Duration {
+	if f.Clock == nil {
+		return time.Since(processStart)
+	}
+	return f.Clock()
+}
+
+// processStart is the origin of the clock of followers without Clock.
+var processStart = time.Now()
+
+// jittered returns a random duration of up to a half more than d, so that daemons that failed at
+// the same moment do not retry at the same moment.
+func jittered(d time.Duration) time.Duration { return d + rand.N(d/2) }
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -143,7 +200,8 @@
 }
 
 // loadLatestRecords reads the latest records of all keys.
-func (f *Follower) loadLatestRecords(ctx context.Context) error {
+func (f *Follower) loadLatestRecords(ctx context.Context) (sentAt time.Duration, err error) {
+	sentAt = f.now()
 	var records []gypsum.KeyedRecord
 	after, next := "", gypsum.Offset(-1)
 	for more := true; more; {
@@ -151,7 +209,7 @@
 		page, err := f.Store.LatestRecords(pageCtx, f.Topic, 0, after)
 		cancel()
 		if err != nil {
-			return fmt.Errorf("load latest records of topic %s: %w", f.Topic, err)
+			return 0, fmt.Errorf("load latest records of topic %s: %w", f.Topic, err)
 		}
 		if next < 0 {
 			next = page.Next
@@ -168,11 +226,12 @@
 	slices.SortFunc(records, func(a, b gypsum.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	f.Handle(Update{Records: records, Complete: true})
 	f.advanceOffset(next)
-	return nil
+	return sentAt, nil
 }
 
 // readNewRecords reads the records that follow the last handled one.
-func (f *Follower) readNewRecords(ctx context.Context) error {
+func (f *Follower) readNewRecords(ctx context.Context) (sentAt time.Duration, err error) {
+	sentAt = f.now()
 	f.mu.Lock()
 	from, wait, timeout := f.nextOffset, longPollWait, longPollWait+longPollGrace
 	if f.unavailable {
@@ -183,17 +242,20 @@
 	defer cancel()
 	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait})
 	if err != nil {
-		return fmt.Errorf("read topic %s: %w", f.Topic, err)
+		return 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
 	}
 	if page.First > from {
-		return fmt.Errorf("read topic %s from offset %d, oldest retained offset is %d: %w", f.Topic, from, page.First, gypsum.ErrTruncated)
+		return 0, fmt.Errorf("read topic %s from offset %d, oldest retained offset is %d: %w", f.Topic, from, page.First, gypsum.ErrTruncated)
+	}
+	if page.Age > 0 {
+		sentAt = f.now() - page.Age
 	}
 	if len(page.Records) == 0 {
-		return nil
+		return sentAt, nil
 	}
 	f.Handle(Update{Records: page.Records})
 	f.advanceOffset(page.Records[len(page.Records)-1].Offset + 1)
-	return nil
+	return sentAt, nil
 }
 
 // advanceOffset sets the offset before which all records have been handled.
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -161,3 +161,27 @@
 		is.True(backing.CallCount()-callsBefore <= 24) // 5 s at four reads per second
 	})
 }
+
+// TestRateLimitedReadIsNoOutage guards against treating a read that was refused for its rate as an
+// outage, after which registrations are kept and a configuration counts as unknown. The time
+// without a read is known all the same.
+func TestRateLimitedReadIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limited := &fake.LimitedStore{KeyedStore: fake.NewKeyedStore(), ReadsPerSecond: 100}
+		follower, _ := startFollower(t, limited)
+		time.Sleep(100 * time.Millisecond)
+		limited.SetReadsPerSecond(1e-9)
+		time.Sleep(3 * time.Second)
+		at, unavailable := follower.LastResponse()
+		is.True(!unavailable)
+		is.True(time.Since(at) > 1900*time.Millisecond) // a refused read is no response
+		is.True(follower.LimitedFor() > 1900*time.Millisecond)
+		is.True(follower.ReadAge() > 1900*time.Millisecond)
+		limited.SetReadsPerSecond(100)
+		time.Sleep(2 * time.Second)
+		is.Equal(follower.LimitedFor(), time.Duration(0))
+		is.True(follower.ReadAge() <= 2*time.Second) // one read that waited, and the next that still waits
+		is.True(follower.RecoveredAt().IsZero())
+	})
+}
--- a/store/writer.go
+++ b/store/writer.go
@@ -231,14 +231,14 @@
 				return result.offset, false, nil
 			case errors.Is(result.err, gypsum.ErrStoreFenced), errors.Is(result.err, gypsum.ErrStoreSequence):
 				return 0, uncertain, result.err
-			case !errors.Is(result.err, gypsum.ErrStoreRefused):
+			case !errors.Is(result.err, gypsum.ErrStoreRefused) && !errors.Is(result.err, gypsum.ErrStoreRateLimited):
 				uncertain = true
 			}
 			if !uncertain {
 				return 0, false, result.err
 			}
 			if inFlight == 0 {
-				hedgeTimer.Reset(appendBackoff)
+				hedgeTimer.Reset(jittered(appendBackoff))
 			}
 		}
 	}
@@ -289,7 +289,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(appendBackoff):
+	case <-time.After(jittered(appendBackoff)):
 		return nil
 	}
 }
--- a/store/writer_test.go
+++ b/store/writer_test.go
@@ -137,3 +137,23 @@
 		is.Equal(recordKeys(t, backing), []string{"a"})
 	})
 }
+
+// TestRateLimitedAppendIsNotUncertain guards against a new epoch and an unknown outcome after an
+// append that the store refused for its rate: it was not executed, and is sent again.
+func TestRateLimitedAppendIsNotUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		limited := &fake.LimitedStore{KeyedStore: backing, WritesPerSecond: 1}
+		writer := startWriter(t, limited)
+		for _, key := range []string{"a", "b"} {
+			_, err := writer.Append(t.Context(), gypsum.KeyedRecord{Key: key, Value: []byte("1")})
+			is.NoErr(err)
+		}
+		ctx := contextWithTimeout(t, 500*time.Millisecond)
+		_, err := writer.Append(ctx, gypsum.KeyedRecord{Key: "c", Value: []byte("1")})
+		is.True(errors.Is(err, gypsum.ErrStoreRefused)) // the caller gave up before any call was executed
+		time.Sleep(3 * time.Second)
+		is.Equal(recordKeys(t, backing), []string{"a", "b"})
+	})
+}
--- a/wire/store.go
+++ b/wire/store.go
@@ -31,6 +31,16 @@
 	"truncated": gypsum.ErrTruncated, "unknown": gypsum.ErrStoreUnknown,
 }
 
+// newStoreResponse returns the response to a call that ended with err. Daemons of older builds take
+// an unknown code for an unknown outcome, so that a call beyond the rate has the code of a
+// refusal, which it got before.
+func newStoreResponse(err error) *storeResponse {
+	if errors.Is(err, gypsum.ErrStoreRateLimited) {
+		return &storeResponse{ErrorCode: storeErrorCodeOf(gypsum.ErrStoreRefused), RateLimited: true}
+	}
+	return &storeResponse{ErrorCode: storeErrorCodeOf(err)}
+}
+
 // storeErrorCodeOf returns the code of an error, empty for nil.
 func storeErrorCodeOf(err error) storeErrorCode {
 	if err == nil {
@@ -57,6 +67,8 @@
 	Offset    gypsum.Offset      `cbor:"2,keyasint,omitempty"`
 	Page      *gypsum.KeyedPage  `cbor:"3,keyasint,omitempty"`
 	Latest    *gypsum.LatestPage `cbor:"4,keyasint,omitempty"`
+	// RateLimited means that the call was refused since all daemons together made too many.
+	RateLimited bool `cbor:"5,keyasint,omitempty"`
 }
 
 // StoreHandler returns the HTTP handler that forwards store calls of other daemons to
@@ -67,18 +79,24 @@
 	mux.Handle(appendProcedure, connect.NewUnaryHandler(appendProcedure,
 		func(ctx context.Context, request *connect.Request[gypsum.KeyedAppend]) (*connect.Response[storeResponse], error) {
 			offset, err := store.Append(ctx, *request.Msg)
-			return connect.NewResponse(&storeResponse{Offset: offset, ErrorCode: storeErrorCodeOf(err)}), nil
+			response := newStoreResponse(err)
+			response.Offset = offset
+			return connect.NewResponse(response), nil
 		}, options...))
 	mux.Handle(readProcedure, connect.NewUnaryHandler(readProcedure,
 		func(ctx context.Context, request *connect.Request[gypsum.KeyedRead]) (*connect.Response[storeResponse], error) {
 			page, err := store.Read(ctx, *request.Msg)
-			return connect.NewResponse(&storeResponse{Page: page, ErrorCode: storeErrorCodeOf(err)}), nil
+			response := newStoreResponse(err)
+			response.Page = page
+			return connect.NewResponse(response), nil
 		}, options...))
 	mux.Handle(latestProcedure, connect.NewUnaryHandler(latestProcedure,
 		func(ctx context.Context, request *connect.Request[latestRequest]) (*connect.Response[storeResponse], error) {
 			message := request.Msg
 			page, err := store.LatestRecords(ctx, message.Topic, message.Partition, message.After)
-			return connect.NewResponse(&storeResponse{Latest: page, ErrorCode: storeErrorCodeOf(err)}), nil
+			response := newStoreResponse(err)
+			response.Latest = page
+			return connect.NewResponse(response), nil
 		}, options...))
 	return procedurePrefix, mux
 }
@@ -159,6 +177,8 @@
 		return nil, fmt.Errorf("call store through a peer daemon: %w: %w", gypsum.ErrStoreRefused, err)
 	case err != nil:
 		return nil, fmt.Errorf("call store through a peer daemon: %w: %w", gypsum.ErrStoreUnknown, err)
+	case response.Msg.RateLimited:
+		return nil, fmt.Errorf("call store through a peer daemon: %w", gypsum.ErrStoreRateLimited)
 	case response.Msg.ErrorCode != "":
 		sentinel, ok := storeErrors[response.Msg.ErrorCode]
 		if !ok {
