Daemons pace their calls to the store by a share of its allowance

Cause: the store's reads and writes are one allowance of all daemons. 300 daemons need 9,000 reads a second by themselves; beyond the allowance each retried by itself, and after an outage all of them at once.

Change: package pace. Share is the pure decision: it starts from the allowance divided by the known daemons (writes: by the 16 daemons that write at the same time), increases while calls wait, decreases by a factor when a call is refused for its rate, and has jitter after that. Gate lets callers wait in the order of their classes, of which none waits without end. proxy.Store passes all calls of the daemon through the gates of reads and writes. Settings platform.writes_per_s and platform.reads_per_s; without them nothing is paced, and small deployments, whose allowance is ample, may use a quarter of it per daemon. The wait for the share does not count toward the timeout of a follower's read (KeyedRead.Timeout, Follower.Patience), so that it is no outage. Pages state the age of their read.

--- a/batch/state.go
+++ b/batch/state.go
@@ -346,6 +346,13 @@
 	return record.RateLimit, record.appliedAt, ok
 }
 
+// DaemonCount returns the number of daemons that have announced themselves.
+func (s *State) DaemonCount() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.daemons)
+}
+
 // DaemonRecords returns the records of all daemons that have announced themselves.
 func (s *State) DaemonRecords() []DaemonRecord {
 	s.mu.RLock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -14,10 +14,12 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
+	"github.com/gypsumhook/gypsum/pace"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/proxy"
 	"github.com/gypsumhook/gypsum/reach"
@@ -48,6 +50,17 @@
 	// replica must get no new work.
 	stateReadInterval   = 40 * time.Millisecond
 	replicaReadInterval = 250 * time.Millisecond
+	// readsPerDaemon and writesPerDaemon are the calls per second of the store that a daemon makes
+	// by itself at most: 18 to 29 reads at 9 to 12 hosts, and half as many more as a reserve. Calls
+	// are paced only where the store does not allow that many for each daemon.
+	readsPerDaemon  = 45
+	writesPerDaemon = 10
+	// writingDaemons is the number of daemons that write much at the same time: the holders of
+	// engine services and those that accept batches.
+	writingDaemons = 16
+	// readPatience is how long a read of a followed topic may wait for the daemon's share of the
+	// store's reads. It is longer than the time between two reads at the smallest share.
+	readPatience = 3 * time.Second
 	// watchInterval is the time between two checks for outages of the store, and between
 	// two attempts to store the daemon's address.
 	watchInterval = 200 * time.Millisecond
@@ -182,6 +195,9 @@
 	d.store = &proxy.Store{
 		DirectStore: client, PeerStores: peers, ListPeers: d.peers, Location: d.Settings.Location, Self: d.Settings.Host,
 		ProbeRead: gypsum.KeyedRead{Topic: topics.State, Max: 1}, Logger: d.Logger,
+		Reads:  pace.NewGate(pace.Use{Allowance: d.Settings.ReadsPerSecond, Need: readsPerDaemon}),
+		Writes: pace.NewGate(pace.Use{Allowance: d.Settings.WritesPerSecond, Need: writesPerDaemon, Users: writingDaemons}),
+		Class:  storeCallClass(topics), Clock: clock.Steady,
 	}
 	d.createWriters(topics)
 	follower := d.newFollower(topics.State, stateReadInterval, d.batchState.Apply)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/pace"
 )
 
 // appServer is a server that the kratos app starts and stops.
@@ -25,6 +26,8 @@
 	Revision         gypsum.Revision  `json:"revision"`
 	StoreDowntimeMS  int64            `json:"store_away_ms"`
 	ProxiedCalls     int64            `json:"store_detours"`
+	StoreReads       storeMetrics     `json:"store_reads"`
+	StoreWrites      storeMetrics     `json:"store_writes"`
 	Replicas         int              `json:"replicas"`
 	ReplicasLeaving  int64            `json:"replicas_leaving"`
 	ReplicasLimited  int              `json:"replicas_rate_limited"`
@@ -70,6 +73,25 @@
 	DecisionMS       int64            `json:"decision_ms"`
 }
 
+// storeMetrics count the calls of the store that the daemon has made, paced and not made, and give
+// the rate that it may use now.
+type storeMetrics struct {
+	Calls   int64   `json:"calls"`
+	Waited  int64   `json:"waited"`
+	WaitMS  int64   `json:"wait_ms"`
+	Limited int64   `json:"refused_for_rate"`
+	Expired int64   `json:"not_made"`
+	Rate    float64 `json:"rate_per_s"`
+}
+
+// newStoreMetrics returns the metrics of a gate.
+func newStoreMetrics(gate *pace.Gate) storeMetrics {
+	stats := gate.Stats()
+	return storeMetrics{
+		Calls: stats.Calls, Waited: stats.Waited, WaitMS: stats.Wait.Milliseconds(), Limited: stats.Limited, Expired: stats.Expired, Rate: stats.Rate,
+	}
+}
+
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
 // texts to their scores.
 type rewardMetrics struct {
@@ -92,7 +114,7 @@
 func (d *Daemon) currentMetrics() metrics {
 	snapshot, relayStats, runnerStats := d.registry.Current(), &d.relay.Stats, &d.runner.Stats
 	current := metrics{
-		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
+		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), StoreReads: newStoreMetrics(d.store.Reads), StoreWrites: newStoreMetrics(d.store.Writes), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
 		ReplicasLimited: d.limiter.Table.Count(), LimitsStated: d.limiter.Table.Stats.Stated.Load(), LimitsLifted: d.limiter.Table.Stats.Lifted.Load(),
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
--- a/edge/records.go
+++ b/edge/records.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/clock"
+	"github.com/gypsumhook/gypsum/pace"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/store"
 )
@@ -14,11 +18,16 @@
 func (d *Daemon) watchStore(ctx context.Context) error {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	limits := limitLog{logger: d.Logger}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			daemons := d.batchState.DaemonCount()
+			d.store.Reads.SetDaemons(daemons)
+			d.store.Writes.SetDaemons(daemons)
+			limits.update(d.store.Reads.Stats(), d.store.Writes.Stats(), daemons, now)
 			d.registry.ExpireRegistrations(d.storeDowntime() > 0, now)
 			d.relay.PruneReplicaStates(d.registry.Current())
 			d.origins.Update(now)
@@ -27,6 +36,26 @@
 	}
 }
 
+// limitLogInterval is the minimum time between two log lines about refused calls.
+const limitLogInterval = 5 * time.Second
+
+// limitLog logs when the store refuses calls for their rate.
+type limitLog struct {
+	logger   *slog.Logger
+	refused  int64
+	loggedAt time.Time
+}
+
+// update logs the refused calls since the last line, if there are any.
+func (l *limitLog) update(reads, writes pace.Stats, daemons int, now time.Time) {
+	refused := reads.Limited + writes.Limited
+	if refused == l.refused || now.Sub(l.loggedAt) < limitLogInterval {
+		return
+	}
+	l.logger.Warn("store refused calls for their rate", "refused", refused-l.refused, "reads_per_s", reads.Rate, "writes_per_s", writes.Rate, "hosts", daemons)
+	l.refused, l.loggedAt = refused, now
+}
+
 // storeDowntime returns how long the store has not responded, zero if it does.
 func (d *Daemon) storeDowntime() time.Duration {
 	var longest time.Duration
@@ -97,9 +126,28 @@
 	}
 }
 
+// storeCallClass returns a function that returns the classes of calls to the store by their topics.
+// Callers wait for appends of bodies and of records of the state, which also contain claims and
+// heartbeats.
+func storeCallClass(topics batch.Topics) func(gypsum.Topic, bool) pace.Class {
+	return func(topic gypsum.Topic, write bool) pace.Class {
+		switch {
+		case write && topic != topics.Texts:
+			return pace.ClassClaims
+		case topic == platform.TopicOperator:
+			return pace.ClassConfig
+		case topic == platform.TopicReplicas:
+			return pace.ClassRegistrations
+		case topic == topics.State:
+			return pace.ClassBatches
+		}
+		return pace.ClassRest
+	}
+}
+
 // newFollower returns a follower of a topic and adds it to the daemon's followers.
 func (d *Daemon) newFollower(topic gypsum.Topic, minInterval time.Duration, handle func(store.Update)) *store.Follower {
-	follower := &store.Follower{Store: d.store, Topic: topic, MinReadInterval: minInterval, Handle: handle, Logger: d.Logger}
+	follower := &store.Follower{Store: d.store, Topic: topic, MinReadInterval: minInterval, Handle: handle, Logger: d.Logger, Clock: clock.Steady, Patience: readPatience}
 	d.followers = append(d.followers, follower)
 	return follower
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/pace"
 )
 
 // Timeouts and delays of the direct path and of proxied calls.
@@ -28,6 +29,17 @@
 	probeTimeout      = 700 * time.Millisecond
 	// peerCooldown is how long a peer that could not serve a call is not used.
 	peerCooldown = time.Second
+	// appendPatience is how long an append waits for the daemon's share of the store's writes. It is
+	// below the time after which a writer repeats a call without a response.
+	appendPatience = 200 * time.Millisecond
+	// readPatience is how long a read without a deadline waits for the daemon's share of the store's
+	// reads, and callTime the part of a deadline that is left to a call without a timeout. It
+	// includes a slow response from the other region.
+	readPatience = 2 * time.Second
+	callTime     = 500 * time.Millisecond
+	// recoveryWait is above the wait of the reads with which a follower checks whether the store has
+	// returned.
+	recoveryWait = 10 * time.Millisecond
 	// maxPeersPerCall bounds the peers tried for one call.
 	maxPeersPerCall = 2
 )
@@ -44,6 +56,13 @@
 	// ProbeRead is the read used to probe the direct path.
 	ProbeRead gypsum.KeyedRead
 	Logger    *slog.Logger
+	// Reads and Writes pace the calls of this daemon, nil if they need not be paced. Class returns
+	// the class of a call, which is pace.ClassBatches if it is nil.
+	Reads  *pace.Gate
+	Writes *pace.Gate
+	Class  func(topic gypsum.Topic, write bool) pace.Class
+	// Clock measures the ages of pages, the runtime's monotonic clock if it is nil.
+	Clock gypsum.SteadyClock
 
 	mu                sync.Mutex
 	directUnavailable bool
@@ -115,7 +134,11 @@
 func (s *Store) probeDirectPath(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if s.Reads.Wait(ctx, pace.ClassClaims, probeTimeout-callTime) != nil {
+		return
+	}
 	_, err := s.DirectStore.Read(ctx, s.ProbeRead)
+	s.report(ctx, s.Reads, err)
 	if err == nil || errors.Is(err, gypsum.ErrTruncated) || errors.Is(err, gypsum.ErrStoreRateLimited) {
 		s.setDirectUnavailable(false, nil)
 	}
@@ -196,25 +219,102 @@
 // reused.
 const peerSelectionInterval = 10 * time.Second
 
+// class returns the class of a call.
+func (s *Store) class(topic gypsum.Topic, write bool) pace.Class {
+	if s.Class == nil {
+		return pace.ClassBatches
+	}
+	return s.Class(topic, write)
+}
+
+// report reports the result of a call to the gate that let it pass. A call that its caller
+// cancelled says nothing about the store.
+func (s *Store) report(ctx context.Context, gate *pace.Gate, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		gate.Report(err)
+	}
+}
+
+// patience returns how long a read that then takes callTime may wait for the daemon's share.
+func patience(ctx context.Context, callTime time.Duration) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return readPatience
+	}
+	return max(0, time.Until(deadline)-callTime)
+}
+
 // Append implements gypsum.KeyedStore.
 func (s *Store) Append(ctx context.Context, req gypsum.KeyedAppend) (gypsum.Offset, error) {
-	return callWithFailover(ctx, s, 0, func(ctx context.Context, store gypsum.KeyedStore) (gypsum.Offset, error) {
+	if err := s.Writes.Wait(ctx, s.class(req.Topic, true), appendPatience); err != nil {
+		return 0, err
+	}
+	offset, err := callWithFailover(ctx, s, 0, func(ctx context.Context, store gypsum.KeyedStore) (gypsum.Offset, error) {
 		return store.Append(ctx, req)
 	})
+	s.report(ctx, s.Writes, err)
+	return offset, err
 }
 
-// Read implements gypsum.KeyedStore.
+// Read implements gypsum.KeyedStore. A read without a timeout that had to wait for the daemon's
+// share waits for records for a shorter time, so that it keeps its deadline.
 func (s *Store) Read(ctx context.Context, req gypsum.KeyedRead) (*gypsum.KeyedPage, error) {
-	return callWithFailover(ctx, s, req.Wait, func(ctx context.Context, store gypsum.KeyedStore) (*gypsum.KeyedPage, error) {
+	class := s.class(req.Topic, false)
+	switch {
+	case req.Wait == 0:
+		// A caller or a claim waits for the end of the topic.
+		class = pace.ClassClaims
+	case req.Wait < recoveryWait:
+		// The topic has not been read since an outage began.
+		class = min(class, pace.ClassConfig)
+	}
+	timeout := req.Timeout
+	if timeout == 0 {
+		timeout = callTime
+	}
+	if err := s.Reads.Wait(ctx, class, patience(ctx, timeout)); err != nil {
+		return nil, err
+	}
+	if req.Timeout == 0 {
+		req.Wait = min(req.Wait, patience(ctx, callTime))
+	} else {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
+		defer cancel()
+	}
+	sentAt := s.now()
+	page, err := callWithFailover(ctx, s, req.Wait, func(ctx context.Context, store gypsum.KeyedStore) (*gypsum.KeyedPage, error) {
 		return store.Read(ctx, req)
 	})
+	s.report(ctx, s.Reads, err)
+	if err != nil {
+		return nil, err
+	}
+	page.Age = max(s.now()-sentAt, time.Nanosecond)
+	return page, nil
+}
+
+// now returns the time by Clock.
+func (s *Store) now() time.Duration {
+	if s.Clock == nil {
+		return time.Since(processStart)
+	}
+	return s.Clock()
 }
 
+// processStart is the origin of the clock of stores without Clock.
+var processStart = time.Now()
+
 // LatestRecords implements gypsum.KeyedStore.
 func (s *Store) LatestRecords(ctx context.Context, topic gypsum.Topic, partition gypsum.Partition, after string) (*gypsum.LatestPage, error) {
-	return callWithFailover(ctx, s, 0, func(ctx context.Context, store gypsum.KeyedStore) (*gypsum.LatestPage, error) {
+	if err := s.Reads.Wait(ctx, s.class(topic, false), patience(ctx, callTime)); err != nil {
+		return nil, err
+	}
+	page, err := callWithFailover(ctx, s, 0, func(ctx context.Context, store gypsum.KeyedStore) (*gypsum.LatestPage, error) {
 		return store.LatestRecords(ctx, topic, partition, after)
 	})
+	s.report(ctx, s.Reads, err)
+	return page, err
 }
 
 // StoreForPeers returns the store that this daemon offers to other daemons: it uses the
--- a/store.go
+++ b/store.go
@@ -39,6 +39,9 @@
 	From  Offset
 	Max   Bytes
 	Wait  time.Duration
+	// Timeout bounds the call itself, without the time that it waits for the daemon's share of the
+	// store's calls. 0 means that only the context bounds it.
+	Timeout time.Duration `cbor:"-"`
 }
 
 // KeyedPage is a sequence of consecutive records.
--- a/store/follower.go
+++ b/store/follower.go
@@ -28,6 +28,9 @@
 	// outageReadTimeout bounds a read while the store is unavailable. It leaves time for
 	// a slow response from the other region.
 	outageReadTimeout = 600 * time.Millisecond
+	// outageReadWait is the wait of such a read. Reads without a wait are those of callers and
+	// claims, which have a higher priority.
+	outageReadWait = time.Millisecond
 	// pageTimeout bounds the read of one page of the latest records: 1 MB between
 	// regions.
 	pageTimeout = 3 * time.Second
@@ -54,6 +57,9 @@
 	// Handle is called with each update, from the goroutine of Run.
 	Handle func(Update)
 	Logger *slog.Logger
+	// Patience is how long a read may wait for the daemon's share of the store's calls, in addition
+	// to the timeout of the read.
+	Patience time.Duration
 	// Clock measures the ages of what has been read, the runtime's monotonic clock if it is nil.
 	Clock gypsum.SteadyClock
 
@@ -235,12 +241,12 @@
 	f.mu.Lock()
 	from, wait, timeout := f.nextOffset, longPollWait, longPollWait+longPollGrace
 	if f.unavailable {
-		wait, timeout = 0, outageReadTimeout
+		wait, timeout = outageReadWait, outageReadTimeout
 	}
 	f.mu.Unlock()
-	readCtx, cancel := context.WithTimeout(ctx, timeout)
+	readCtx, cancel := context.WithTimeout(ctx, timeout+f.Patience)
 	defer cancel()
-	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait})
+	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait, Timeout: timeout})
 	if err != nil {
 		return 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
 	}
