--- a/emul/holder.go
+++ b/emul/holder.go
@@ -221,7 +221,7 @@
 	models := make([]sched.ModelDemand, 0, len(s.trainers))
 	for _, t := range s.trainers {
 		demand := t.spec.MedianEvents * float64(t.spec.Groups*t.spec.GroupSize)
-		models = append(models, sched.ModelDemand{Model: t.model, Latest: t.latest, Demand: demand})
+		models = append(models, sched.ModelDemand{Model: t.model, Latest: t.latest, Demand: demand, Items: t.spec.Groups * t.spec.GroupSize})
 	}
 	s.assigned = sched.AssignModels(models, views, s.assigned)
 	busy := func(id gypsum.BackendID, model gypsum.EngineModel) bool {
--- a/runner/loadorders.go
+++ b/runner/loadorders.go
@@ -79,17 +79,27 @@
 	return assignable
 }
 
-// modelDemands returns the latest version and the demand of each of the service's models.
+// modelDemands returns the latest version, the demand and the items of each of the service's models.
 func (s *heldService) modelDemands(snapshot *state.Snapshot) []sched.ModelDemand {
 	var models []sched.ModelDemand
+	items := s.openItems()
 	for _, model := range snapshot.Config.Services[s.service].Models {
 		models = append(models, sched.ModelDemand{
-			Model: model, Latest: max(1, snapshot.Versions[model]), Demand: s.expectedTokens[model],
+			Model: model, Latest: max(1, snapshot.Versions[model]), Demand: s.expectedTokens[model], Items: items[model],
 		})
 	}
 	return models
 }
 
+// openItems returns the number of items in the largest open batch of each model.
+func (s *heldService) openItems() map[gypsum.EngineModel]int {
+	items := make(map[gypsum.EngineModel]int)
+	for _, b := range s.batches {
+		items[b.header.Model] = max(items[b.header.Model], b.header.ItemCount)
+	}
+	return items
+}
+
 // sendLoadOrder sends a load order to an engine and waits for the load in the background.
 func (s *heldService) sendLoadOrder(e *engine, order sched.LoadOrder) {
 	pending := &loadOrder{model: order.Model, version: order.Version}
