--- a/front/server_test.go
+++ b/front/server_test.go
@@ -148,6 +148,7 @@
 	s.frontend = &front.Server{
 		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
 	}
+	s.frontend.ConfigAge = s.frontend.StoreDowntime
 	server := httptest.NewServer(s.frontend.Handler())
 	t.Cleanup(server.Close)
 	s.url, s.stop = server.URL, func() {
--- a/store.go
+++ b/store.go
@@ -39,6 +39,9 @@
 	From  Offset
 	Max   Bytes
 	Wait  time.Duration
+	// Timeout bounds the call itself, without the time that it waits for the daemon's share of the
+	// store's calls. 0 means that only the context bounds it.
+	Timeout time.Duration `cbor:"-"`
 }
 
 // KeyedPage is a sequence of consecutive records.
@@ -48,9 +51,10 @@
 	// that retention has kept.
 	Next  Offset
 	First Offset
-	// Age is how long before the return the read behind the page was sent to the store, at most.
-	// Records that the store accepted earlier are in the page or before it.
-	Age time.Duration
+	// SentAt is when the read behind the page was sent to the store or earlier, by the daemon's
+	// SteadyClock; 0 means that it was sent after the call began. It is not sent to other daemons,
+	// whose clocks differ. Records that the store accepted earlier are in the page or before it.
+	SentAt time.Duration `cbor:"-" json:"-"`
 }
 
 // LatestPage is a page of the latest records of the keys of a partition.
--- a/store/confirm_test.go
+++ b/store/confirm_test.go
@@ -91,7 +91,7 @@
 		}
 
 		// A page that another daemon knew already.
-		pages.setChange(func(page *gypsum.KeyedPage) { page.Age = 10 * wait })
+		pages.setChange(func(page *gypsum.KeyedPage) { page.SentAt = time.Since(start) - 10*wait })
 		before := confirmedAt
 		time.Sleep(4 * wait)
 		synctest.Wait()
--- a/store/follower.go
+++ b/store/follower.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,9 @@
 	// outageReadTimeout bounds a read while the store is unavailable. It leaves time for
 	// a slow response from the other region.
 	outageReadTimeout = 600 * time.Millisecond
+	// outageReadWait is the wait of such a read. Reads without a wait are those of callers and
+	// claims, which have a higher priority.
+	outageReadWait = time.Millisecond
 	// pageTimeout bounds the read of one page of the latest records: 1 MB between
 	// regions.
 	pageTimeout = 3 * time.Second
@@ -55,9 +59,13 @@
 	// Confirmed is called, from the same goroutine, after a read that shows that all records that
 	// the store had accepted at a time by Clock have been handled. Nil for none.
 	Confirmed func(at time.Duration)
-	Clock     gypsum.SteadyClock
+	// Clock measures the ages of what has been read, the runtime's monotonic clock if it is nil.
+	Clock gypsum.SteadyClock
 	// ReadWait returns how long the next read may wait for new records. Nil means LongPollWait.
 	ReadWait func() time.Duration
+	// Patience is how long a read may wait for the daemon's share of the store's calls, in addition
+	// to the timeout of the read.
+	Patience time.Duration
 	Logger   *slog.Logger
 
 	mu           sync.Mutex
@@ -68,6 +76,11 @@
 	unavailable  bool
 	// hasConfirmed is used only by the goroutine of Run.
 	hasConfirmed bool
+	// rateLimited means that the newest read was refused since all daemons together made too many
+	// calls.
+	rateLimited bool
+	// readSentAt is the time by Clock at which the newest successful read was sent to the store.
+	readSentAt time.Duration
 	// offsetAdvanced is closed when nextOffset advances, nil if nothing waits for that.
 	offsetAdvanced chan struct{}
 }
@@ -87,6 +100,25 @@
 	return f.lastResponse, f.unavailable
 }
 
+// LimitedFor returns the time since the last response to a read if the newest read was refused
+// since all daemons together made too many calls, and 0 otherwise. The store is available then, but
+// what has been read may be outdated.
+func (f *Follower) LimitedFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.rateLimited || f.lastResponse.IsZero() {
+		return 0
+	}
+	return time.Since(f.lastResponse)
+}
+
+// ReadAge returns how long ago the newest successful read was sent to the store, by Clock.
+func (f *Follower) ReadAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now() - f.readSentAt
+}
+
 // RecoveredAt returns when the store last responded again after an outage, zero if
 // there was none.
 func (f *Follower) RecoveredAt() time.Time {
@@ -99,12 +131,13 @@
 func (f *Follower) Run(ctx context.Context) error {
 	reload := true
 	for {
+		var sentAt time.Duration
 		var err error
 		start := time.Now()
 		if reload {
-			err = f.loadLatestRecords(ctx)
+			sentAt, err = f.loadLatestRecords(ctx)
 		} else {
-			err = f.readNewRecords(ctx)
+			sentAt, err = f.readNewRecords(ctx)
 		}
 		f.recordResult(err)
 		switch {
@@ -114,18 +147,24 @@
 			f.Logger.Warn("records expired before they were read", "topic", f.Topic, "error", err)
 			reload = true
 		case err != nil:
-			sleep(ctx, readBackoff)
+			sleep(ctx, jittered(readBackoff))
 		default:
+			f.recordRead(sentAt)
 			reload = false
 			sleep(ctx, f.MinReadInterval-time.Since(start))
 		}
 	}
 }
 
-// recordResult updates whether the store is unavailable, and logs each change.
+// recordResult updates whether the store is unavailable, and logs each change. A read that was
+// refused for its rate neither begins nor ends an outage.
 func (f *Follower) recordResult(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rateLimited = errors.Is(err, gypsum.ErrStoreRateLimited)
+	if f.rateLimited {
+		return
+	}
 	failed := err != nil && !errors.Is(err, gypsum.ErrTruncated)
 	if failed != f.unavailable {
 		f.Logger.Warn("access to the store lost or recovered", "topic", f.Topic, "lost", failed, "last_answer_ms", time.Since(f.lastResponse).Milliseconds(), "error", err)
@@ -139,6 +178,29 @@
 	f.unavailable = failed
 }
 
+// recordRead records a successful read that was sent to the store at a time by Clock. All records
+// that the store had accepted by then have been handled, or their number exceeds one page.
+func (f *Follower) recordRead(sentAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readSentAt = sentAt
+}
+
+// now returns the time by Clock.
+func (f *Follower) now() time.Duration {
+	if f.Clock == nil {
+		return time.Since(processStart)
+	}
+	return f.Clock()
+}
+
+// processStart is the origin of the clock of followers without Clock.
+var processStart = time.Now()
+
+// jittered returns a random duration of up to a half more than d, so that daemons that failed at
+// the same moment do not retry at the same moment.
+func jittered(d time.Duration) time.Duration { return d + rand.N(d/2) }
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -151,7 +213,8 @@
 }
 
 // loadLatestRecords reads the latest records of all keys.
-func (f *Follower) loadLatestRecords(ctx context.Context) error {
+func (f *Follower) loadLatestRecords(ctx context.Context) (sentAt time.Duration, err error) {
+	sentAt = f.now()
 	var records []gypsum.KeyedRecord
 	after, next := "", gypsum.Offset(-1)
 	for more := true; more; {
@@ -159,7 +222,7 @@
 		page, err := f.Store.LatestRecords(pageCtx, f.Topic, 0, after)
 		cancel()
 		if err != nil {
-			return fmt.Errorf("load latest records of topic %s: %w", f.Topic, err)
+			return 0, fmt.Errorf("load latest records of topic %s: %w", f.Topic, err)
 		}
 		if next < 0 {
 			next = page.Next
@@ -176,30 +239,30 @@
 	slices.SortFunc(records, func(a, b gypsum.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	f.Handle(Update{Records: records, Complete: true})
 	f.advanceOffset(next)
-	return nil
+	return sentAt, nil
 }
 
 // readNewRecords reads the records that follow the last handled one.
-func (f *Follower) readNewRecords(ctx context.Context) error {
+func (f *Follower) readNewRecords(ctx context.Context) (sentAt time.Duration, err error) {
+	sentAt = f.now()
 	wait := f.readWait()
 	f.mu.Lock()
 	from, timeout := f.nextOffset, wait+longPollGrace
 	if f.unavailable {
-		wait, timeout = 0, outageReadTimeout
+		wait, timeout = outageReadWait, outageReadTimeout
 	}
 	f.mu.Unlock()
-	readCtx, cancel := context.WithTimeout(ctx, timeout)
+	readCtx, cancel := context.WithTimeout(ctx, timeout+f.Patience)
 	defer cancel()
-	var sentAt time.Duration
-	if f.Confirmed != nil {
-		sentAt = f.Clock()
-	}
-	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait})
+	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait, Timeout: timeout})
 	if err != nil {
-		return fmt.Errorf("read topic %s: %w", f.Topic, err)
+		return 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
 	}
 	if page.First > from {
-		return fmt.Errorf("read topic %s from offset %d, oldest retained offset is %d: %w", f.Topic, from, page.First, gypsum.ErrTruncated)
+		return 0, fmt.Errorf("read topic %s from offset %d, oldest retained offset is %d: %w", f.Topic, from, page.First, gypsum.ErrTruncated)
+	}
+	if page.SentAt != 0 {
+		sentAt = page.SentAt
 	}
 	next := from
 	if len(page.Records) > 0 {
@@ -212,9 +275,9 @@
 	// response, since the process may have been suspended in between.
 	if f.Confirmed != nil && page.Next == next {
 		f.hasConfirmed = true
-		f.Confirmed(sentAt - page.Age)
+		f.Confirmed(sentAt)
 	}
-	return nil
+	return sentAt, nil
 }
 
 // readWait returns how long the next read may wait for new records. The first read does not wait,
