Holders of older versions do not run batches of accounts

A daemon of an older version that holds a service runs the items of a batch without the name of its account. Claims now say whether their daemon passes it on; one that does not is replaced once a batch of an account is open, as it is for batches with scorers. Items that such a holder starts in the fraction of a second until then still lack the name.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -14,7 +14,7 @@
 // topic. RecordClaim therefore waits until the State has applied the appended record, after
 // which State.Holder returns the winner.
 func (m *Manager) RecordClaim(ctx context.Context, service gypsum.ServiceName, term int64, released bool) error {
-	offset, err := m.appendRecord(ctx, Claim{Service: service, Host: m.Host, Incarnation: m.Incarnation, Term: term, Released: released, MakesRewardCalls: true},
+	offset, err := m.appendRecord(ctx, Claim{Service: service, Host: m.Host, Incarnation: m.Incarnation, Term: term, Released: released, MakesRewardCalls: true, NamesAccounts: true},
 		kindClaim, string(service), m.uniqueKey())
 	if err != nil {
 		return err
--- a/batch/record.go
+++ b/batch/record.go
@@ -117,6 +117,9 @@
 	// MakesRewardCalls means that the daemon obtains the scores of items. Daemons of older
 	// versions, which do not, leave it out.
 	MakesRewardCalls bool `cbor:"6,keyasint,omitempty"`
+	// NamesAccounts means that the daemon passes the account of a batch on with its items. Daemons
+	// of older versions, which do not, leave it out.
+	NamesAccounts bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat is the record by which a holder shows that it is alive.
--- a/batch/state.go
+++ b/batch/state.go
@@ -58,6 +58,8 @@
 	Released bool
 	// MakesRewardCalls means that the daemon obtains the scores of items.
 	MakesRewardCalls bool
+	// NamesAccounts means that the daemon passes the account of a batch on with its items.
+	NamesAccounts bool
 	// PreviousHost is the previous holder, empty if there was none.
 	PreviousHost gypsum.HostID
 	// AppliedAt is when this daemon applied the claim.
@@ -292,7 +294,7 @@
 	}
 	holder := &Holder{
 		Host: claim.Host, Incarnation: claim.Incarnation, FencingToken: record.Offset, Term: claim.Term, Released: claim.Released,
-		MakesRewardCalls: claim.MakesRewardCalls, AppliedAt: now,
+		MakesRewardCalls: claim.MakesRewardCalls, NamesAccounts: claim.NamesAccounts, AppliedAt: now,
 	}
 	if ok {
 		holder.PreviousHost = current.Host
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -262,14 +262,22 @@
 	snapshot, ok := state.Snapshot("b1")
 	is.True(ok)
 	is.True(!snapshot.Header.Scored)
+	is.Equal(snapshot.Header.Account, gypsum.AccountName(""))
 	is.Equal(snapshot.Checkpoints["e1"].LastEvent, int64(7))
 	is.True(!snapshot.Checkpoints["e1"].Complete)
 	is.Equal(snapshot.Failures["e2"], batch.Failures{Batch: "b1", Item: "e2", Failed: 1, Crashed: 2})
 	is.True(snapshot.HasResult["e3"])
 	holder, _, ok := state.Holder("motif")
 	is.True(ok)
-	is.True(!holder.MakesRewardCalls)
+	is.True(!holder.MakesRewardCalls && !holder.NamesAccounts)
 
+	var header struct {
+		ID        string `cbor:"1,keyasint"`
+		ItemCount int    `cbor:"7,keyasint"`
+		Step      int    `cbor:"15,keyasint"`
+	}
+	is.NoErr(cbor.Unmarshal(encode("", batch.Header{ID: "b2", ItemCount: 3, Step: 4, Account: "hule930"}).Value, &header))
+	is.Equal(header.Step, 4) // older versions skip the account
 	var result struct {
 		Batch string             `cbor:"1,keyasint"`
 		Item  string             `cbor:"2,keyasint"`
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -66,7 +66,7 @@
 		return
 	}
 	lastHeartbeat = r.silentSince(lastHeartbeat)
-	vacant := !holderKnown || holder.Released || (holder.Host == r.Host && holder.Incarnation != r.Incarnation) || cannotScore(holder, headers)
+	vacant := !holderKnown || holder.Released || (holder.Host == r.Host && holder.Incarnation != r.Incarnation) || cannotRun(holder, headers)
 	lastResponse, _ := r.Batches.Follower.LastResponse()
 	if !vacant && !isHolderSilent(lastHeartbeat, lastResponse, now) {
 		delete(r.pendingClaims, service)
@@ -96,10 +96,14 @@
 	return now.Sub(lastHeartbeat) >= holderTimeout && lastResponse.Sub(lastHeartbeat) >= 2*heartbeatInterval
 }
 
-// cannotScore reports whether the holder is a daemon of an older version that makes no
-// reward calls while an open batch needs them.
-func cannotScore(holder *batch.Holder, headers []batch.Header) bool {
-	return !holder.MakesRewardCalls && slices.ContainsFunc(headers, func(header batch.Header) bool { return header.Scored })
+// cannotRun reports whether the holder is a daemon of an older version that lacks what an open
+// batch needs: that makes no reward calls, or does not pass on the account of a batch.
+func cannotRun(holder *batch.Holder, headers []batch.Header) bool {
+	return slices.ContainsFunc(headers, func(header batch.Header) bool {
+		lacksScores := header.Scored && !holder.MakesRewardCalls
+		lacksAccount := header.Account != "" && !holder.NamesAccounts
+		return lacksScores || lacksAccount
+	})
 }
 
 // silentSince returns the time from which a holder counts as silent: its last heartbeat
--- a/runner/scoring_test.go
+++ b/runner/scoring_test.go
@@ -288,9 +288,17 @@
 	})
 }
 
-// A holder of an older version, whose claim does not say that it makes reward calls, is
-// replaced as soon as a batch needs them, and not before.
+// A holder of an older version, whose claim does not say that it makes reward calls or passes on
+// accounts, is replaced as soon as a batch needs that, and not before.
 func TestOlderHolderIsReplaced(t *testing.T) {
+	withAccount := newBatch("bat", 1, itemLengths(4, 0)...)
+	withAccount.Account = "hule930"
+	for name, submitted := range map[string]*gypsum.Batch{"reward calls": newScoredBatch("bat", itemLengths(4, 0)...), "account": withAccount} {
+		t.Run(name, func(t *testing.T) { testOlderHolderIsReplaced(t, submitted) })
+	}
+}
+
+func testOlderHolderIsReplaced(t *testing.T, submitted *gypsum.Batch) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := scoredDeployment(t)
@@ -313,7 +321,8 @@
 		d.submitBatch(0, unscored)
 		time.Sleep(2 * time.Second)
 		is.Equal(d.holderKnownTo(0), gypsum.HostID("older"))
-		submitted := newScoredBatch("bat", itemLengths(4, 0)...)
+		now := time.Now()
+		submitted.SubmittedAt, submitted.DueAt, submitted.ExpiresAt = now, now.Add(7500*time.Millisecond), now.Add(40*time.Second)
 		d.submitBatch(0, submitted)
 		d.awaitResults(0, submitted, 5*time.Second)
 		is.Equal(d.holderKnownTo(0), gypsum.HostID("host-1"))
