Fair shares of accounts: memory for bodies and replicas that are full

A burst of one account could fill the memory for request bodies and the slots of the plain replicas at a host, so that requests of other accounts were refused. An account may now hold as much memory as is free, and its first body always fits if there is room. Once requests find all replicas full, the host limits its rate to the service and divides it so that small demands are met first.

The fair queueing of package queue does not fit: it orders calls that wait, and here nothing waits.

--- a/access/access_test.go
+++ b/access/access_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
+	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -301,3 +302,24 @@
 	is.Equal(checker.Stats.Outdated.Load(), int64(1))
 	is.Equal(checker.Stats.RefusedSends.Load(), int64(2))
 }
+
+// BenchmarkChecker measures the decision on a request: on arrival, and before one send.
+func BenchmarkChecker(b *testing.B) {
+	registry := state.NewRegistry(slog.New(slog.DiscardHandler))
+	config := &gypsum.RoutingConfig{Revision: 1, Accounts: gypsum.NewAccounts()}
+	for i := range 10_000 {
+		config.Accounts.Add(gypsum.Account{Name: gypsum.AccountName(fmt.Sprint("account-", i))}, []string{fmt.Sprint("key-", i)})
+	}
+	registry.ApplyConfig(config)
+	registry.ConfirmConfig(clock.Steady())
+	checker := &access.Checker{
+		Policy: access.Policy{StrictRevocation: true, RevocationDelay: time.Hour}, Registry: registry, Clock: clock.Steady, StoreDowntime: func() time.Duration { return 0 },
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		grant, refusal := checker.Admit(checker.View(), false, credentialOf("key-7"))
+		if refusal != nil || checker.Recheck(&grant) != nil {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -219,6 +219,7 @@
 	d.reach.Stopping = func() bool { return d.frontend.Stopping.Load() }
 	d.relay = relay.New()
 	d.relay.Reach = d.reach
+	d.relay.HostCount = func() int { return len(d.batchState.DaemonRecords()) }
 	d.relay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(peers.ReplicasVia(address)) }
 	d.relay.Crashes, d.relay.Limiter, d.relay.Origins = d.batches, d.limiter, d.origins
 	d.relay.Transport, d.relay.Registry, d.relay.Location, d.relay.Logger = backends, d.registry, d.Settings.Location, d.Logger
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -43,6 +43,9 @@
 	Unauthenticated  int64            `json:"requests_unauthenticated"`
 	KeysOutdated     int64            `json:"requests_refused_keys_outdated"`
 	RefusedSends     int64            `json:"sends_refused_keys"`
+	BeyondShare      int64            `json:"requests_refused_share"`
+	SendsLimited     int              `json:"services_divided"`
+	BodiesRefused    int64            `json:"bodies_refused"`
 	UnknownRoute     int64            `json:"unknown_route"`
 	BadInput         int64            `json:"bad_input"`
 	RelayRequests    int64            `json:"relay_requests"`
@@ -105,6 +108,7 @@
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
 		Authenticated: d.access.Stats.Authenticated.Load(), Unauthenticated: d.access.Stats.Unauthenticated.Load(),
 		KeysOutdated: d.access.Stats.Outdated.Load(), RefusedSends: d.access.Stats.RefusedSends.Load(),
+		BeyondShare: relayStats.BeyondShare.Load(), SendsLimited: d.relay.Sends.Limited(time.Now()), BodiesRefused: d.frontend.Stats.BodiesRefused.Load(),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), ClientResumes: relayStats.ClientResumes.Load(),
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -430,3 +430,40 @@
 	is.Equal(len(hash.String()), 8)
 	s.checkNoKeyLeft()
 }
+
+// TestBodiesOfOneAccount guards against the bodies of one account that take all memory, so that the
+// requests of other accounts are refused.
+func TestBodiesOfOneAccount(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 2)
+	s.applyAccounts(2, allKeys())
+	for _, replica := range s.replicas {
+		replica.ServiceTime = 500 * time.Millisecond
+	}
+	body := strings.Repeat("x", 60<<10)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	for i := range 30 {
+		wg.Go(func() {
+			status, _, _ := s.sendWithKey("POST", "/n/a", fmt.Sprint("burst-", i), body, huleKey)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[status]++
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	for i := range 4 {
+		wg.Go(func() {
+			status, _, _ := s.sendWithKey("POST", "/n/a", fmt.Sprint("other-", i), body, fidaKey)
+			mu.Lock()
+			defer mu.Unlock()
+			if status != http.StatusOK {
+				s.t.Errorf("request of the other account got status %d", status)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(statuses[http.StatusOK] >= 8 && statuses[http.StatusServiceUnavailable] >= 16)
+	is.Equal(s.frontend.Stats.BodiesRefused.Load(), int64(statuses[http.StatusServiceUnavailable]))
+}
--- a/front/batch.go
+++ b/front/batch.go
@@ -31,7 +31,7 @@
 
 func (s *Server) serveSubmitBatch(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
 	id := r.Header.Get(platform.HeaderRequestID)
-	content, release, ok := s.readBody(w, r, config.Limits.MaxBody)
+	content, release, ok := s.readBody(w, r, config.Limits.MaxBody, grant)
 	if !ok {
 		return
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
+	"github.com/gypsumhook/gypsum/share"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/wire"
 )
@@ -39,17 +40,18 @@
 	Logger     *slog.Logger
 	Stats      Stats
 
-	bodyBytes atomic.Int64
+	bodies share.Memory
 }
 
-// Stats holds the latencies of requests by their kind, and the numbers of requests without a
-// route and with invalid input.
+// Stats holds the latencies of requests by their kind, and counts requests that were not served.
 type Stats struct {
 	LiveRequests     Histogram
 	BatchSubmissions Histogram
 	ResultReads      Histogram
 	UnknownRoute     atomic.Int64
 	BadInput         atomic.Int64
+	// BodiesRefused counts the requests that were refused for lack of memory for their bodies.
+	BodiesRefused atomic.Int64
 }
 
 // maxConfigAge is how long the store may have been unavailable for a request without a
@@ -147,7 +149,7 @@
 
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
-	body, release, ok := s.readBody(w, r, config.Limits.MaxBody)
+	body, release, ok := s.readBody(w, r, config.Limits.MaxBody, grant)
 	if !ok {
 		return
 	}
@@ -178,7 +180,7 @@
 		return
 	}
 	writeResponse(w, response)
-	s.Logger.Info("request completed", "request", request.ID, "service", request.Service, "status", response.Status,
+	s.Logger.Info("request completed", "request", request.ID, "account", request.Account, "service", request.Service, "status", response.Status,
 		"took_ms", time.Since(arrived).Milliseconds())
 }
 
@@ -194,20 +196,20 @@
 
 // readBody reads the body of a request. The caller must call release when it no longer
 // needs the body. If ok is false, readBody has written the response.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes) (body []byte, release func(), ok bool) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes, grant *access.Grant) (body []byte, release func(), ok bool) {
 	release = func() {}
 	if r.ContentLength > int64(limit) {
 		s.Stats.BadInput.Add(1)
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
 		return nil, release, false
 	}
-	expected := max(0, r.ContentLength)
-	if s.bodyBytes.Add(expected) > int64(s.BodyMemory) {
-		s.bodyBytes.Add(-expected)
+	account, expected := grant.AccountName(), gypsum.Bytes(max(0, r.ContentLength))
+	if !s.bodies.Acquire(account, grant.AccountsInForce, expected, s.BodyMemory) {
+		s.Stats.BodiesRefused.Add(1)
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "too many large bodies at one time"))
 		return nil, release, false
 	}
-	release = func() { s.bodyBytes.Add(-expected) }
+	release = func() { s.bodies.Release(account, expected) }
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	if err != nil {
 		release()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -93,6 +93,17 @@
 	return min(remaining, failureCostFactor*max(target, minAttemptTimeout))
 }
 
+// minServiceTime bounds the capacity that is expected of a replica that responds very fast.
+const minServiceTime = time.Millisecond
+
+// expectedServiceTime returns how long a request is expected to occupy a slot of the replica.
+func (c *Candidate) expectedServiceTime() time.Duration {
+	if c.Latency == 0 {
+		return defaultLatency
+	}
+	return c.Latency
+}
+
 // expectedLatency returns the expected time to a response, including the wait for a
 // slot.
 func (c *Candidate) expectedLatency(local gypsum.Location) time.Duration {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/reach"
+	"github.com/gypsumhook/gypsum/share"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -24,6 +25,10 @@
 	// Crashes counts the replicas that each request has crashed.
 	Crashes  gypsum.CrashCounter
 	Registry *state.Registry
+	// Sends divides the requests to a service among accounts while its replicas are full. HostCount
+	// returns the number of daemons that send to the same replicas. Without it, there is one.
+	Sends     share.Sends
+	HostCount func() int
 	// Limiter keeps the requests to each replica within the rate that it accepts.
 	Limiter *limit.Limiter
 	// Origins remembers which software versions began the streams.
@@ -52,13 +57,15 @@
 	Detours atomic.Int64
 	// ClientResumes counts the streams that clients took up again.
 	ClientResumes atomic.Int64
-	Refused       atomic.Int64
-	Failed        atomic.Int64
+	// BeyondShare counts the requests that were refused since their account had used its share.
+	BeyondShare atomic.Int64
+	Refused     atomic.Int64
+	Failed      atomic.Int64
 }
 
 // New returns a Relay whose exported fields are not set yet.
 func New() *Relay {
-	return &Relay{replicaStates: make(map[gypsum.BackendID]*replicaState), probes: make(chan crashProbe, maxQueuedProbes)}
+	return &Relay{HostCount: func() int { return 1 }, replicaStates: make(map[gypsum.BackendID]*replicaState), probes: make(chan crashProbe, maxQueuedProbes)}
 }
 
 // Request is a live request and the state of its attempts.
@@ -118,7 +125,34 @@
 	case !request.isReward && r.Crashes.CrashCount(request.fingerprint) >= crashLimit:
 		return r.requestRefusal(request, gypsum.ReasonPoison, 0, "the request crashes replicas")
 	}
-	return nil
+	return r.admitToShare(request)
+}
+
+// admitToShare refuses a request whose account has used its share of a service whose replicas are
+// full.
+func (r *Relay) admitToShare(request *Request) *gypsum.Refusal {
+	if !request.AccountsInForce || request.isReward {
+		return nil
+	}
+	ok, retryAfter := r.Sends.Admit(request.Service, request.Account, time.Now())
+	if ok {
+		return nil
+	}
+	r.Stats.BeyondShare.Add(1)
+	return r.requestRefusal(request, gypsum.ReasonOverloaded, retryAfter, "the account has used its share of the replicas, which are full")
+}
+
+// recordFull records that a request was refused since all replicas of its service are full.
+func (r *Relay) recordFull(request *Request) {
+	if !request.AccountsInForce || request.isReward || request.lastReason != gypsum.ReasonOverloaded {
+		return
+	}
+	now := time.Now()
+	perSecond := 0.0
+	for _, candidate := range r.candidates(request.Service, false, now) {
+		perSecond += float64(max(1, candidate.Replica.Slots)) / max(minServiceTime, candidate.expectedServiceTime()).Seconds()
+	}
+	r.Sends.RecordFull(request.Service, perSecond/float64(max(1, r.HostCount())), now)
 }
 
 // requestRefusal returns the refusal of a request: with outcome not_run, or unknown if the
@@ -242,6 +276,7 @@
 	if request.mayHaveRun {
 		return r.failureRefusal(request.lastReason, http.StatusBadGateway, "replicas failed")
 	}
+	r.recordFull(request)
 	retryAfter := max(RetryAfter(time.Since(request.Arrived)), min(request.permitWait, maxRetryAfter))
 	return r.requestRefusal(request, gypsum.ReasonOverloaded, retryAfter, "replicas are busy or out of reach")
 }
