scale: replicas by order, through the duty autoscale

Package scale: Plan decides purely; at least the replicas of the start, up to half as many more while engines have more than three texts each, spread over the data centres, never an order below what is there. What was ordered and the replicas of the start are in the log (keyed.capacity), read by the holder only. A rejected order is placed in another data centre. Measured: go test -race -count=10 ./scale green; platform green.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -260,6 +260,9 @@
 	if d.Settings.HasDuty(gypsum.DutyUsage) {
 		addWriter(usageTopic, 0)
 	}
+	if d.Settings.HasDuty(gypsum.DutyCapacity) {
+		addWriter(capacityTopic, 0)
+	}
 }
 
 // startTasks starts the background goroutines of the daemon.
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -8,11 +8,16 @@
 	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/duty"
 	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/scale"
 	"github.com/gypsumhook/gypsum/usage"
 )
 
-// usageTopic is the topic of the usage counts of all hosts. Only the holder of the duty reads it.
-var usageTopic = platform.KeyedTopic("usage")
+// usageTopic is the topic of the usage counts of all hosts, capacityTopic that of the orders of
+// replicas. Only the holders of the duties read them.
+var (
+	usageTopic    = platform.KeyedTopic("usage")
+	capacityTopic = platform.KeyedTopic("capacity")
+)
 
 // flushTimeout bounds the last write of counts at the end of the process, after the servers have
 // stopped.
@@ -25,6 +30,8 @@
 	// counter and reporter are nil without the duty of usage reports.
 	counter  *usage.Counter
 	reporter *usage.Reporter
+	// planner is nil without the duty of ordering replicas.
+	planner *scale.Planner
 }
 
 // createDuties creates the components for the duties that the settings name. The returned function
@@ -45,9 +52,35 @@
 	if d.Settings.HasDuty(gypsum.DutyUsage) {
 		d.createUsage(client)
 	}
+	if d.Settings.HasDuty(gypsum.DutyCapacity) {
+		planner := scale.NewPlanner()
+		planner.Keeper, planner.Client, planner.Store, planner.Topic = keeper, client, d.store, capacityTopic
+		planner.Writer, planner.Registry, planner.OpenTexts = d.writers[writerKey{topic: capacityTopic}], d.registry, d.openTexts
+		planner.DataCentres, planner.StoreUnavailable = d.Settings.Regions, keeper.StoreUnavailable
+		planner.Clock, planner.Logger = clock.Steady, d.Logger
+		d.duties.planner = planner
+	}
 	return cleanup
 }
 
+// openTexts returns the number of items without a result by service. Batches of a removed route
+// stay with the service that they were accepted for.
+func (d *Daemon) openTexts() map[gypsum.ServiceName]int {
+	config, open := d.registry.Current().Config, make(map[gypsum.ServiceName]int)
+	for _, header := range d.batchState.OpenBatches() {
+		service := header.Service
+		if config != nil {
+			if route := config.FindRoute(header.Route); route != nil && len(route.Services) > 0 {
+				service = route.Services[0].Service
+			}
+		}
+		d.batchState.VisitProgress(header.ID, func(hasResult map[gypsum.ItemID]bool, _ bool) {
+			open[service] += header.ItemCount - len(hasResult)
+		})
+	}
+	return open
+}
+
 // createUsage creates the components for usage reports.
 func (d *Daemon) createUsage(client gypsum.DutyClient) {
 	timing := usage.Timing{Window: d.Settings.CloudAPI.UsageWindow, Lateness: d.Settings.CloudAPI.UsageLateness}
@@ -73,6 +106,9 @@
 		tasks.start(ctx, d.counter.Run)
 		tasks.start(ctx, d.reporter.Run)
 	}
+	if d.planner != nil {
+		tasks.start(ctx, d.planner.Run)
+	}
 }
 
 // stop releases the duties of a daemon that leaves.
@@ -114,6 +150,9 @@
 	WindowsReported int64 `json:"usage_windows_reported"`
 	WindowsMissed   int64 `json:"usage_windows_missed"`
 	LateCounts      int64 `json:"usage_requests_late"`
+	// The orders of replicas that this host sent, and those that were rejected.
+	Orders         int64 `json:"capacity_orders"`
+	OrdersRejected int64 `json:"capacity_orders_rejected"`
 }
 
 // metrics returns the metrics of the duties, nil if there are none.
@@ -131,5 +170,8 @@
 		current.WindowsClosed, current.WindowsReported = d.reporter.Stats.Closed.Load(), d.reporter.Stats.Reported.Load()
 		current.WindowsMissed, current.LateCounts = d.reporter.Stats.Missed.Load(), d.reporter.Stats.LostCounts.Load()
 	}
+	if d.planner != nil {
+		current.Orders, current.OrdersRejected = d.planner.Stats.Orders.Load(), d.planner.Stats.Rejected.Load()
+	}
 	return current
 }
--- a/routing.go
+++ b/routing.go
@@ -83,6 +83,21 @@
 	// TokensPerEvent is the number of tokens per event of an engine's stream.
 	TokensPerEvent int
 	Models         []EngineModel
+	// Capacity says how many replicas may be ordered, nil if the service's replicas are fixed.
+	Capacity *CapacityConfig
+}
+
+// CapacityConfig says how many replicas of a service may be ordered and what they cost.
+type CapacityConfig struct {
+	// Min and Max bound the replicas of a data centre, both kinds together.
+	Min int
+	Max int
+	// StartTime is how long an ordered replica takes until it is ready.
+	StartTime time.Duration
+	// Prices are the prices of a replica-second by data centre, ReclaimablePrice that of a
+	// replica that may be reclaimed.
+	Prices           map[DataCentre]float64
+	ReclaimablePrice float64
 }
 
 // ClientLimits are the size and time limits of requests from clients.
@@ -153,11 +168,17 @@
 	// ID.
 	Incarnation Incarnation
 	Models      map[EngineModel]WeightVersion
+	// Reclaimable means that the platform may take the replica away, with all of this kind in
+	// its data centre. LeavesIn is the time that was left when a replica that is taken away
+	// registered that for the first time, 0 if it is not known.
+	Reclaimable bool
+	LeavesIn    time.Duration
 }
 
-// Equal reports whether two registrations have the same content.
+// Equal reports whether two registrations have the same content. LeavesIn is left out, since it
+// differs in each renewal.
 func (r *Replica) Equal(other *Replica) bool {
 	return r == other || (r.ID == other.ID && r.Service == other.Service && r.Address == other.Address &&
 		r.Location == other.Location && r.State == other.State && r.Slots == other.Slots && r.Software == other.Software && r.Incarnation == other.Incarnation &&
-		maps.Equal(r.Models, other.Models))
+		r.Reclaimable == other.Reclaimable && maps.Equal(r.Models, other.Models))
 }
--- a/soak/duty_test.go
+++ b/soak/duty_test.go
@@ -22,7 +22,7 @@
 	t.Parallel()
 	is := is.New(t)
 	api := &mimic.DutyAPI{ChecksFencing: true, CallsPerSecond: 50}
-	env := newDutyEnv(t, 3, fmt.Sprintf("[cloud_api]\naddr = %q\nduties = [\"usage_report\"]\n", startServer(t, api.Handler())))
+	env := newDutyEnv(t, 3, fmt.Sprintf("[cloud_api]\naddr = %q\nduties = [\"usage_report\", \"autoscale\"]\n", startServer(t, api.Handler())))
 	began := time.Now()
 	holder := func() *daemonProcess {
 		t.Helper()
