A host with accounts is ready once it can accept keys; checks around that

A host reported that it was ready after it had loaded the configuration, and refused all keys until its first read after the load, a few ms later: seen as status 503 of the first request in soak.TestRevokedKey. It is now ready after that read (with strict_revoke).

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,6 +19,7 @@
 	errStopping         = errors.New("daemon is stopping")
 	errNoConfiguration  = errors.New("no configuration received yet")
 	errBatchesNotLoaded = errors.New("batches have not been read from the store yet")
+	errKeysNotConfirmed = errors.New("configuration with API keys is not known to be current yet")
 )
 
 // metrics are the published metrics of a daemon.
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -16,11 +16,14 @@
 
 // checkReady returns nil if the daemon can serve, and otherwise the reason why it cannot.
 func (d *Daemon) checkReady() error {
+	config, _, confirmed := d.registry.ConfirmedConfig()
 	switch {
 	case d.frontend.Stopping.Load():
 		return errStopping
-	case d.registry.Current().Config == nil:
+	case config == nil:
 		return errNoConfiguration
+	case config.Accounts != nil && d.Settings.StrictRevocation && !confirmed:
+		return errKeysNotConfirmed
 	case !d.batches.Follower.Loaded():
 		return errBatchesNotLoaded
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -176,7 +176,7 @@
 		counter = &r.Stats.Refused
 	}
 	counter.Add(1)
-	r.Logger.Warn("request refused or failed", "request", request.ID, "service", request.Service, "reason", refusal.Reason,
+	r.Logger.Warn("request refused or failed", "request", request.ID, "account", request.Account, "service", request.Service, "reason", refusal.Reason,
 		"outcome", refusal.Outcome, "status", refusal.Status, "handed", request.sentAttempts,
 		"retry_after_ms", refusal.RetryAfter.Milliseconds(), "after_ms", time.Since(request.Arrived).Milliseconds())
 	return refusal
