duty, usage: one series of heartbeats for all duties of a host; faster after an outage of the store

Cause: two duties on two hosts store twice the heartbeats, and each of them wakes the readers of the state topic; a window whose end of lateness is near an outage's end has little time left. Change: the order of claims depends on the previous holder only, and a strong host that stores heartbeats already claims first; the list of daemons is read by holders only; an access to the store that failed is repeated after 0.1 s.

--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -198,18 +198,20 @@
 	if !holder.EarlierHeartbeat.IsZero() {
 		observation.EarlierHeard = steadyTime(holder.EarlierHeartbeat)
 	}
-	for _, other := range k.Batches.State.DaemonRecords() {
-		if other.Host != k.Host {
-			observation.OthersKnown = true
-			observation.StrongerKnown = observation.StrongerKnown || (k.CPUShare < strongHostShare && other.CPUShare >= strongHostShare)
-		}
+	if observation.Own {
+		// Only a holder on a weak host asks for stronger ones.
+		observation.StrongerKnown = k.CPUShare < strongHostShare && slices.ContainsFunc(k.Batches.State.DaemonRecords(), func(other batch.DaemonRecord) bool {
+			return other.Host != k.Host && other.CPUShare >= strongHostShare
+		})
 	}
-	observation.ClaimDelay = k.claimDelay(duty, &holder, observation.SameHost)
+	observation.ClaimDelay = k.claimDelay(&holder, observation.SameHost, now)
 	return observation, &holder
 }
 
-// claimDelay returns how long this daemon lets others claim a duty first.
-func (k *Keeper) claimDelay(duty gypsum.Duty, holder *batch.Holder, sameHost bool) time.Duration {
+// claimDelay returns how long this daemon lets others claim a duty first. The order of daemons
+// depends on the previous holder only, so that one daemon claims all duties that it held and stores
+// one series of heartbeats for them.
+func (k *Keeper) claimDelay(holder *batch.Holder, sameHost bool, now time.Duration) time.Duration {
 	if sameHost && !holder.Released {
 		return 0 // the duty of this host before a restart
 	}
@@ -217,8 +219,11 @@
 	if k.CPUShare < strongHostShare {
 		delay = weakHostDelay
 	}
-	rank := gypsum.RendezvousScore(fmt.Sprint(duty, "/", holder.FencingToken), string(k.Host))
-	return delay + time.Duration(rank%uint64(claimJitter))
+	if last := k.Batches.LastHeartbeat(); last != nil && now-last.SentAt < k.Lease {
+		return delay // its heartbeats renew the duty too
+	}
+	rank := gypsum.RendezvousScore("duty/"+string(holder.Host), string(k.Host))
+	return delay + tickInterval + time.Duration(rank%uint64(claimJitter))
 }
 
 // logChange logs that the duty was acquired or lost. The caller holds mu.
--- a/duty/tenure.go
+++ b/duty/tenure.go
@@ -49,9 +49,8 @@
 	StoreAvailable bool
 	// ClaimDelay is how long this daemon lets others claim first.
 	ClaimDelay time.Duration
-	// OthersKnown and StrongerKnown mean that other daemons, and ones with a large CPU share
-	// while this one has a small one, could hold the duty.
-	OthersKnown   bool
+	// StrongerKnown means that daemons with a large CPU share could hold the duty while this one
+	// has a small one.
 	StrongerKnown bool
 	Leaving       bool
 }
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -21,8 +21,11 @@
 	// idleInterval is the time between two checks of a daemon that does not hold the duty, and
 	// the longest between two of one that does.
 	idleInterval = 200 * time.Millisecond
-	// retryDelay is the time before a failed call or access to the store is repeated.
-	retryDelay = 250 * time.Millisecond
+	// retryDelay is the time before a failed call is repeated, storeRetryDelay that before a failed
+	// access to the store is: a window that waits for the end of an outage may have little time
+	// left then.
+	retryDelay      = 250 * time.Millisecond
+	storeRetryDelay = 100 * time.Millisecond
 	// closeTimeout bounds the append of closed windows.
 	closeTimeout = 2 * time.Second
 	// maxRemovals bounds the expired keys that are removed at one time.
@@ -108,7 +111,7 @@
 	sent := r.sendReports(ctx, windows)
 	if err := r.closeWindows(ctx, windows); err != nil {
 		r.logFailure(err)
-		return retryDelay
+		return storeRetryDelay
 	}
 	sent = r.sendReports(ctx, windows) && sent
 	r.noteMissed(r.Clock.Now())
