--- a/emul/batchrun.go
+++ b/emul/batchrun.go
@@ -77,6 +77,8 @@
 	{"step_p50_s", func(r *Result) float64 { return r.StepTime(0.5).Seconds() }},
 	{"step_p90_s", func(r *Result) float64 { return r.StepTime(0.9).Seconds() }},
 	{"steps", func(r *Result) float64 { return float64(len(r.Steps)) }},
+	{"aborted", func(r *Result) float64 { return float64(r.Aborted) }},
+	{"slot_s", func(r *Result) float64 { return r.SlotTime.Seconds() }},
 }
 
 // Difference is the paired difference of a measure between two policies over the seeds of a
--- a/emul/emul_test.go
+++ b/emul/emul_test.go
@@ -102,6 +102,8 @@
 		{Kind: emul.FaultEngineSilent, At: 500 * time.Millisecond, Duration: 5 * time.Second, Share: 0.5, Factor: 1},
 		{Kind: emul.FaultStoreDown, At: 500 * time.Millisecond, Duration: 6 * time.Second, Factor: 1},
 		{Kind: emul.FaultHolderLost, At: 500 * time.Millisecond, Factor: 1},
+		{Kind: emul.FaultHostsLost, At: 500 * time.Millisecond, Duration: 2 * time.Second, Factor: 1},
+		{Kind: emul.FaultSlowPeriods, Duration: 20 * time.Second, Share: 0.6, Factor: 6, Period: 600 * time.Millisecond},
 	} {
 		t.Run(string(fault.Kind), func(t *testing.T) {
 			is := is.New(t)
@@ -112,6 +114,26 @@
 	}
 }
 
+// TestSlowPeriods checks that slow periods cost the share of the events that they should: a text on
+// an engine that is slow by 2.5 for a seventh of the time takes 1/(1 - 0.143*0.6) of its time.
+func TestSlowPeriods(t *testing.T) {
+	is := is.New(t)
+	scenario := &emul.Scenario{
+		Name: "one", Duration: 300 * time.Second,
+		Engines: emul.EngineSpec{Count: 1, Slots: 1, EventTime: 20 * time.Millisecond}, Holder: emul.HolderSpec{CheckpointInterval: time.Second},
+		Trainers: []emul.TrainerSpec{{Groups: 1, GroupSize: 1, WaitShare: 1, Interval: time.Hour, Due: time.Second, MedianEvents: 10_000, TailFactor: 1, ReadInterval: time.Second}},
+		Faults:   []emul.Fault{{Kind: emul.FaultSlowPeriods, Duration: 300 * time.Second, Share: 0.143, Factor: 2.5, Period: 600 * time.Millisecond}},
+	}
+	var total time.Duration
+	for seed := range 10 {
+		result := emul.Run(scenario, emul.FindPolicy("no_moves"), uint64(seed))
+		is.Equal(len(result.Steps), 1)
+		total += result.Steps[0].Generation
+	}
+	want := 10 * 200 * time.Second.Seconds() / (1 - 0.143*0.6)
+	is.True(total.Seconds() > 0.98*want && total.Seconds() < 1.02*want)
+}
+
 // TestInvalidScenarios checks that the errors of scenario files name the section and key.
 func TestInvalidScenarios(t *testing.T) {
 	const valid = "[engines]\ncount = 2\nslots = 2\nevent_time = 20ms\n[trainer.a]\ngroups = 2\ngroup_size = 2\nmedian_events = 5\n"
@@ -122,6 +144,8 @@
 		{valid + "[store]\nappend_time = soon\n", "section store"},
 		{valid + "[fault.x]\nkind = fire\n", `unknown kind "fire"`},
 		{valid + "[fault.x]\nkind = store_down\nshare = 2\n", "share must be from 0 to 1"},
+		{valid + "[fault.x]\nkind = slow_periods\nshare = 0.1\n", "slow_periods needs a positive period"},
+		{valid + "[engines]\nevent_jitter = 2\n", "event_jitter must be from 0 to 1"},
 		{"[engines]\ncount = 2\nslots = 2\nevent_time = 20ms\n", "at least one trainer section"},
 		{"[engines]\ncount = 0\n", "engines.count must be positive"},
 		{valid + "[trainer.b]\ngroups = 1\n", "group_size must be positive"},
--- a/emul/holder.go
+++ b/emul/holder.go
@@ -117,6 +117,7 @@
 	}
 	s.checkRate(e)
 	it.phase, it.engine, it.avoided, it.firstEventAt = itemRunning, e, "", s.now+s.scenario.Engines.StartTime
+	it.startedAt, it.eventsSeen, it.lastEventAt = s.now, int(it.generated), 0
 	if it.firstStart == 0 {
 		it.firstStart = s.now
 	}
@@ -158,7 +159,7 @@
 	}
 	for _, move := range s.policy.Move(attempts, views, s.scenario.Engines.StartTime) {
 		it := byID[move.Item.ID]
-		s.stopAttempt(it)
+		s.abortAttempt(it)
 		s.start(it, s.byID[move.Engine])
 		s.result.Moves++
 	}
--- a/emul/result.go
+++ b/emul/result.go
@@ -36,8 +36,12 @@
 	GroupsMet  int
 	Attempts   int
 	Moves      int
-	Loads      int
-	Rounds     int
+	// Aborted is the number of attempts that ended before their text was complete, SlotTime the
+	// total duration of all attempts that have ended.
+	Aborted  int
+	SlotTime time.Duration
+	Loads    int
+	Rounds   int
 	// Violations are broken guarantees, such as an item with two results.
 	Violations []string
 }
@@ -82,7 +86,7 @@
 // WriteCSV writes one row for each run.
 func WriteCSV(w io.Writer, results []*Result) error {
 	writer := csv.NewWriter(w)
-	header := []string{"scenario", "policy", "seed", "met_share", "steps", "step_p50_ms", "step_p90_ms", "step_p99_ms", "attempts", "moves", "loads", "rounds", "violations"}
+	header := []string{"scenario", "policy", "seed", "met_share", "steps", "step_p50_ms", "step_p90_ms", "step_p99_ms", "attempts", "moves", "aborted", "slot_ms", "loads", "rounds", "violations"}
 	for _, phase := range phases {
 		header = append(header, phase.name+"_ms")
 	}
@@ -93,7 +97,7 @@
 		row := []string{
 			r.Scenario, r.Policy, strconv.FormatUint(r.Seed, 10), strconv.FormatFloat(r.MetShare(), 'f', 4, 64), strconv.Itoa(len(r.Steps)),
 			milliseconds(r.StepTime(0.5)), milliseconds(r.StepTime(0.9)), milliseconds(r.StepTime(0.99)),
-			strconv.Itoa(r.Attempts), strconv.Itoa(r.Moves), strconv.Itoa(r.Loads), strconv.Itoa(r.Rounds), strconv.Itoa(len(r.Violations)),
+			strconv.Itoa(r.Attempts), strconv.Itoa(r.Moves), strconv.Itoa(r.Aborted), milliseconds(r.SlotTime), strconv.Itoa(r.Loads), strconv.Itoa(r.Rounds), strconv.Itoa(len(r.Violations)),
 		}
 		for _, phase := range phases {
 			row = append(row, milliseconds(r.meanPhase(phase.value)))
@@ -112,7 +116,7 @@
 // WriteSummary writes the means of each scenario and policy as a table.
 func WriteSummary(w io.Writer, results []*Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "scenario\tpolicy\truns\tmet_share\tstep_p50_s\tstep_p90_s\tsteps\tmoves\tloads\tviolations\t")
+	fmt.Fprintln(table, "scenario\tpolicy\truns\tmet_share\tstep_p50_s\tstep_p90_s\tsteps\taborted\tslot_s\tmoves\tloads\tviolations\t")
 	for start := 0; start < len(results); {
 		end, violations, moves, loads := start, 0, 0, 0
 		for end < len(results) && results[end].Scenario == results[start].Scenario && results[end].Policy == results[start].Policy {
--- a/emul/scenario.go
+++ b/emul/scenario.go
@@ -41,7 +41,9 @@
 	Slowdown float64 `ini:"slowdown"`
 	// StartTime is the time from the start of an attempt to its first event.
 	StartTime time.Duration `ini:"start_time"`
-	LoadTime  time.Duration `ini:"load_time"`
+	// EventJitter is the largest delay of an event on its way, relative to the event time.
+	EventJitter float64       `ini:"event_jitter"`
+	LoadTime    time.Duration `ini:"load_time"`
 	// ReportLag is the time from the end of a load until the holder knows of it.
 	ReportLag time.Duration `ini:"report_lag"`
 }
@@ -105,6 +107,12 @@
 	FaultStoreDown FaultKind = "store_down"
 	// FaultHolderLost loses the holder and the attempts in progress.
 	FaultHolderLost FaultKind = "holder_lost"
+	// FaultHostsLost loses all hosts of daemons with the attempts in progress: nothing is accepted,
+	// stored or read until its end, and the next holder decides after the takeover time.
+	FaultHostsLost FaultKind = "hosts_lost"
+	// FaultSlowPeriods makes each engine slower by Factor for periods of about Period, so that
+	// Share of the engines are slow at any moment.
+	FaultSlowPeriods FaultKind = "slow_periods"
 )
 
 // Fault is a fault with its time.
@@ -114,6 +122,8 @@
 	Duration time.Duration `ini:"duration"`
 	Share    float64       `ini:"share"`
 	Factor   float64       `ini:"factor"`
+	// Period is the mean duration of a slow period.
+	Period time.Duration `ini:"period"`
 }
 
 // scenarioDefaults are the values of keys that a scenario leaves out.
@@ -226,6 +236,7 @@
 		{"engines.event_time must be positive", s.Engines.EventTime > 0},
 		{"engines.speed_spread must be from 0 to below 1", s.Engines.SpeedSpread >= 0 && s.Engines.SpeedSpread < 1},
 		{"engines.slowdown must not be negative", s.Engines.Slowdown >= 0},
+		{"engines.event_jitter must be from 0 to 1", s.Engines.EventJitter >= 0 && s.Engines.EventJitter <= 1},
 		{"engines.load_time must not be negative", s.Engines.LoadTime >= 0},
 		{"scoring.slots and scoring.time must be positive with scoring.replicas", s.Scoring.Replicas == 0 || (s.Scoring.Slots > 0 && s.Scoring.Time > 0)},
 		{"holder.checkpoint_interval must be positive", s.Holder.CheckpointInterval > 0},
@@ -250,7 +261,8 @@
 			name  string
 			valid bool
 		}{
-			{fmt.Sprintf("fault: unknown kind %q", fault.Kind), slices.Contains([]FaultKind{FaultEngineSlow, FaultEngineSilent, FaultEngineLimited, FaultStoreDown, FaultHolderLost}, fault.Kind)},
+			{fmt.Sprintf("fault: unknown kind %q", fault.Kind), slices.Contains([]FaultKind{FaultEngineSlow, FaultEngineSilent, FaultEngineLimited, FaultStoreDown, FaultHolderLost, FaultHostsLost, FaultSlowPeriods}, fault.Kind)},
+			{"fault: slow_periods needs a positive period and a share above 0", fault.Kind != FaultSlowPeriods || (fault.Period > 0 && fault.Share > 0)},
 			{"fault: share must be from 0 to 1", fault.Share >= 0 && fault.Share <= 1},
 			{"fault: factor must be positive", fault.Factor > 0},
 		}...)
--- a/emul/sim.go
+++ b/emul/sim.go
@@ -95,8 +95,13 @@
 	engine         *engine
 	// firstEventAt is when the current attempt sends its first event.
 	firstEventAt time.Duration
-	scoringSent  bool
-	avoided      gypsum.BackendID
+	// startedAt is when the current attempt started. eventsSeen is the number of events that the
+	// holder has seen, the last of them at lastEventAt, 0 before the first of the attempt.
+	startedAt   time.Duration
+	eventsSeen  int
+	lastEventAt time.Duration
+	scoringSent bool
+	avoided     gypsum.BackendID
 
 	firstStart, completedAt, storedAt time.Duration
 }
@@ -137,16 +142,18 @@
 
 // engine is an emulated engine.
 type engine struct {
-	view      *sched.Engine
-	idleTime  time.Duration // true time per event when idle
-	factor    float64       // by which a fault multiplies idleTime
-	silent    bool
-	running   []*item
-	updatedAt time.Duration
-	timer     sched.EventTimer
-	plan      int  // serial of the planned completion
-	changed   bool // whether attempts have started or ended since the completion was planned
-	unusable  time.Duration
+	view     *sched.Engine
+	idleTime time.Duration // true time per event when idle
+	factor   float64       // by which a fault multiplies idleTime
+	// periodFactor is the same for a slow period, 1 outside of one.
+	periodFactor float64
+	silent       bool
+	running      []*item
+	updatedAt    time.Duration
+	timer        sched.EventTimer
+	plan         int  // serial of the planned completion
+	changed      bool // whether attempts have started or ended since the completion was planned
+	unusable     time.Duration
 	// rateLimit is the number of requests per second that the engine accepts, 0 for no limit,
 	// and starts the times of the attempts since it was set.
 	rateLimit gypsum.RequestRate
@@ -169,6 +176,7 @@
 	rewards  []*sched.RewardReplica
 	budgets  *limit.Budgets
 	storeUp  bool
+	hostsUp  bool
 	delayed  []func() // appends that wait for the store
 	// holderLostUntil is when the next holder makes its first decision.
 	holderLostUntil time.Duration
@@ -182,7 +190,7 @@
 func Run(scenario *Scenario, policy *Policy, seed uint64) *Result {
 	s := &sim{
 		scenario: scenario, policy: policy, seed: seed, byID: make(map[gypsum.BackendID]*engine), assigned: make(map[gypsum.BackendID]gypsum.EngineModel),
-		budgets: limit.NewBudgets(), storeUp: true, result: Result{Scenario: scenario.Name, Policy: policy.Name, Seed: seed},
+		budgets: limit.NewBudgets(), storeUp: true, hostsUp: true, result: Result{Scenario: scenario.Name, Policy: policy.Name, Seed: seed},
 	}
 	s.addEngines()
 	for i := range scenario.Scoring.Replicas {
@@ -219,7 +227,7 @@
 	for i := range spec.Count {
 		deviation := spec.SpeedSpread * (2*rng.Float64() - 1)
 		e := &engine{
-			idleTime: time.Duration(float64(spec.EventTime) * (1 + deviation)), factor: 1,
+			idleTime: time.Duration(float64(spec.EventTime) * (1 + deviation)), factor: 1, periodFactor: 1,
 			view: &sched.Engine{ID: gypsum.BackendID(fmt.Sprintf("engine-%03d", i)), Slots: spec.Slots, Versions: make(map[gypsum.EngineModel]gypsum.WeightVersion), IdleEventTime: spec.EventTime},
 		}
 		for j := range s.scenario.Trainers {
@@ -277,7 +285,7 @@
 
 // appendRecord runs an action once the store has appended a record.
 func (s *sim) appendRecord(run func()) {
-	if !s.storeUp {
+	if !s.storeUp || !s.hostsUp {
 		s.delayed = append(s.delayed, func() { s.appendRecord(run) })
 		return
 	}
@@ -313,16 +321,20 @@
 			}
 		case FaultStoreDown:
 			s.storeUp = !active
-			if s.storeUp {
-				delayed := s.delayed
-				s.delayed = nil
-				for _, run := range delayed {
-					run()
-				}
-			}
+			s.runDelayed()
 		case FaultHolderLost:
 			if active {
-				s.loseHolder()
+				s.loseHolder(s.scenario.Holder.TakeoverTime)
+			}
+		case FaultHostsLost:
+			s.hostsUp = !active
+			if active {
+				s.loseHolder(fault.Duration + s.scenario.Holder.TakeoverTime)
+			}
+			s.runDelayed()
+		case FaultSlowPeriods:
+			if active {
+				s.planSlowPeriods(fault)
 			}
 		}
 	}
@@ -330,14 +342,56 @@
 	s.after(fault.At+fault.Duration, func() { apply(false) })
 }
 
-// loseHolder ends all attempts; the next holder resumes them from their checkpoints.
-func (s *sim) loseHolder() {
-	s.holderLostUntil = s.now + s.scenario.Holder.TakeoverTime
+// runDelayed runs the appends that waited for the store and a host.
+func (s *sim) runDelayed() {
+	if !s.storeUp || !s.hostsUp {
+		return
+	}
+	delayed := s.delayed
+	s.delayed = nil
+	for _, run := range delayed {
+		run()
+	}
+}
+
+// planSlowPeriods makes the engines slow for short periods until the end of a fault. Periods last
+// between half and one and a half times their mean; the times between them are exponential. They
+// depend on the seed only.
+func (s *sim) planSlowPeriods(fault *Fault) {
+	end := s.now + fault.Duration
+	for i, e := range s.engines {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(100_000+i)))
+		slow := rng.Float64() < fault.Share
+		var next func()
+		next = func() {
+			s.advance(e)
+			e.periodFactor = 1
+			if slow && s.now < end {
+				e.periodFactor = fault.Factor
+			}
+			s.planCompletion(e)
+			if s.now >= end {
+				return
+			}
+			length := float64(fault.Period) * (1 - fault.Share) / fault.Share * rng.ExpFloat64()
+			if slow {
+				length = float64(fault.Period) * (0.5 + rng.Float64())
+			}
+			slow = !slow
+			s.after(min(time.Duration(length), end-s.now), next)
+		}
+		next()
+	}
+}
+
+// loseHolder ends all attempts; the next holder resumes them from their checkpoints after a delay.
+func (s *sim) loseHolder(delay time.Duration) {
+	s.holderLostUntil = s.now + delay
 	for _, e := range s.engines {
 		s.advance(e)
 		for _, it := range slices.Clone(e.running) {
+			s.abortAttempt(it)
 			it.generated = it.checkpointed
-			s.stopAttempt(it)
 		}
 		s.planCompletion(e)
 	}
@@ -349,7 +403,7 @@
 			it.scoringSent = false
 		}
 	}
-	s.after(s.scenario.Holder.TakeoverTime, s.planRound)
+	s.after(delay, s.planRound)
 }
 
 // endSilentAttempts ends the attempts of an engine that is still silent.
@@ -359,15 +413,22 @@
 	}
 	for _, it := range slices.Clone(e.running) {
 		it.avoided = e.view.ID
-		s.stopAttempt(it)
+		s.abortAttempt(it)
 	}
 	e.unusable = s.now + engineCooldown
 	s.planRound()
 	s.after(silenceTimeout, func() { s.endSilentAttempts(e) })
 }
 
+// abortAttempt ends the current attempt at an item before its text is complete.
+func (s *sim) abortAttempt(it *item) {
+	s.result.Aborted++
+	s.stopAttempt(it)
+}
+
 // stopAttempt ends the current attempt at an item, which then waits for another.
 func (s *sim) stopAttempt(it *item) {
+	s.result.SlotTime += s.now - it.startedAt
 	e := it.engine
 	e.running = slices.DeleteFunc(e.running, func(other *item) bool { return other == it })
 	e.view.Running, e.changed = len(e.running), true
@@ -387,14 +448,35 @@
 		active := min(elapsed, s.now-it.firstEventAt)
 		if active > 0 {
 			it.generated = math.Min(it.length, it.generated+float64(active)/float64(eventTime))
+			s.observeEvents(e, it, eventTime)
 		}
 	}
-	e.timer.Add(time.Duration(float64(eventTime) / (1 + sched.SlowdownPerAttempt*float64(len(e.running)))))
+}
+
+// observeEvents adds the times between the events of an attempt that have arrived since the last
+// call to the engine's timer, scaled to an idle engine as the holder does.
+func (s *sim) observeEvents(e *engine, it *item, eventTime time.Duration) {
+	for it.eventsSeen+1 <= int(it.generated) {
+		it.eventsSeen++
+		at := s.now - time.Duration((it.generated-float64(it.eventsSeen))*float64(eventTime))
+		at += time.Duration(s.scenario.Engines.EventJitter * jitter(it, it.eventsSeen) * float64(eventTime))
+		if it.lastEventAt > 0 {
+			gap := max(0, at-it.lastEventAt)
+			e.timer.Add(time.Duration(float64(gap) / (1 + sched.SlowdownPerAttempt*float64(len(e.running)))))
+		}
+		it.lastEventAt = at
+	}
+}
+
+// jitter returns a number from 0 to 1 that depends on an event only.
+func jitter(it *item, event int) float64 {
+	hash := uint64(event)*0x9e3779b97f4a7c15 ^ math.Float64bits(it.length)*uint64(it.hint+it.group+1)
+	return rand.New(rand.NewPCG(hash, uint64(it.batch.step))).Float64()
 }
 
 // currentEventTime returns the time per event of each attempt.
 func (e *engine) currentEventTime(slowdown float64) time.Duration {
-	return time.Duration(float64(e.idleTime) * e.factor * (1 + slowdown*float64(len(e.running))))
+	return time.Duration(float64(e.idleTime) * e.factor * e.periodFactor * (1 + slowdown*float64(len(e.running))))
 }
 
 // planCompletion plans the end of the attempt that ends first. It must be called after each
@@ -497,7 +579,7 @@
 		NewResults: visible - b.received, MissingResults: len(b.items) - visible, TotalResults: len(b.items), Sufficient: b.sufficientAt != 0 && b.sufficientAt+spec.LinkTime <= s.now, Final: visible == len(b.items),
 		Waited: s.now - started, Wait: spec.ReadWait, UntilDue: b.submittedAt + spec.Due - s.now,
 	}
-	if !s.policy.AnswerRead(state) {
+	if !s.hostsUp || !s.policy.AnswerRead(state) {
 		s.after(checkInterval, func() { s.awaitResults(b, started) })
 		return
 	}
@@ -516,7 +598,7 @@
 		if it.phase == itemRunning {
 			e := it.engine
 			s.advance(e)
-			s.stopAttempt(it)
+			s.abortAttempt(it)
 			s.planCompletion(e)
 		}
 	}
