Moves weigh what remains of a slow period against their cost

Cause: the event timer reads a slow period of 0.6 s as a slow engine, so that texts move for about what the rest of the period would have cost, also texts that end long before their step.

Change: sched.PaceTracker separates an engine's usual event time from its slow periods, sched.SlowPeriods estimates what remains of one of a given age from the last 128 of the service's engines. ScheduleMoves uses both, and moves only texts that need at least half the time of the longest text of their batch. Counters engine_slow_periods and engine_slow_ms, slow_ms in "item moved".

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -56,6 +56,8 @@
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
+	SlowPeriods      int64            `json:"engine_slow_periods"`
+	SlowMS           int64            `json:"engine_slow_ms"`
 	TextsDiscarded   int64            `json:"item_texts_discarded"`
 	ItemsCompleted   int64            `json:"items_finished"`
 	ItemsErrored     int64            `json:"items_errored"`
@@ -103,7 +105,8 @@
 		ReachChecks: d.reach.Stats.Checks.Load(), ServicesCutOff: d.reach.Stats.OutOfReach.Load(), RelayDetours: relayStats.Detours.Load(),
 		Forwarded: d.reach.Stats.Forwarded.Load(), ForwardRejected: d.reach.Stats.Rejected.Load(),
 		RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
-		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
+		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(),
+		SlowPeriods: runnerStats.SlowPeriods.Load(), SlowMS: time.Duration(runnerStats.SlowTime.Load()).Milliseconds(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
 		RewardCalls: rewardMetrics{
 			Sent: runnerStats.RewardCalls.Load(), Answered: runnerStats.RewardResponses.Load(), Rejected: runnerStats.RewardsRejected.Load(),
--- a/emul/holder.go
+++ b/emul/holder.go
@@ -22,6 +22,10 @@
 		if measured := e.timer.EventTime(); measured > 0 {
 			e.view.IdleEventTime = measured
 		}
+		if ended := e.pace.Update(epoch.Add(s.now), &e.timer); ended > 0 {
+			s.periods.Add(ended)
+		}
+		e.pace.Describe(e.view, epoch.Add(s.now))
 		e.view.Unusable = s.now < e.unusable
 		if e.view.RateLimited = e.rateLimit > 0; e.view.RateLimited {
 			e.view.StartsLeft = s.budgets.Available(&gypsum.Replica{ID: e.view.ID}, e.rateLimit, epoch.Add(s.now))
@@ -157,7 +161,7 @@
 			byID[it.id] = it
 		}
 	}
-	for _, move := range s.policy.Move(attempts, views, s.scenario.Engines.StartTime) {
+	for _, move := range s.policy.Move(attempts, views, s.scenario.Engines.StartTime, &s.periods) {
 		it := byID[move.Item.ID]
 		s.abortAttempt(it)
 		s.start(it, s.byID[move.Engine])
--- a/emul/policy.go
+++ b/emul/policy.go
@@ -18,7 +18,7 @@
 	// Place decides which items start, as sched.ScheduleItems.
 	Place func(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement
 	// Move decides which attempts move, as sched.ScheduleMoves.
-	Move func(attempts []sched.Attempt, engines []*sched.Engine, overhead time.Duration) []sched.Placement
+	Move func(attempts []sched.Attempt, engines []*sched.Engine, overhead time.Duration, periods *sched.SlowPeriods) []sched.Placement
 	// AnswerRead reports whether a read is answered now.
 	AnswerRead func(state *ReadState) bool
 	// KnowsLengths means that the lengths of the texts are known to Place and Move.
@@ -38,8 +38,11 @@
 		&current,
 		vary("oracle", func(p *Policy) { p.KnowsLengths = true }),
 		vary("no_moves", func(p *Policy) {
-			p.Move = func([]sched.Attempt, []*sched.Engine, time.Duration) []sched.Placement { return nil }
+			p.Move = func([]sched.Attempt, []*sched.Engine, time.Duration, *sched.SlowPeriods) []sched.Placement {
+				return nil
+			}
 		}),
+		vary("moves_at_once", func(p *Policy) { p.Move = moveAtOnce }),
 		vary("reads_held", func(p *Policy) { p.AnswerRead = holdTail }),
 		vary("least_loaded", func(p *Policy) { p.Place = placeBy(byOrder, leastLoaded) }),
 		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
@@ -159,3 +162,18 @@
 		return next
 	}
 }
+
+// moveAtOnce moves attempts as if each engine stayed as fast as it was in the last tenths of a
+// second, and as if each text decided a step of its own.
+func moveAtOnce(attempts []sched.Attempt, engines []*sched.Engine, overhead time.Duration, _ *sched.SlowPeriods) []sched.Placement {
+	views := make([]*sched.Engine, 0, len(engines))
+	for _, e := range engines {
+		view := *e
+		view.UsualEventTime, view.SlowFor, view.SlowEventTime = 0, 0, 0
+		views = append(views, &view)
+	}
+	for i := range attempts {
+		attempts[i].Item.Batch = gypsum.BatchID(attempts[i].Item.ID)
+	}
+	return sched.ScheduleMoves(attempts, views, overhead, nil)
+}
--- a/emul/sim.go
+++ b/emul/sim.go
@@ -151,6 +151,7 @@
 	running      []*item
 	updatedAt    time.Duration
 	timer        sched.EventTimer
+	pace         sched.PaceTracker
 	plan         int  // serial of the planned completion
 	changed      bool // whether attempts have started or ended since the completion was planned
 	unusable     time.Duration
@@ -175,6 +176,7 @@
 	assigned map[gypsum.BackendID]gypsum.EngineModel
 	rewards  []*sched.RewardReplica
 	budgets  *limit.Budgets
+	periods  sched.SlowPeriods
 	storeUp  bool
 	hostsUp  bool
 	delayed  []func() // appends that wait for the store
--- a/runner/attempts.go
+++ b/runner/attempts.go
@@ -59,10 +59,10 @@
 			}
 		}
 	}
-	for _, move := range sched.ScheduleMoves(attempts, engines, s.startTime) {
+	for _, move := range sched.ScheduleMoves(attempts, engines, s.startTime, &s.slowPeriods) {
 		a := activeItems[move.Item]
 		s.runner.Logger.Info("item moved", "batch", a.batch.header.ID, "item", a.request.ID, "from", a.engine.replica.ID,
-			"to", move.Engine, "runs_there", move.EngineAttempts, "left", a.remainingEvents())
+			"to", move.Engine, "runs_there", move.EngineAttempts, "left", a.remainingEvents(), "slow_ms", a.engine.pace.SlowFor(now).Milliseconds())
 		s.runner.Stats.ItemsMoved.Add(1)
 		a.moveTarget = move.Engine
 		s.runner.Limiter.Charge(s.engines[move.Engine].replica, now)
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -37,6 +37,7 @@
 	consecutiveFailures int
 	cooldownUntil       time.Time
 	health              health.FailureEstimator
+	pace                sched.PaceTracker
 	// loadOrderSequence is the number of load orders that the engine has accepted.
 	loadOrderSequence int64
 
--- a/runner/heldservice.go
+++ b/runner/heldservice.go
@@ -70,6 +70,8 @@
 	// startTime is the moving average of the time from the start of an attempt to its first
 	// event.
 	startTime time.Duration
+	// slowPeriods are those of the service's engines.
+	slowPeriods sched.SlowPeriods
 	// lastEvent is the time of the newest event of any engine, as a duration since heldSince: a
 	// Unix time would jump with the host's time of day. It is shared with the goroutines of
 	// attempts.
@@ -133,7 +135,13 @@
 	views := make([]*sched.Engine, 0, len(s.engines))
 	for _, e := range s.engines {
 		e.eventTimer.Update(now)
+		if ended := e.pace.Update(now, &e.eventTimer); ended > 0 {
+			s.slowPeriods.Add(ended)
+			s.runner.Stats.SlowPeriods.Add(1)
+			s.runner.Stats.SlowTime.Add(int64(ended))
+		}
 		view := e.schedEngine(now)
+		e.pace.Describe(view, now)
 		view.StartsLeft, view.RateLimited = s.runner.Limiter.Available(e.replica, now)
 		views = append(views, view)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -104,6 +104,10 @@
 	ItemsStarted atomic.Int64
 	ItemsResumed atomic.Int64
 	ItemsMoved   atomic.Int64
+	// SlowPeriods counts the slow periods of engines that have ended, SlowTime is their total
+	// duration in nanoseconds.
+	SlowPeriods atomic.Int64
+	SlowTime    atomic.Int64
 	// TextsDiscarded counts the texts that no engine of their software version continued.
 	TextsDiscarded   atomic.Int64
 	ItemsCompleted   atomic.Int64
--- a/sched/items.go
+++ b/sched/items.go
@@ -30,6 +30,11 @@
 	PendingLoad gypsum.EngineModel
 	// IdleEventTime is the time per event on the otherwise idle engine.
 	IdleEventTime time.Duration
+	// UsualEventTime is the same outside of slow periods, 0 if it is not known. SlowFor is the age of
+	// the engine's current slow period, 0 outside of one, and SlowEventTime the time per event in it.
+	UsualEventTime time.Duration
+	SlowFor        time.Duration
+	SlowEventTime  time.Duration
 	// FailureRate is the expected fraction of failing attempts, from 0 to 1.
 	FailureRate float64
 	// Software is the version of the engine's software.
@@ -227,10 +232,15 @@
 // medianIdleEventTime returns the median IdleEventTime of the engines that have one,
 // or 0 if none has.
 func medianIdleEventTime(engines []*Engine) time.Duration {
+	return medianEventTime(engines, func(engine *Engine) time.Duration { return engine.IdleEventTime })
+}
+
+// medianEventTime returns the median of the positive values of the engines, or 0 if there is none.
+func medianEventTime(engines []*Engine, value func(*Engine) time.Duration) time.Duration {
 	eventTimes := make([]time.Duration, 0, len(engines))
 	for _, engine := range engines {
-		if engine.IdleEventTime > 0 {
-			eventTimes = append(eventTimes, engine.IdleEventTime)
+		if eventTime := value(engine); eventTime > 0 {
+			eventTimes = append(eventTimes, eventTime)
 		}
 	}
 	if len(eventTimes) == 0 {
@@ -257,6 +267,10 @@
 	// attempts beside change within a second, so that moves to engines that merely run fewer
 	// attempts now are not worth their cost.
 	minIdleSpeedup = 1.05
+	// minDecidingShare is the least time that an attempt needs relative to the longest text of its
+	// batch. A shorter one does not decide when the step is complete. Estimates of lengths are off
+	// by a factor of 1.5 and more; with 0.8 and 1, p90 of steps rose by 0.2 s in the emulator.
+	minDecidingShare = 0.5
 	// maxMovesPerRound bounds the moves of one round, so that their effect on the
 	// target engines is observed before more attempts move.
 	maxMovesPerRound = 8
@@ -269,8 +283,14 @@
 // first. overhead is the cost of a move: the time from the start of an attempt to its first
 // event.
 //
+// Where engines are slow for some tenths of a second at a time, a move costs what the rest of the
+// slow period would: of 48 engines that are slow by 2.5 for 0.6 s at a time, one in seven at any
+// moment, 1,200 of 5,000 attempts moved within 48 s and gained nothing. periods, which are those
+// of the service's engines, tell what remains of a slow period. Texts that end long before the
+// last ones of their batch stay.
+//
 // ScheduleMoves updates Running and StartsLeft of the engines that it moves attempts between.
-func ScheduleMoves(attempts []Attempt, engines []*Engine, overhead time.Duration) []Placement {
+func ScheduleMoves(attempts []Attempt, engines []*Engine, overhead time.Duration, periods *SlowPeriods) []Placement {
 	byID := make(map[gypsum.BackendID]*Engine, len(engines))
 	for _, engine := range engines {
 		byID[engine.ID] = engine
@@ -278,14 +298,16 @@
 	order := slices.Clone(attempts)
 	slices.SortStableFunc(order, func(a, b Attempt) int { return cmp.Compare(b.RemainingEvents, a.RemainingEvents) })
 	var moves []Placement
+	longest := longestTexts(attempts, engines)
 	selector := newEngineSelector(engines)
 	for _, attempt := range order {
 		current, ok := byID[attempt.Engine]
 		if !ok || len(moves) == maxMovesPerRound {
 			continue
 		}
-		stayTime := time.Duration(attempt.RemainingEvents) * current.eventTime(current.Running)
-		if float64(stayTime) <= minMoveSpeedup*float64(overhead) {
+		stayTime := current.timeFor(attempt.RemainingEvents, current.Running, periods)
+		isDeciding := float64(stayTime) >= minDecidingShare*float64(longest[attempt.Item.Batch])
+		if !isDeciding || float64(stayTime) <= minMoveSpeedup*float64(overhead) {
 			continue
 		}
 		item := *attempt.Item
@@ -294,8 +316,13 @@
 		if target == nil {
 			continue
 		}
-		moveTime := time.Duration(attempt.RemainingEvents)*target.eventTime(target.Running+1) + overhead
-		isFaster := float64(current.IdleEventTime) > minIdleSpeedup*float64(target.IdleEventTime)
+		moveTime := target.timeFor(attempt.RemainingEvents, target.Running+1, periods) + overhead
+		// The slow period alone must cost more than the move, whatever runs beside it now.
+		idleMoveTime := target.timeFor(attempt.RemainingEvents, 0, periods)
+		if current.SlowFor > 0 {
+			idleMoveTime += overhead
+		}
+		isFaster := float64(current.timeFor(attempt.RemainingEvents, 0, periods)) > minIdleSpeedup*float64(idleMoveTime)
 		if isFaster && float64(stayTime) > minMoveSpeedup*float64(moveTime) {
 			moves = append(moves, Placement{Item: attempt.Item, Engine: target.ID, EngineAttempts: target.Running})
 			target.AddAttempt()
@@ -305,3 +332,15 @@
 	}
 	return moves
 }
+
+// longestTexts returns, for each batch, the time that the longest text in progress needs on an
+// engine of usual speed.
+func longestTexts(attempts []Attempt, engines []*Engine) map[gypsum.BatchID]time.Duration {
+	eventTime := medianEventTime(engines, func(engine *Engine) time.Duration { return cmp.Or(engine.UsualEventTime, engine.IdleEventTime) })
+	longest := make(map[gypsum.BatchID]time.Duration)
+	for i := range attempts {
+		batch := attempts[i].Item.Batch
+		longest[batch] = max(longest[batch], time.Duration(attempts[i].RemainingEvents)*eventTime)
+	}
+	return longest
+}
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -230,7 +230,7 @@
 
 // scheduleMoves is sched.ScheduleMoves with the start time of attempts in the replay.
 func scheduleMoves(attempts []sched.Attempt, engines []*sched.Engine) []sched.Placement {
-	return sched.ScheduleMoves(attempts, engines, resumeTime)
+	return sched.ScheduleMoves(attempts, engines, resumeTime, nil)
 }
 
 // When an engine becomes slow while it runs part of each step, moving its attempts to
--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -71,7 +71,7 @@
 		{Item: &items[0], Engine: "slow", RemainingEvents: 90}, {Item: &items[1], Engine: "slow", RemainingEvents: 90},
 	}
 	moved := make(map[gypsum.ItemID]gypsum.BackendID)
-	for _, move := range sched.ScheduleMoves(attempts, engines, 250*time.Millisecond) {
+	for _, move := range sched.ScheduleMoves(attempts, engines, 250*time.Millisecond, nil) {
 		moved[move.Item.ID] = move.Engine
 	}
 	is.Equal(moved, map[gypsum.ItemID]gypsum.BackendID{"begun": "old", "fresh": "new"})
