relay: requests wait for slots when all replicas are full

Cause: a live request that finds all replicas of its service full is tried at each of them and refused.

Change: the request waits in a bounded queue of the host in the order of package shed, and gets a slot when one is free here or when a full replica may be asked again. It is refused at once, as not run, if it would not end before its deadline; refused requests are told to come back one after the other. A slot is reserved when it is given, so that requests that arrive together do not meet at the same replica. Counts of work in shares begin with the decision and not with the arrival: waiting requests of a low priority counted as not served before.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -53,6 +53,7 @@
 	ForwardRejected  int64            `json:"requests_not_forwarded"`
 	RelayRefused     int64            `json:"relay_refused"`
 	RelayFailed      int64            `json:"relay_failed"`
+	LiveWaits        waitMetrics      `json:"live_waits"`
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
@@ -70,6 +71,16 @@
 	DecisionMS       int64            `json:"decision_ms"`
 }
 
+// waitMetrics count the live requests that found all replicas full. Waiting is the number of
+// those that wait now, WaitMS the total time of waiting.
+type waitMetrics struct {
+	Waiting int   `json:"waiting"`
+	Waited  int64 `json:"waited"`
+	Granted int64 `json:"granted"`
+	Refused int64 `json:"refused"`
+	WaitMS  int64 `json:"wait_ms"`
+}
+
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
 // texts to their scores.
 type rewardMetrics struct {
@@ -103,6 +114,10 @@
 		ReachChecks: d.reach.Stats.Checks.Load(), ServicesCutOff: d.reach.Stats.OutOfReach.Load(), RelayDetours: relayStats.Detours.Load(),
 		Forwarded: d.reach.Stats.Forwarded.Load(), ForwardRejected: d.reach.Stats.Rejected.Load(),
 		RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
+		LiveWaits: waitMetrics{
+			Waiting: d.relay.WaitingCount(), Waited: relayStats.Waits.Waited.Load(), Granted: relayStats.Waits.Granted.Load(),
+			Refused: relayStats.Waits.Refused.Load(), WaitMS: time.Duration(relayStats.Waits.Time.Load()).Milliseconds(),
+		},
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
 		RewardCalls: rewardMetrics{
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -35,6 +35,11 @@
 	Full bool
 	// Tried means that this request was sent to the replica before.
 	Tried bool
+
+	// rateLimited means that the replica's request rate is at its limit. free is the number of
+	// slots that requests of this daemon may take.
+	rateLimited bool
+	free        int
 }
 
 // via returns the host through which the request goes, empty for the direct path.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/reach"
+	"github.com/gypsumhook/gypsum/shed"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -33,12 +34,16 @@
 	Reach        *reach.Tracker
 	TransportVia func(address string) gypsum.ReplicaTransport
 
+	// Policy decides about live requests that wait because all replicas are full.
+	Policy gypsum.Policy
+
 	Location gypsum.Location
 	Logger   *slog.Logger
 	Stats    Stats
 
 	mu            sync.Mutex
 	replicaStates map[gypsum.BackendID]*replicaState
+	rooms         map[gypsum.ServiceName]*waitingRoom
 	probes        chan crashProbe
 }
 
@@ -54,11 +59,15 @@
 	ClientResumes atomic.Int64
 	Refused       atomic.Int64
 	Failed        atomic.Int64
+	Waits         WaitStats
 }
 
 // New returns a Relay whose exported fields are not set yet.
 func New() *Relay {
-	return &Relay{replicaStates: make(map[gypsum.BackendID]*replicaState), probes: make(chan crashProbe, maxQueuedProbes)}
+	return &Relay{
+		Policy: shed.NewCostPolicy(), replicaStates: make(map[gypsum.BackendID]*replicaState), rooms: make(map[gypsum.ServiceName]*waitingRoom),
+		probes: make(chan crashProbe, maxQueuedProbes),
+	}
 }
 
 // Request is a live request and the state of its attempts.
@@ -70,6 +79,8 @@
 	Deadline time.Time
 	// Resume says where the client takes up a stream again, nil for a new request.
 	Resume *gypsum.StreamResume
+	// AccountPriority is the priority of the client account, nil if it has none.
+	AccountPriority *int
 
 	isReward bool
 	// software is the software version that began the response, nil before the first event.
@@ -80,6 +91,11 @@
 	// request.
 	tried   map[attemptPath]bool
 	reached map[gypsum.BackendID]bool
+	// foundFull are the replicas that refused the request as full and may be tried again.
+	foundFull map[gypsum.BackendID]bool
+	// reservation is the replica with a slot reserved for the request, nil for none.
+	reservation *replicaState
+	reservedAt  gypsum.BackendID
 	// sentAttempts is the number of replicas that the request was sent to. mayHaveRun
 	// means that one of them may have run it.
 	sentAttempts int
@@ -106,6 +122,7 @@
 // whatever crashed while they ran.
 func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
 	request.tried, request.reached = make(map[attemptPath]bool), make(map[gypsum.BackendID]bool)
+	request.foundFull = make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
 	switch {
 	case !time.Now().Before(request.Deadline):
@@ -148,6 +165,9 @@
 func (r *Relay) nextReplica(ctx context.Context, request *Request) (*Candidate, *gypsum.Refusal) {
 	for {
 		r.awaitDetour(ctx, request)
+		if refusal := r.awaitSlot(ctx, request); refusal != nil {
+			return nil, refusal
+		}
 		candidate, isLast, refusal := r.chooseReplica(request)
 		if refusal != nil {
 			return nil, refusal
@@ -166,6 +186,7 @@
 			}
 			return candidate, nil
 		case errors.As(err, &limited):
+			r.releaseSlot(request)
 			if request.permitWait == 0 || limited.RetryAfter < request.permitWait {
 				request.permitWait = limited.RetryAfter
 			}
@@ -201,6 +222,9 @@
 		}
 	}
 	candidate := ChooseReplica(candidates, r.Location, failureCost)
+	if reserved := request.reservedCandidate(candidates); reserved != nil {
+		candidate = reserved
+	}
 	if candidate == nil {
 		detail := "the service has no replica now"
 		if request.software != nil {
@@ -215,6 +239,21 @@
 	return candidate, untried == 1, nil
 }
 
+// reservedCandidate returns the candidate with a slot reserved for the request, nil if there is
+// none.
+func (r *Request) reservedCandidate(candidates []Candidate) *Candidate {
+	if r.reservation == nil {
+		return nil
+	}
+	for i := range candidates {
+		if candidates[i].Replica.ID == r.reservedAt && !candidates[i].Tried {
+			candidates[i].InFlight-- // the reserved slot itself
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
 // exhaustedRefusal returns the refusal of a request that all available replicas have
 // refused or failed.
 func (r *Relay) exhaustedRefusal(request *Request) *gypsum.Refusal {
@@ -233,6 +272,7 @@
 	if refusal := r.prepareRequest(request); refusal != nil {
 		return nil, r.recordRefusal(request, refusal)
 	}
+	defer r.releaseSlot(request)
 	var failed *gypsum.LiveResponse
 	for {
 		candidate, refusal := r.nextReplica(ctx, request)
@@ -333,7 +373,7 @@
 	replica, startedAt := candidate.Replica, time.Now()
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	tracked := r.beginAttempt(replica)
+	tracked := r.beginAttempt(request, replica)
 	response, err := r.transport(candidate).RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
 	elapsed := time.Since(startedAt)
 	r.endAttempt(tracked, request, elapsed, attemptResultOf(ctx, candidate, response, err))
@@ -379,9 +419,11 @@
 		request.lastReason = gypsum.ReasonNoBackend
 	case errors.Is(err, gypsum.ErrNotRun):
 		request.sentAttempts++
+		request.foundFull[replica.ID] = true
 		request.lastReason = gypsum.ReasonOverloaded
 	default:
 		request.sentAttempts++
+		delete(request.foundFull, replica.ID)
 		request.mayHaveRun = true
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -15,7 +15,11 @@
 type replicaState struct {
 	incarnation gypsum.Incarnation
 	inFlight    int
-	estimator   ReplicaEstimator
+	// reserved is the number of slots that were given to waiting requests which are not sent
+	// yet. nextProbe is when the next request may be sent while the replica is full.
+	reserved  int
+	nextProbe time.Time
+	estimator ReplicaEstimator
 }
 
 // crashLimit is the number of replicas that a request may crash before it is refused, by
@@ -25,47 +29,90 @@
 // candidates returns the ready replicas of a service, with the response times to live
 // requests or to reward calls.
 func (r *Relay) candidates(service gypsum.ServiceName, isReward bool, now time.Time) []Candidate {
-	replicas, detour := r.Registry.Current().Services[service], r.Reach.Detour(service)
+	list := r.candidateSource(service, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	candidates := make([]Candidate, 0, len(replicas))
-	for _, replica := range replicas {
-		if replica.State != gypsum.ReplicaReady {
-			continue
-		}
-		candidate := Candidate{Replica: replica, Via: detour, Full: r.Limiter.IsDenied(replica.ID, now)}
-		if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
-			candidate.InFlight, candidate.Latency = tracked.inFlight, tracked.estimator.Latency()
-			if isReward {
-				candidate.Latency = tracked.estimator.RewardLatency()
+	candidates := list()
+	if isReward {
+		for i := range candidates {
+			candidates[i].Latency = 0
+			if tracked := r.replicaStates[candidates[i].Replica.ID]; tracked != nil && tracked.incarnation == candidates[i].Replica.Incarnation {
+				candidates[i].Latency = tracked.estimator.RewardLatency()
 			}
-			candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), candidate.Full || tracked.estimator.IsFull(now)
 		}
-		candidates = append(candidates, candidate)
 	}
 	return candidates
 }
 
-// beginAttempt counts a request in flight at a replica.
-func (r *Relay) beginAttempt(replica *gypsum.Replica) *replicaState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// candidateSource returns a function that returns the ready replicas of a service with the
+// response times to live requests. Its caller holds mu.
+func (r *Relay) candidateSource(service gypsum.ServiceName, now time.Time) func() []Candidate {
+	replicas, detour := r.Registry.Current().Services[service], r.Reach.Detour(service)
+	return func() []Candidate {
+		candidates := make([]Candidate, 0, len(replicas))
+		for _, replica := range replicas {
+			if replica.State != gypsum.ReplicaReady {
+				continue
+			}
+			candidate := Candidate{Replica: replica, Via: detour, rateLimited: r.Limiter.IsDenied(replica.ID, now), free: maxWaiting}
+			if replica.Slots > 0 {
+				candidate.free = replica.Slots
+			}
+			candidate.Full = candidate.rateLimited
+			if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
+				candidate.InFlight, candidate.Latency = tracked.inFlight+tracked.reserved, tracked.estimator.Latency()
+				candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), candidate.Full || tracked.estimator.IsFull(now)
+				candidate.free = tracked.freeSlots(replica, now)
+			}
+			candidates = append(candidates, candidate)
+		}
+		return candidates
+	}
+}
+
+// track returns the state of a replica. The caller holds mu.
+func (r *Relay) track(replica *gypsum.Replica) *replicaState {
 	tracked := r.replicaStates[replica.ID]
 	if tracked == nil || tracked.incarnation != replica.Incarnation {
 		tracked = &replicaState{incarnation: replica.Incarnation}
 		r.replicaStates[replica.ID] = tracked
 	}
+	return tracked
+}
+
+// beginAttempt counts a request in flight at a replica. The slot that was reserved for the
+// request is now in use.
+func (r *Relay) beginAttempt(request *Request, replica *gypsum.Replica) *replicaState {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseReservation(request)
+	tracked := r.track(replica)
 	tracked.inFlight++
+	tracked.nextProbe = now.Add(probeInterval(tracked.estimator.Latency()))
 	return tracked
 }
 
 // endAttempt ends a request in flight at a replica and records its result. An attempt
-// whose client has disconnected does not count.
+// whose client has disconnected does not count. Waiting requests may take its slot.
 func (r *Relay) endAttempt(tracked *replicaState, request *Request, elapsed time.Duration, result attemptResult) {
-	now := time.Now()
+	r.recordEnd(tracked, request, elapsed, result, time.Now())
+	r.mu.Lock()
+	waiting := r.hasWaiters(request.Service)
+	r.mu.Unlock()
+	if waiting {
+		r.redispatch(request.Service)
+	}
+}
+
+func (r *Relay) recordEnd(tracked *replicaState, request *Request, elapsed time.Duration, result attemptResult, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tracked.inFlight--
+	if result != resultFull {
+		// The request leaves a free slot.
+		tracked.nextProbe = now
+	}
 	switch result {
 	case resultSucceeded:
 		if request.isReward {
@@ -75,6 +122,7 @@
 		tracked.estimator.RecordResponse(elapsed, now)
 	case resultFull:
 		tracked.estimator.RecordFull(now)
+		tracked.nextProbe = now.Add(probeInterval(tracked.estimator.Latency()))
 	case resultFailed:
 		tracked.estimator.RecordFailure(now)
 	}
@@ -126,10 +174,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, tracked := range r.replicaStates {
-		if snapshot.Replicas[id] == nil && tracked.inFlight == 0 {
+		if snapshot.Replicas[id] == nil && tracked.inFlight == 0 && tracked.reserved == 0 {
 			delete(r.replicaStates, id)
 		}
 	}
+	for service, room := range r.rooms {
+		if len(snapshot.Services[service]) == 0 && len(room.waiters) == 0 {
+			delete(r.rooms, service)
+		}
+	}
 }
 
 // Bounds of the probes of replicas whose connection broke.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -36,6 +36,7 @@
 	if refusal := r.resumeStream(ctx, request); refusal != nil {
 		return r.recordRefusal(request, refusal)
 	}
+	defer r.releaseSlot(request)
 	begun, lastEvent := false, int64(0)
 	if request.Resume != nil {
 		lastEvent = request.Resume.After
@@ -119,7 +120,7 @@
 	defer idleTimer.Stop()
 	lastAttempt := false
 	var firstEvent time.Duration
-	tracked := r.beginAttempt(replica)
+	tracked := r.beginAttempt(request, replica)
 	response, err := r.forwardEvents(streamCtx, request, candidate, sink, begun, lastEvent, func() {
 		if firstEvent == 0 {
 			firstEvent = time.Since(startedAt)
--- /dev/null
+++ b/relay/waiting.go
@@ -0,0 +1,373 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/shed"
+)
+
+// Parameters of the wait for a slot of a replica.
+const (
+	// maxWaiting is the number of live requests that may wait for one service. Twelve slots
+	// serve as many within half of a usual latency target.
+	maxWaiting = 64
+	// Bounds of probeInterval, the time after which one request is sent to a replica that
+	// refused one as full. Slots are occupied by requests of other hosts too, so only the
+	// replica knows when one is free.
+	minProbeInterval = 10 * time.Millisecond
+	maxProbeInterval = 100 * time.Millisecond
+	// maxDispatchInterval is the longest time between two checks of the waiting requests.
+	// Replicas may be registered or leave meanwhile.
+	maxDispatchInterval = 50 * time.Millisecond
+	// minSlotRetryAfter is the shortest retry delay of a request that is refused because no
+	// slot would be free in time.
+	minSlotRetryAfter = 50 * time.Millisecond
+)
+
+// WaitStats counts the live requests that found all replicas of their service full.
+type WaitStats struct {
+	// Waited is the number of those that waited, Granted that of those that got a slot, and
+	// Refused that of those that were refused because they could not be met.
+	Waited  atomic.Int64
+	Granted atomic.Int64
+	Refused atomic.Int64
+	// Time is the total time of waiting in nanoseconds.
+	Time atomic.Int64
+}
+
+// waitingRoom holds the live requests that wait for a slot of a service.
+type waitingRoom struct {
+	waiters []*waiter
+	shares  *shed.Shares
+	timer   *time.Timer
+	// promisedAt is the latest time at which a refused request was told to come back.
+	promisedAt time.Time
+}
+
+// retryAfter returns the retry delay of a refused request, for which a slot is expected to be
+// free after a time. Requests that are refused one after the other come back one after the
+// other, since they would find the replicas full again otherwise.
+func (w *waitingRoom) retryAfter(free, interval time.Duration, now time.Time) time.Duration {
+	free = max(free, minSlotRetryAfter, w.promisedAt.Add(interval).Sub(now))
+	free = min(free, maxRetryAfter)
+	w.promisedAt = now.Add(free)
+	return free
+}
+
+// waiter is a live request that waits. granted and refusal are set before done is closed.
+type waiter struct {
+	request *Request
+	work    gypsum.Work
+	done    chan struct{}
+	refusal *gypsum.Refusal
+}
+
+// probeInterval returns the time between two probes of a full replica.
+func probeInterval(latency time.Duration) time.Duration {
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	return min(maxProbeInterval, max(minProbeInterval, latency/2))
+}
+
+// freeSlots returns the number of slots of a replica that requests of this daemon may take. The
+// replica may have fewer, since other daemons use it too. The caller holds mu.
+func (s *replicaState) freeSlots(replica *gypsum.Replica, now time.Time) int {
+	if s.estimator.IsFull(now) {
+		if now.Before(s.nextProbe) || s.reserved > 0 {
+			return 0
+		}
+		return 1
+	}
+	if replica.Slots <= 0 {
+		return maxWaiting
+	}
+	return max(0, replica.Slots-s.inFlight-s.reserved)
+}
+
+// room returns the waiting room of a service. The caller holds mu.
+func (r *Relay) room(service gypsum.ServiceName) *waitingRoom {
+	room := r.rooms[service]
+	if room == nil {
+		room = &waitingRoom{shares: shed.NewShares()}
+		r.rooms[service] = room
+	}
+	return room
+}
+
+// mayUse reports whether the request may be sent to a candidate: one that it has not been sent
+// to, or one that only refused it because it was full.
+func (r *Request) mayUse(candidate *Candidate) bool {
+	if !r.canContinueOn(candidate.Replica) {
+		return false
+	}
+	id := candidate.Replica.ID
+	return r.foundFull[id] || (!r.reached[id] && !r.tried[candidate.path()])
+}
+
+// priority returns the priority of the request: its account's, or else its route's.
+func (r *Request) priority() int {
+	if r.AccountPriority != nil {
+		return *r.AccountPriority
+	}
+	return r.Route.Priority
+}
+
+// awaitSlot waits while all replicas that the request may use are full, or other requests wait
+// for them. It returns the refusal of a request that cannot be met.
+func (r *Relay) awaitSlot(ctx context.Context, request *Request) *gypsum.Refusal {
+	if request.sentAttempts >= request.Route.MaxAttempts || (request.mayHaveRun && !request.Route.Retryable()) {
+		return nil
+	}
+	now := time.Now()
+	if !now.Before(request.Deadline) {
+		return nil
+	}
+	waiting := r.enterRoom(request, now)
+	if waiting == nil {
+		return nil
+	}
+	select {
+	case <-waiting.done:
+	case <-ctx.Done():
+		if r.leaveRoom(waiting) {
+			return r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left")
+		}
+		<-waiting.done
+	}
+	waited := time.Since(now)
+	r.Stats.Waits.Time.Add(int64(waited))
+	if waiting.refusal != nil {
+		r.Stats.Waits.Refused.Add(1)
+		return waiting.refusal
+	}
+	if ctx.Err() != nil {
+		return r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left")
+	}
+	r.Stats.Waits.Granted.Add(1)
+	r.Logger.Info("request waited for a slot", "request", request.ID, "service", request.Service, "attempt", request.sentAttempts+1,
+		"account", request.Account, "priority", waiting.work.Priority, "waited_ms", waited.Milliseconds())
+	return nil
+}
+
+// enterRoom adds the request to the waiting room of its service if it has to wait, and returns
+// nil otherwise.
+func (r *Relay) enterRoom(request *Request, now time.Time) *waiter {
+	candidates := r.candidateSource(request.Service, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := r.room(request.Service)
+	work := gypsum.Work{
+		Class: gypsum.WorkLive, Account: request.Account, Priority: request.priority(), Arrived: request.Arrived,
+		Target: request.Arrived.Add(request.Route.LatencyTarget), Deadline: request.Deadline, RetryElsewhere: !request.mayHaveRun,
+	}
+	if request.sentAttempts > 0 {
+		work.Class = gypsum.WorkRetry
+	}
+	current := candidates()
+	work.Expected = expectedSlotTime(current)
+	waiting := &waiter{request: request, work: work, done: make(chan struct{})}
+	// A replica whose request rate is at its limit is not waited for here: the limiter knows
+	// when it accepts the next request.
+	limited := slices.ContainsFunc(current, func(c Candidate) bool { return c.rateLimited && request.mayUse(&c) })
+	if len(room.waiters) == 0 && (r.grant(waiting, current, now) || limited) {
+		room.shares.Serve(&work, now)
+		return nil
+	}
+	room.waiters = append(room.waiters, waiting)
+	r.Stats.Waits.Waited.Add(1)
+	r.dispatch(request.Service, room, current, now)
+	return waiting
+}
+
+// leaveRoom removes a waiting request whose client has left. It reports false if the request
+// does not wait any more.
+func (r *Relay) leaveRoom(waiting *waiter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := r.room(waiting.request.Service)
+	index := slices.Index(room.waiters, waiting)
+	if index < 0 {
+		return false
+	}
+	room.waiters = slices.Delete(room.waiters, index, index+1)
+	return true
+}
+
+// expectedSlotTime returns the expected duration of a request at the fastest candidate that has
+// been measured.
+func expectedSlotTime(candidates []Candidate) time.Duration {
+	expected := time.Duration(0)
+	for i := range candidates {
+		if latency := candidates[i].Latency; latency > 0 && (expected == 0 || latency < expected) {
+			expected = latency
+		}
+	}
+	if expected == 0 {
+		return defaultLatency
+	}
+	return expected
+}
+
+// slotState returns the slots of candidates as the policy sees them.
+func slotState(candidates []Candidate, now time.Time) *gypsum.ShedState {
+	state, perSecond := &gypsum.ShedState{Now: now, MaxWaiting: maxWaiting}, 0.0
+	for i := range candidates {
+		latency, busy := candidates[i].Latency, max(1, candidates[i].InFlight)
+		if latency == 0 {
+			latency = defaultLatency
+		}
+		state.Free += candidates[i].free
+		state.Slots += max(busy, candidates[i].free)
+		perSecond += float64(busy) / latency.Seconds()
+	}
+	if perSecond > 0 {
+		state.Interval = time.Duration(float64(time.Second) / perSecond)
+	}
+	return state
+}
+
+// dispatch lets the policy decide about the waiting requests, and gives the free slots to the
+// first ones. The caller holds mu.
+func (r *Relay) dispatch(service gypsum.ServiceName, room *waitingRoom, candidates []Candidate, now time.Time) {
+	if len(room.waiters) == 0 {
+		return
+	}
+	state := slotState(candidates, now)
+	state.Shares = room.shares
+	for _, waiting := range room.waiters {
+		state.Waiting = append(state.Waiting, waiting.work)
+	}
+	decision := r.Policy.Decide(state)
+	ended := make([]bool, len(room.waiters))
+	for _, refused := range decision.Refused {
+		waiting := room.waiters[refused.Index]
+		room.shares.Refuse(&waiting.work, now)
+		waiting.refusal = r.requestRefusal(waiting.request, gypsum.ReasonOverloaded,
+			room.retryAfter(refused.RetryAfter, state.Interval, now), "all replicas are full, and none would have a free slot in time")
+		ended[refused.Index] = true
+		close(waiting.done)
+	}
+	for _, index := range decision.Order {
+		waiting := room.waiters[index]
+		if r.grant(waiting, candidates, now) {
+			ended[index] = true
+			room.shares.Serve(&waiting.work, now)
+			close(waiting.done)
+		}
+	}
+	kept := room.waiters[:0]
+	for i, waiting := range room.waiters {
+		if !ended[i] {
+			kept = append(kept, waiting)
+		}
+	}
+	clear(room.waiters[len(kept):])
+	room.waiters = kept
+	r.scheduleDispatch(service, room, candidates, now)
+}
+
+// grant reserves a free slot for a waiting request. It returns false if the request has to wait
+// on. A request without a replica that it may use does not wait: it is refused for that.
+func (r *Relay) grant(waiting *waiter, candidates []Candidate, now time.Time) bool {
+	request := waiting.request
+	failureCost := FailureCost(request.Route.Retryable(), request.Route.LatencyTarget, request.Deadline.Sub(now))
+	var best *Candidate
+	usable := false
+	for i := range candidates {
+		candidate := &candidates[i]
+		if !request.mayUse(candidate) {
+			continue
+		}
+		usable = true
+		candidate.Tried = request.foundFull[candidate.Replica.ID]
+		if candidate.free > 0 && (best == nil || isPreferred(candidate, best, r.Location, failureCost)) {
+			best = candidate
+		}
+	}
+	if best == nil {
+		return !usable
+	}
+	best.free--
+	best.InFlight++
+	tracked := r.track(best.Replica)
+	tracked.reserved++
+	tracked.nextProbe = now.Add(probeInterval(best.Latency))
+	request.reservation, request.reservedAt = tracked, best.Replica.ID
+	delete(request.reached, best.Replica.ID)
+	delete(request.tried, best.path())
+	return true
+}
+
+// releaseSlot gives up the slot that was reserved for a request, if any.
+func (r *Relay) releaseSlot(request *Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseReservation(request)
+}
+
+// releaseReservation is releaseSlot for a caller that holds mu.
+func (r *Relay) releaseReservation(request *Request) {
+	if request.reservation != nil {
+		request.reservation.reserved--
+		request.reservation = nil
+	}
+}
+
+// scheduleDispatch sets the time of the next dispatch while requests wait: when the next full
+// replica may be probed, or when the next request can no longer be met.
+func (r *Relay) scheduleDispatch(service gypsum.ServiceName, room *waitingRoom, candidates []Candidate, now time.Time) {
+	if len(room.waiters) == 0 {
+		if room.timer != nil {
+			room.timer.Stop()
+		}
+		return
+	}
+	wait := maxDispatchInterval
+	for i := range candidates {
+		if tracked := r.replicaStates[candidates[i].Replica.ID]; tracked != nil && tracked.nextProbe.After(now) {
+			wait = min(wait, tracked.nextProbe.Sub(now))
+		}
+	}
+	for _, waiting := range room.waiters {
+		wait = min(wait, max(time.Millisecond, waiting.work.Deadline.Add(-waiting.work.Expected).Sub(now)))
+	}
+	if room.timer == nil {
+		room.timer = time.AfterFunc(wait, func() { r.redispatch(service) })
+		return
+	}
+	room.timer.Reset(wait)
+}
+
+// redispatch gives slots that have become free to waiting requests.
+func (r *Relay) redispatch(service gypsum.ServiceName) {
+	now := time.Now()
+	candidates := r.candidateSource(service, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if room := r.room(service); len(room.waiters) > 0 {
+		r.dispatch(service, room, candidates(), now)
+	}
+}
+
+// hasWaiters reports whether requests wait for a service. The caller holds mu.
+func (r *Relay) hasWaiters(service gypsum.ServiceName) bool {
+	room := r.rooms[service]
+	return room != nil && len(room.waiters) > 0
+}
+
+// WaitingCount returns the number of live requests that wait for a slot.
+func (r *Relay) WaitingCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, room := range r.rooms {
+		count += len(room.waiters)
+	}
+	return count
+}
--- a/shed.go
+++ b/shed.go
@@ -52,8 +52,8 @@
 	return WorkGroup{Account: w.Account}, w.Account != ""
 }
 
-// ShareCount is how much work was offered and how much of it was served lately. Older work
-// counts less.
+// ShareCount is how much work was offered, that is served or refused, and how much of it was
+// served lately. Older work counts less.
 type ShareCount struct {
 	Offered float64
 	Served  float64
--- a/shed/shares.go
+++ b/shed/shares.go
@@ -35,19 +35,15 @@
 // NewShares returns empty counts.
 func NewShares() *Shares { return &Shares{counts: make(map[gypsum.WorkGroup]gypsum.ShareCount)} }
 
-// Offer counts work that arrived.
-func (s *Shares) Offer(work *gypsum.Work, now time.Time) {
-	s.add(work, gypsum.ShareCount{Offered: 1}, now)
-}
-
 // Serve counts work that was given a slot.
 func (s *Shares) Serve(work *gypsum.Work, now time.Time) {
-	s.add(work, gypsum.ShareCount{Served: 1}, now)
+	s.add(work, gypsum.ShareCount{Offered: 1, Served: 1}, now)
 }
 
-// Withdraw takes back an Offer of work whose caller has left.
-func (s *Shares) Withdraw(work *gypsum.Work, now time.Time) {
-	s.add(work, gypsum.ShareCount{Offered: -1}, now)
+// Refuse counts work that was refused. Work that still waits is not counted: it may be served
+// in time.
+func (s *Shares) Refuse(work *gypsum.Work, now time.Time) {
+	s.add(work, gypsum.ShareCount{Offered: 1}, now)
 }
 
 // Count implements gypsum.WorkShares.
@@ -104,7 +100,7 @@
 }
 
 func sum(a, b gypsum.ShareCount) gypsum.ShareCount {
-	return gypsum.ShareCount{Offered: max(0, a.Offered+b.Offered), Served: a.Served + b.Served}
+	return gypsum.ShareCount{Offered: a.Offered + b.Offered, Served: a.Served + b.Served}
 }
 
 func scale(count gypsum.ShareCount, factor float64) gypsum.ShareCount {
@@ -198,10 +194,11 @@
 	if v.classOf == nil {
 		return
 	}
-	v.all.Served++
-	v.groups[v.classOf[i]].Served++
+	one := gypsum.ShareCount{Offered: 1, Served: 1}
+	v.all = sum(v.all, one)
+	v.groups[v.classOf[i]].ShareCount = sum(v.groups[v.classOf[i]].ShareCount, one)
 	if v.accountOf[i] >= 0 {
-		v.ofAccounts.Served++
-		v.groups[v.accountOf[i]].Served++
+		v.ofAccounts = sum(v.ofAccounts, one)
+		v.groups[v.accountOf[i]].ShareCount = sum(v.groups[v.accountOf[i]].ShareCount, one)
 	}
 }
