limit: permits go to the requests whose delay costs most

Cause: requests of a host that wait for permits of a rate-limited replica get them in the order of their arrival.

Change: the permits of one host for a replica are exchanged in the order of package shed, unless a request would then miss its deadline. The number of permits and their times stay the same. The permit of a request whose client leaves goes to another one.

--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/shed"
 )
 
 // Times and limits of permits.
@@ -44,7 +45,9 @@
 	// HolderOf returns the holder of a service, empty for none.
 	HolderOf    func(gypsum.ServiceName) gypsum.HostID
 	PeerPermits gypsum.PeerPermits
-	Logger      *slog.Logger
+	// Policy decides which request gets the next permit.
+	Policy gypsum.Policy
+	Logger *slog.Logger
 	// Stats counts since the start of the daemon.
 	Stats LimiterStats
 
@@ -52,6 +55,7 @@
 	// deniedUntil is when the next permit for a replica is available, after one was denied.
 	deniedUntil map[gypsum.BackendID]time.Time
 	unreachable map[gypsum.HostID]unreachability
+	lines       map[gypsum.BackendID]permitLine
 }
 
 // LimiterStats counts the permits that this daemon obtained and that it was denied.
@@ -68,7 +72,10 @@
 
 // NewLimiter returns a Limiter whose exported fields are not set yet.
 func NewLimiter() *Limiter {
-	return &Limiter{deniedUntil: make(map[gypsum.BackendID]time.Time), unreachable: make(map[gypsum.HostID]unreachability)}
+	return &Limiter{
+		Policy: shed.NewCostPolicy(), deniedUntil: make(map[gypsum.BackendID]time.Time), unreachable: make(map[gypsum.HostID]unreachability),
+		lines: make(map[gypsum.BackendID]permitLine),
+	}
 }
 
 // Keepers returns the daemons to ask for permits of a replica, the one in charge first: the
@@ -91,6 +98,14 @@
 // Acquire waits until a request may be sent to a replica, at most maxWait. It returns a
 // *gypsum.RateLimitError if no permit is available by then, and the error of ctx if that ends.
 func (l *Limiter) Acquire(ctx context.Context, replica *gypsum.Replica, maxWait time.Duration) error {
+	now := time.Now()
+	return l.AcquireFor(ctx, replica, maxWait, &gypsum.Work{Arrived: now, Deadline: now.Add(maxWait)})
+}
+
+// AcquireFor is like Acquire. Requests of this daemon that wait for permits of the same replica
+// are sent in the order of what a delay costs; one that costs less may wait longer than maxWait,
+// but not so long that it misses its deadline.
+func (l *Limiter) AcquireFor(ctx context.Context, replica *gypsum.Replica, maxWait time.Duration, work *gypsum.Work) error {
 	rateLimit, limited := l.Table.Limit(replica)
 	if !limited {
 		return nil
@@ -108,13 +123,28 @@
 	if response.Wait <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(response.Wait)
+	return l.awaitPermit(ctx, replica.ID, work, time.Now().Add(response.Wait))
+}
+
+// awaitPermit waits until the time of a permit for the request.
+func (l *Limiter) awaitPermit(ctx context.Context, replica gypsum.BackendID, work *gypsum.Work, at time.Time) error {
+	waiting := l.enterLine(replica, work, at, time.Now())
+	timer := time.NewTimer(time.Until(l.permitTime(waiting)))
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
+	for {
+		select {
+		case <-ctx.Done():
+			l.leaveLine(replica, waiting, false, time.Now())
+			return ctx.Err()
+		case <-waiting.changed:
+		case <-timer.C:
+		}
+		left := time.Until(l.permitTime(waiting))
+		if left <= 0 {
+			l.leaveLine(replica, waiting, true, time.Now())
+			return nil
+		}
+		timer.Reset(left)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -176,7 +176,8 @@
 		if isLast {
 			maxWait = PermitWait(request.Route.LatencyTarget, time.Until(request.Deadline))
 		}
-		err := r.Limiter.Acquire(ctx, candidate.Replica, maxWait)
+		work := request.work(max(candidate.Latency, minProbeInterval))
+		err := r.Limiter.AcquireFor(ctx, candidate.Replica, maxWait, &work)
 		var limited *gypsum.RateLimitError
 		switch {
 		case err == nil:
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -118,6 +118,18 @@
 	return r.Route.Priority
 }
 
+// work returns the request as the policy sees it.
+func (r *Request) work(expected time.Duration) gypsum.Work {
+	work := gypsum.Work{
+		Class: gypsum.WorkLive, Account: r.Account, Priority: r.priority(), Arrived: r.Arrived, Target: r.Arrived.Add(r.Route.LatencyTarget),
+		Deadline: r.Deadline, Expected: expected, RetryElsewhere: !r.mayHaveRun,
+	}
+	if r.sentAttempts > 0 {
+		work.Class = gypsum.WorkRetry
+	}
+	return work
+}
+
 // awaitSlot waits while all replicas that the request may use are full, or other requests wait
 // for them. It returns the refusal of a request that cannot be met.
 func (r *Relay) awaitSlot(ctx context.Context, request *Request) *gypsum.Refusal {
@@ -162,15 +174,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	room := r.room(request.Service)
-	work := gypsum.Work{
-		Class: gypsum.WorkLive, Account: request.Account, Priority: request.priority(), Arrived: request.Arrived,
-		Target: request.Arrived.Add(request.Route.LatencyTarget), Deadline: request.Deadline, RetryElsewhere: !request.mayHaveRun,
-	}
-	if request.sentAttempts > 0 {
-		work.Class = gypsum.WorkRetry
-	}
 	current := candidates()
-	work.Expected = expectedSlotTime(current)
+	work := request.work(expectedSlotTime(current))
 	waiting := &waiter{request: request, work: work, done: make(chan struct{})}
 	// A replica whose request rate is at its limit is not waited for here: the limiter knows
 	// when it accepts the next request.
