buffer, front, relay: slow readers lose only their own responses

Cause: a client that reads nothing holds its complete response in memory without a bound, and a stream's replica is read only as fast as the client reads, until the replica aborts the response. Request bodies in flight to a replica are not bounded.

Change: package buffer counts what is held for each connection, each account and the process. front counts complete responses until they are read, limits the time of a write in which nothing is read (10 s), and aborts the slowest reader when others need the memory. relay reads streams into a buffer of at most 512 KB for each client; a client beyond it loses its stream, which is no failure of the replica and makes no probe. Bodies in flight to a replica are at most 2 MB for each of its slots, or a single larger one; others wait for a slot.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
@@ -60,6 +61,9 @@
 	// responseMemoryDivisor limits the memory for responses of replicas that are being read to
 	// 1/responseMemoryDivisor of the memory limit.
 	responseMemoryDivisor = 8
+	// clientMemoryDivisor limits the memory for responses that clients have not read to
+	// 1/clientMemoryDivisor of the memory limit.
+	clientMemoryDivisor = 8
 	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
 	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
 	forwardMemoryDivisor = 16
@@ -210,6 +214,7 @@
 	d.reach.Prober, d.reach.Forwarder, d.reach.ListPeers, d.reach.Peers = backends, backends, d.peers, peers
 	d.reach.Stopping = func() bool { return d.frontend.Stopping.Load() }
 	d.relay = relay.New()
+	d.relay.Buffers = buffer.NewPool(d.Settings.MemoryLimit / clientMemoryDivisor)
 	d.relay.Reach = d.reach
 	d.relay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(peers.ReplicasVia(address)) }
 	d.relay.Crashes, d.relay.Limiter, d.relay.Origins = d.batches, d.limiter, d.origins
@@ -223,7 +228,7 @@
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
 		Registry: d.registry, Relay: d.relay, Batches: d.batches, StoreDowntime: d.storeDowntime,
-		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Logger: d.Logger,
+		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Buffers: d.relay.Buffers, Logger: d.Logger,
 	}
 	return func() {
 		closeBackends()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -54,6 +54,7 @@
 	RelayRefused     int64            `json:"relay_refused"`
 	RelayFailed      int64            `json:"relay_failed"`
 	LiveWaits        waitMetrics      `json:"live_waits"`
+	Unread           unreadMetrics    `json:"unread_responses"`
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
@@ -81,6 +82,19 @@
 	WaitMS  int64 `json:"wait_ms"`
 }
 
+// unreadMetrics are about responses that clients read slowly: the bytes that are held and their
+// limit, the clients that lost their responses and streams, those of them that made room for
+// others, and the times at which the memory did not suffice.
+type unreadMetrics struct {
+	Bytes         int64 `json:"bytes"`
+	Limit         int64 `json:"limit"`
+	Clients       int   `json:"clients"`
+	ResponsesLost int64 `json:"responses_lost"`
+	StreamsLost   int64 `json:"streams_lost"`
+	Evicted       int64 `json:"evicted"`
+	Rejected      int64 `json:"rejected"`
+}
+
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
 // texts to their scores.
 type rewardMetrics struct {
@@ -118,6 +132,7 @@
 			Waiting: d.relay.WaitingCount(), Waited: relayStats.Waits.Waited.Load(), Granted: relayStats.Waits.Granted.Load(),
 			Refused: relayStats.Waits.Refused.Load(), WaitMS: time.Duration(relayStats.Waits.Time.Load()).Milliseconds(),
 		},
+		Unread:       d.unreadMetrics(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
 		RewardCalls: rewardMetrics{
@@ -133,3 +148,11 @@
 	}
 	return current
 }
+
+func (d *Daemon) unreadMetrics() unreadMetrics {
+	usage := d.relay.Buffers.Usage()
+	return unreadMetrics{
+		Bytes: int64(usage.Used), Limit: int64(usage.Limit), Clients: usage.Holders, Evicted: usage.Evicted, Rejected: usage.Rejected,
+		ResponsesLost: d.frontend.Stats.WritesFailed.Load(), StreamsLost: d.relay.Stats.SlowClients.Load(),
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
@@ -32,8 +33,10 @@
 	Stopping atomic.Bool
 	// BodyMemory limits the total size of the request bodies in memory.
 	BodyMemory gypsum.Bytes
-	Logger     *slog.Logger
-	Stats      Stats
+	// Buffers limits the total size of the responses that clients have not read.
+	Buffers *buffer.Pool
+	Logger  *slog.Logger
+	Stats   Stats
 
 	bodyBytes atomic.Int64
 }
@@ -46,6 +49,8 @@
 	ResultReads      Histogram
 	UnknownRoute     atomic.Int64
 	BadInput         atomic.Int64
+	// WritesFailed counts the complete responses that clients did not read.
+	WritesFailed atomic.Int64
 }
 
 // maxConfigAge is how long the store may have been unavailable for a request without a
@@ -139,7 +144,7 @@
 		writeRefusal(w, refusal)
 		return
 	}
-	writeResponse(w, response)
+	s.writeResponse(w, response, request)
 	s.Logger.Info("request completed", "request", request.ID, "service", request.Service, "status", response.Status,
 		"took_ms", time.Since(arrived).Milliseconds())
 }
@@ -186,16 +191,6 @@
 	return body, release, true
 }
 
-// writeResponse writes a complete response of a replica.
-func writeResponse(w http.ResponseWriter, response *gypsum.LiveResponse) {
-	copyHeader(w.Header(), response.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
-	w.WriteHeader(response.Status)
-	// A failed write means that the client has disconnected, which is no failure of this
-	// daemon.
-	_, _ = w.Write(response.Body)
-}
-
 // copyHeader copies the header fields of a response. A nil Date or Content-Type prevents
 // net/http from adding the field to a response that lacks it.
 func copyHeader(dst, src http.Header) {
@@ -228,7 +223,8 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, request *relay.Request) {
-	sink := &streamSink{writer: w, controller: http.NewResponseController(w)}
+	sink := &streamSink{server: s, request: request, writer: w, deadline: newWriteDeadline(w)}
+	defer sink.deadline.clear()
 	err := s.Relay.ServeStream(r.Context(), request, sink)
 	var refusal *gypsum.Refusal
 	switch {
@@ -244,27 +240,34 @@
 
 // streamSink writes a streamed response to a client.
 type streamSink struct {
-	writer     http.ResponseWriter
-	controller *http.ResponseController
+	server   *Server
+	request  *relay.Request
+	writer   http.ResponseWriter
+	deadline *writeDeadline
 }
 
 // BeginResponse implements relay.Sink. A response with a body is written completely,
 // otherwise only its header.
 func (s *streamSink) BeginResponse(response *gypsum.LiveResponse) error {
-	copyHeader(s.writer.Header(), response.Header)
 	if response.Body != nil {
-		writeResponse(s.writer, response)
+		s.server.writeResponse(s.writer, response, s.request)
 		return nil
 	}
+	copyHeader(s.writer.Header(), response.Header)
 	s.writer.Header().Del("Content-Length")
 	s.writer.WriteHeader(response.Status)
-	return s.controller.Flush()
+	s.deadline.extend(stallTimeout)
+	return s.deadline.controller.Flush()
 }
 
 // WriteEvent implements relay.Sink.
 func (s *streamSink) WriteEvent(raw []byte) error {
+	s.deadline.extend(stallTimeout)
 	if _, err := s.writer.Write(raw); err != nil {
 		return err
 	}
-	return s.controller.Flush()
+	return s.deadline.controller.Flush()
 }
+
+// Abort implements relay.Sink.
+func (s *streamSink) Abort() { s.deadline.abort() }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -133,7 +133,7 @@
 	liveRelay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(s.reach.Peers.ReplicasVia(address)) }
 	start(liveRelay.Run)
 	s.frontend = &front.Server{
-		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger,
+		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Buffers: liveRelay.Buffers, Logger: logger,
 		StoreDowntime: func() time.Duration {
 			if at, unavailable := follower.LastResponse(); unavailable {
 				return time.Since(at)
--- /dev/null
+++ b/front/write.go
@@ -0,0 +1,97 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/relay"
+)
+
+// Times and sizes of writes to clients.
+const (
+	// stallTimeout is how long a client may read nothing before its response is aborted. Bytes
+	// in the buffers of the kernel count as read.
+	stallTimeout = 10 * time.Second
+	// shortStallTimeout applies while the memory for responses is used up.
+	shortStallTimeout = 500 * time.Millisecond
+	// writeChunkBytes is the size of one write.
+	writeChunkBytes = 64 << 10
+)
+
+// writeDeadline limits the time of writes to a client. It is safe for concurrent use.
+type writeDeadline struct {
+	controller *http.ResponseController
+
+	mu      sync.Mutex
+	aborted bool
+}
+
+// newWriteDeadline returns the write deadline of a client's connection. The caller must call
+// clear, since the connection may be used for another request.
+func newWriteDeadline(w http.ResponseWriter) *writeDeadline {
+	return &writeDeadline{controller: http.NewResponseController(w)}
+}
+
+// extend sets the time that the next write may take, unless the response was aborted. Writers
+// that know no deadlines do without.
+func (d *writeDeadline) extend(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.aborted {
+		_ = d.controller.SetWriteDeadline(time.Now().Add(timeout))
+	}
+}
+
+// abort makes a write in progress and later ones fail.
+func (d *writeDeadline) abort() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.aborted = true
+	_ = d.controller.SetWriteDeadline(time.Unix(1, 0))
+}
+
+// clear removes the deadline, unless the response was aborted.
+func (d *writeDeadline) clear() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.aborted {
+		_ = d.controller.SetWriteDeadline(time.Time{})
+	}
+}
+
+// writeResponse writes a complete response of a replica. Its body counts toward the memory for
+// responses until the client has read it. A client that reads nothing for long loses the
+// response, and loses it sooner if others need the memory.
+func (s *Server) writeResponse(w http.ResponseWriter, response *gypsum.LiveResponse, request *relay.Request) {
+	copyHeader(w.Header(), response.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
+	w.WriteHeader(response.Status)
+	deadline, now := newWriteDeadline(w), time.Now()
+	defer deadline.clear()
+	size := gypsum.Bytes(len(response.Body))
+	holder := s.Buffers.Open(request.Account, size, deadline.abort, now)
+	defer holder.Close()
+	timeout := stallTimeout
+	if err := holder.AddEvicting(size, shortStallTimeout, now); err != nil {
+		// The replica has run the request, so the response is written if the client takes it at
+		// once.
+		timeout = shortStallTimeout
+		s.Logger.Info("memory for responses is used up", "request", request.ID, "account", request.Account, "bytes", size, "error", err)
+	}
+	for rest := response.Body; len(rest) > 0; {
+		deadline.extend(timeout)
+		written, err := w.Write(rest[:min(len(rest), writeChunkBytes)])
+		if err != nil {
+			// The client has disconnected or reads too slowly, which is no failure of this daemon.
+			s.Stats.WritesFailed.Add(1)
+			s.Logger.Info("response not read by client", "request", request.ID, "account", request.Account, "bytes", size,
+				"unread", len(rest), "took_ms", time.Since(now).Milliseconds(), "error", err)
+			return
+		}
+		rest = rest[written:]
+		holder.Progress(time.Now())
+	}
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -37,9 +37,10 @@
 	Tried bool
 
 	// rateLimited means that the replica's request rate is at its limit. free is the number of
-	// slots that requests of this daemon may take.
+	// slots that requests of this daemon may take, bodyBytes the size of their bodies in flight.
 	rateLimited bool
 	free        int
+	bodyBytes   int
 }
 
 // via returns the host through which the request goes, empty for the direct path.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/reach"
@@ -36,6 +37,8 @@
 
 	// Policy decides about live requests that wait because all replicas are full.
 	Policy gypsum.Policy
+	// Buffers bounds what is held of streams for clients that read slowly.
+	Buffers *buffer.Pool
 
 	Location gypsum.Location
 	Logger   *slog.Logger
@@ -60,12 +63,14 @@
 	Refused       atomic.Int64
 	Failed        atomic.Int64
 	Waits         WaitStats
+	// SlowClients counts the streams that were aborted because their clients read too slowly.
+	SlowClients atomic.Int64
 }
 
 // New returns a Relay whose exported fields are not set yet.
 func New() *Relay {
 	return &Relay{
-		Policy: shed.NewCostPolicy(), replicaStates: make(map[gypsum.BackendID]*replicaState), rooms: make(map[gypsum.ServiceName]*waitingRoom),
+		Policy: shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), rooms: make(map[gypsum.ServiceName]*waitingRoom),
 		probes: make(chan crashProbe, maxQueuedProbes),
 	}
 }
@@ -428,7 +433,7 @@
 		request.mayHaveRun = true
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
-			!errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
+			!errors.Is(err, errClientDisconnected) && !errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
 		if connectionBroke && !request.isReward {
 			r.queueProbe(request, replica)
 		}
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -19,6 +19,8 @@
 	// yet. nextProbe is when the next request may be sent while the replica is full.
 	reserved  int
 	nextProbe time.Time
+	// bodyBytes is the size of the request bodies in flight and of those with a reserved slot.
+	bodyBytes int
 	estimator ReplicaEstimator
 }
 
@@ -62,7 +64,7 @@
 			if tracked := r.replicaStates[replica.ID]; tracked != nil && tracked.incarnation == replica.Incarnation {
 				candidate.InFlight, candidate.Latency = tracked.inFlight+tracked.reserved, tracked.estimator.Latency()
 				candidate.FailureRate, candidate.Full = tracked.estimator.FailureRate(now), candidate.Full || tracked.estimator.IsFull(now)
-				candidate.free = tracked.freeSlots(replica, now)
+				candidate.free, candidate.bodyBytes = tracked.freeSlots(replica, now), tracked.bodyBytes
 			}
 			candidates = append(candidates, candidate)
 		}
@@ -89,6 +91,7 @@
 	r.releaseReservation(request)
 	tracked := r.track(replica)
 	tracked.inFlight++
+	tracked.bodyBytes += len(request.Body)
 	tracked.nextProbe = now.Add(probeInterval(tracked.estimator.Latency()))
 	return tracked
 }
@@ -109,6 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tracked.inFlight--
+	tracked.bodyBytes -= len(request.Body)
 	if result != resultFull {
 		// The request leaves a free slot.
 		tracked.nextProbe = now
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,6 +19,8 @@
 	BeginResponse(response *gypsum.LiveResponse) error
 	// WriteEvent receives the bytes of a complete event.
 	WriteEvent(raw []byte) error
+	// Abort makes a write in progress and all later ones fail. It may be called concurrently.
+	Abort()
 }
 
 // ErrStreamInterrupted means that a stream has begun and cannot be completed.
@@ -37,6 +39,27 @@
 		return r.recordRefusal(request, refusal)
 	}
 	defer r.releaseSlot(request)
+	buffered := r.newStreamBuffer(ctx, request.Account, sink)
+	err := r.serveBuffered(ctx, request, buffered)
+	// What has arrived before a failure is passed on too.
+	flushErr := buffered.finish(ctx)
+	if errors.Is(flushErr, ErrClientTooSlow) {
+		r.Stats.SlowClients.Add(1)
+		r.Logger.Warn("stream aborted: client reads too slowly", "request", request.ID, "service", request.Service, "account", request.Account,
+			"after_ms", time.Since(request.Arrived).Milliseconds())
+	}
+	if err == nil && flushErr != nil {
+		r.recordRefusal(request, r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left"))
+		return ErrStreamInterrupted
+	}
+	if err == nil {
+		r.Stats.Responses.Add(1)
+	}
+	return err
+}
+
+// serveBuffered forwards the request to replicas until one has completed the response.
+func (r *Relay) serveBuffered(ctx context.Context, request *Request, sink Sink) error {
 	begun, lastEvent := false, int64(0)
 	if request.Resume != nil {
 		lastEvent = request.Resume.After
@@ -55,7 +78,6 @@
 		}
 		err := r.streamAttempt(ctx, request, candidate, sink, &begun, &lastEvent)
 		if err == nil {
-			r.Stats.Responses.Add(1)
 			return nil
 		}
 		switch {
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -24,6 +24,12 @@
 	// maxDispatchInterval is the longest time between two checks of the waiting requests.
 	// Replicas may be registered or leave meanwhile.
 	maxDispatchInterval = 50 * time.Millisecond
+	// bodyBytesPerSlot bounds the request bodies in flight to a replica, since one that holds more
+	// than its memory crashes. Registrations state slots but no memory; the usual bodies have
+	// some kilobytes. A single larger body is sent when no other is in flight.
+	bodyBytesPerSlot = 2 << 20
+	// assumedSlots applies to replicas that state none.
+	assumedSlots = 16
 	// minSlotRetryAfter is the shortest retry delay of a request that is refused because no
 	// slot would be free in time.
 	minSlotRetryAfter = 50 * time.Millisecond
@@ -90,6 +96,15 @@
 	return max(0, replica.Slots-s.inFlight-s.reserved)
 }
 
+// acceptsBody reports whether a request body of a size may be sent to the candidate now.
+func (c *Candidate) acceptsBody(size int) bool {
+	slots := c.Replica.Slots
+	if slots <= 0 {
+		slots = assumedSlots
+	}
+	return c.bodyBytes == 0 || c.bodyBytes+size <= slots*bodyBytesPerSlot
+}
+
 // room returns the waiting room of a service. The caller holds mu.
 func (r *Relay) room(service gypsum.ServiceName) *waitingRoom {
 	room := r.rooms[service]
@@ -260,11 +275,20 @@
 	}
 	for _, index := range decision.Order {
 		waiting := room.waiters[index]
-		if r.grant(waiting, candidates, now) {
-			ended[index] = true
+		switch {
+		case r.grant(waiting, candidates, now):
 			room.shares.Serve(&waiting.work, now)
-			close(waiting.done)
+		case !now.Before(waiting.work.Deadline.Add(-waiting.work.Expected)):
+			// A slot is free, but not for this request: the replica failed it, or holds too
+			// many large bodies.
+			room.shares.Refuse(&waiting.work, now)
+			waiting.refusal = r.requestRefusal(waiting.request, gypsum.ReasonOverloaded,
+				room.retryAfter(state.Interval, state.Interval, now), "no replica had a slot for the request in time")
+		default:
+			continue
 		}
+		ended[index] = true
+		close(waiting.done)
 	}
 	kept := room.waiters[:0]
 	for i, waiting := range room.waiters {
@@ -291,7 +315,7 @@
 		}
 		usable = true
 		candidate.Tried = request.foundFull[candidate.Replica.ID]
-		if candidate.free > 0 && (best == nil || isPreferred(candidate, best, r.Location, failureCost)) {
+		if candidate.free > 0 && candidate.acceptsBody(len(request.Body)) && (best == nil || isPreferred(candidate, best, r.Location, failureCost)) {
 			best = candidate
 		}
 	}
@@ -302,6 +326,8 @@
 	best.InFlight++
 	tracked := r.track(best.Replica)
 	tracked.reserved++
+	tracked.bodyBytes += len(request.Body)
+	best.bodyBytes += len(request.Body)
 	tracked.nextProbe = now.Add(probeInterval(best.Latency))
 	request.reservation, request.reservedAt = tracked, best.Replica.ID
 	delete(request.reached, best.Replica.ID)
@@ -320,6 +346,7 @@
 func (r *Relay) releaseReservation(request *Request) {
 	if request.reservation != nil {
 		request.reservation.reserved--
+		request.reservation.bodyBytes -= len(request.Body)
 		request.reservation = nil
 	}
 }
--- a/relay/waiting_test.go
+++ b/relay/waiting_test.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/limit"
+	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/state"
 )
@@ -46,6 +47,12 @@
 		for _, replica := range d.replicas.Replicas() {
 			r.Registry.ApplyReplica(replica)
 		}
+		var err error
+		if r.Origins, err = origin.NewTracker(); err != nil {
+			t.Fatal(err)
+		}
+		r.Origins.Registry, r.Origins.Peers, r.Origins.Logger = r.Registry, &fake.PeerOrigins{}, logger
+		r.Origins.ListPeers = func() []gypsum.Peer { return nil }
 		d.relays = append(d.relays, r)
 	}
 	return d
