front: bodies wait for memory in the order of their cost

Cause: a request is refused when the memory for bodies is used up, also if some is freed a moment later. Bodies of unknown length do not count.

Change: the request waits for memory, at most a quarter of its latency target, in the order of package shed. Bodies of unknown length count as they arrive. The retry time of a refused request is the mean time for which bodies are held, instead of always a second. Urgency falls with the square of the time left: the exponential function was 0 for work with much time, whose order was then that of arrival.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -55,6 +55,8 @@
 	RelayFailed      int64            `json:"relay_failed"`
 	LiveWaits        waitMetrics      `json:"live_waits"`
 	Unread           unreadMetrics    `json:"unread_responses"`
+	BodiesWaited     int64            `json:"bodies_waited"`
+	BodiesRefused    int64            `json:"bodies_refused"`
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
@@ -132,6 +134,7 @@
 			Waiting: d.relay.WaitingCount(), Waited: relayStats.Waits.Waited.Load(), Granted: relayStats.Waits.Granted.Load(),
 			Refused: relayStats.Waits.Refused.Load(), WaitMS: time.Duration(relayStats.Waits.Time.Load()).Milliseconds(),
 		},
+		BodiesWaited: d.frontend.Stats.Bodies.Waited.Load(), BodiesRefused: d.frontend.Stats.Bodies.Refused.Load(),
 		Unread:       d.unreadMetrics(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
--- a/front/batch.go
+++ b/front/batch.go
@@ -29,7 +29,7 @@
 
 func (s *Server) serveSubmitBatch(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, arrived time.Time) {
 	id := r.Header.Get(platform.HeaderRequestID)
-	content, release, ok := s.readBody(w, r, config.Limits.MaxBody)
+	content, release, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, "", arrived))
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/front/body.go
@@ -0,0 +1,289 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
+	"github.com/gypsumhook/gypsum/platform"
+	"github.com/gypsumhook/gypsum/shed"
+)
+
+// Parameters of the memory for request bodies.
+const (
+	// maxWaitingBodies is the number of requests whose bodies may wait for memory.
+	maxWaitingBodies = 64
+	// bodyWaitDivisor is the part of the latency target, and of the remaining time, that a body
+	// may wait. Refused clients are to know early.
+	bodyWaitDivisor = 4
+	// bodyChunkBytes is the size of the steps in which a body of unknown length is counted.
+	bodyChunkBytes = 32 << 10
+	// Bounds of the retry delay of requests without memory for their bodies.
+	minBodyRetryAfter = 200 * time.Millisecond
+	maxBodyRetryAfter = 2 * time.Second
+	// holdTimeGain is the weight of the latest body in the mean time for which bodies are held.
+	holdTimeGain = 0.125
+)
+
+// BodyStats counts the requests whose bodies waited for memory, and those that were refused.
+type BodyStats struct {
+	Waited  atomic.Int64
+	Refused atomic.Int64
+}
+
+// bodyMemory gives the memory for request bodies to requests, in the order of what a delay costs
+// while it is short. It is safe for concurrent use.
+type bodyMemory struct {
+	pool   *buffer.Pool
+	policy gypsum.Policy
+	shares *shed.Shares
+
+	mu      sync.Mutex
+	waiters []*bodyWaiter
+	// meanHold is the mean time for which bodies are held.
+	meanHold time.Duration
+}
+
+// bodyWaiter is a request that waits for memory.
+type bodyWaiter struct {
+	work    gypsum.Work
+	body    *heldBody
+	size    gypsum.Bytes
+	granted chan struct{}
+}
+
+// heldBody is the memory of one body.
+type heldBody struct {
+	memory *bodyMemory
+	holder *buffer.Holder
+	since  time.Time
+}
+
+// newBodyMemory returns memory of a size.
+func newBodyMemory(limit gypsum.Bytes) *bodyMemory {
+	return &bodyMemory{pool: buffer.NewPool(limit), policy: shed.NewCostPolicy(), shares: shed.NewShares()}
+}
+
+// errNoBodyMemory means that no memory was free for a body in time.
+var errNoBodyMemory = errors.New("no memory for the body")
+
+// acquire reserves memory for a body, and waits for it at most maxWait. The error is
+// errNoBodyMemory or that of ctx.
+func (m *bodyMemory) acquire(ctx context.Context, work *gypsum.Work, size gypsum.Bytes, maxWait time.Duration) (*heldBody, bool, error) {
+	now := time.Now()
+	body := &heldBody{memory: m, since: now, holder: m.pool.Open(work.Account, m.pool.Usage().Limit, nil, now)}
+	waiting := m.enter(work, body, size, now)
+	if waiting == nil {
+		return body, false, nil
+	}
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-waiting.granted:
+		return body, true, nil
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-timer.C:
+		err = errNoBodyMemory
+	}
+	if !m.leave(waiting) {
+		return body, true, nil // granted meanwhile
+	}
+	body.holder.Close()
+	return nil, true, err
+}
+
+// enter reserves the memory, or adds the request to those that wait and returns it.
+func (m *bodyMemory) enter(work *gypsum.Work, body *heldBody, size gypsum.Bytes, now time.Time) *bodyWaiter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.waiters) == 0 && body.holder.Add(size) == nil {
+		m.shares.Serve(work, now)
+		return nil
+	}
+	waiting := &bodyWaiter{work: *work, body: body, size: size, granted: make(chan struct{})}
+	waiting.work.Expected = m.meanHold
+	m.waiters = append(m.waiters, waiting)
+	m.dispatch(now)
+	return waiting
+}
+
+// leave removes a request that got no memory. It reports false if the request does not wait.
+func (m *bodyMemory) leave(waiting *bodyWaiter) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	index := slices.Index(m.waiters, waiting)
+	if index < 0 {
+		return false
+	}
+	m.waiters = slices.Delete(m.waiters, index, index+1)
+	now := time.Now()
+	m.shares.Refuse(&waiting.work, now)
+	// A large body may have kept others from the memory that is free.
+	m.dispatch(now)
+	return true
+}
+
+// dispatch gives free memory to waiting requests in the order of the policy. A body for which the
+// process has too little keeps its turn, so that large ones are not starved; one whose account
+// has too much does not hold up others. The caller holds mu.
+func (m *bodyMemory) dispatch(now time.Time) {
+	if len(m.waiters) == 0 {
+		return
+	}
+	// All that fits starts now, so only the order counts.
+	state := &gypsum.ShedState{Now: now, Slots: len(m.waiters), Free: len(m.waiters), Shares: m.shares}
+	for _, waiting := range m.waiters {
+		state.Waiting = append(state.Waiting, waiting.work)
+	}
+	var granted []*bodyWaiter
+	for _, index := range m.policy.Decide(state).Order {
+		waiting := m.waiters[index]
+		err := waiting.body.holder.Add(waiting.size)
+		if errors.Is(err, buffer.ErrFull) {
+			break
+		}
+		if err == nil {
+			granted = append(granted, waiting)
+			m.shares.Serve(&waiting.work, now)
+			close(waiting.granted)
+		}
+	}
+	m.waiters = slices.DeleteFunc(m.waiters, func(w *bodyWaiter) bool { return slices.Contains(granted, w) })
+}
+
+// isCrowded reports whether too many requests wait.
+func (m *bodyMemory) isCrowded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.waiters) >= maxWaitingBodies
+}
+
+// retryAfter returns the retry delay of a refused request: the mean time for which bodies are
+// held.
+func (m *bodyMemory) retryAfter() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(maxBodyRetryAfter, max(minBodyRetryAfter, m.meanHold))
+}
+
+// release frees the memory of a body.
+func (b *heldBody) release() {
+	now := time.Now()
+	b.holder.Close()
+	b.memory.mu.Lock()
+	defer b.memory.mu.Unlock()
+	b.memory.meanHold += time.Duration(holdTimeGain * float64(now.Sub(b.since)-b.memory.meanHold))
+	b.memory.dispatch(now)
+}
+
+// bodies returns the memory for request bodies.
+func (s *Server) bodies() *bodyMemory {
+	s.initBodies.Do(func() { s.bodyMemory = newBodyMemory(s.BodyMemory) })
+	return s.bodyMemory
+}
+
+// bodyWork returns a request as the policy sees it.
+func bodyWork(r *http.Request, route *gypsum.Route, account gypsum.AccountName, arrived time.Time) *gypsum.Work {
+	work := &gypsum.Work{
+		Class: gypsum.WorkLive, Account: account, Priority: route.Priority, Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
+		RetryElsewhere: true,
+	}
+	if route.Kind == gypsum.RouteRollout {
+		work.Class = gypsum.WorkBatch
+	}
+	if route.LatencyTarget > 0 {
+		work.Target = arrived.Add(route.LatencyTarget)
+	}
+	return work
+}
+
+// bodyWait returns how long a body may wait for memory.
+func bodyWait(work *gypsum.Work) time.Duration {
+	wait := work.Deadline.Sub(work.Arrived)
+	if !work.Target.IsZero() {
+		wait = min(wait, work.Target.Sub(work.Arrived))
+	}
+	return wait / bodyWaitDivisor
+}
+
+// readBody reads the body of a request. The caller must call release when it no longer
+// needs the body. If ok is false, readBody has written the response.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes, work *gypsum.Work) (body []byte, release func(), ok bool) {
+	release = func() {}
+	if r.ContentLength > int64(limit) {
+		s.Stats.BadInput.Add(1)
+		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+		return nil, release, false
+	}
+	memory, maxWait := s.bodies(), bodyWait(work)
+	if r.ContentLength > int64(s.BodyMemory) || memory.isCrowded() {
+		maxWait = 0
+	}
+	held, waited, err := memory.acquire(r.Context(), work, gypsum.Bytes(max(0, r.ContentLength)), maxWait)
+	if waited {
+		s.Stats.Bodies.Waited.Add(1)
+	}
+	if err != nil {
+		s.refuseBody(w, r, memory)
+		return nil, release, false
+	}
+	body, err = held.read(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength)
+	if err == nil {
+		return body, held.release, true
+	}
+	held.release()
+	if errors.Is(err, errNoBodyMemory) {
+		s.refuseBody(w, r, memory)
+		return nil, release, false
+	}
+	s.Stats.BadInput.Add(1)
+	s.Logger.Info("failed to read request body", "request", r.Header.Get(platform.HeaderRequestID), "bytes", len(body), "error", err)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+	} else {
+		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
+	}
+	return nil, release, false
+}
+
+// refuseBody refuses a request for whose body there is no memory.
+func (s *Server) refuseBody(w http.ResponseWriter, r *http.Request, memory *bodyMemory) {
+	s.Stats.Bodies.Refused.Add(1)
+	s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, memory.retryAfter(), "too many large bodies at one time"))
+}
+
+// read reads a body. The memory for one of known length is reserved already; otherwise it is
+// reserved as the body arrives.
+func (b *heldBody) read(reader io.Reader, length int64) ([]byte, error) {
+	if length >= 0 {
+		return io.ReadAll(reader)
+	}
+	var content []byte
+	chunk := make([]byte, bodyChunkBytes)
+	for {
+		read, err := reader.Read(chunk)
+		if read > 0 {
+			if b.holder.Add(gypsum.Bytes(read)) != nil {
+				return content, errNoBodyMemory
+			}
+			content = append(content, chunk[:read]...)
+		}
+		switch {
+		case err == io.EOF:
+			return content, nil
+		case err != nil:
+			return content, err
+		}
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -2,11 +2,11 @@
 package front
 
 import (
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +38,8 @@
 	Logger  *slog.Logger
 	Stats   Stats
 
-	bodyBytes atomic.Int64
+	initBodies sync.Once
+	bodyMemory *bodyMemory
 }
 
 // Stats holds the latencies of requests by their kind, and the numbers of requests without a
@@ -51,6 +52,7 @@
 	BadInput         atomic.Int64
 	// WritesFailed counts the complete responses that clients did not read.
 	WritesFailed atomic.Int64
+	Bodies       BodyStats
 }
 
 // maxConfigAge is how long the store may have been unavailable for a request without a
@@ -115,7 +117,7 @@
 
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, arrived time.Time) {
-	body, release, ok := s.readBody(w, r, config.Limits.MaxBody)
+	body, release, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, "", arrived))
 	if !ok {
 		return
 	}
@@ -159,38 +161,6 @@
 	return timeout
 }
 
-// readBody reads the body of a request. The caller must call release when it no longer
-// needs the body. If ok is false, readBody has written the response.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes) (body []byte, release func(), ok bool) {
-	release = func() {}
-	if r.ContentLength > int64(limit) {
-		s.Stats.BadInput.Add(1)
-		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		return nil, release, false
-	}
-	expected := max(0, r.ContentLength)
-	if s.bodyBytes.Add(expected) > int64(s.BodyMemory) {
-		s.bodyBytes.Add(-expected)
-		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "too many large bodies at one time"))
-		return nil, release, false
-	}
-	release = func() { s.bodyBytes.Add(-expected) }
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	if err != nil {
-		release()
-		s.Stats.BadInput.Add(1)
-		s.Logger.Info("failed to read request body", "request", r.Header.Get(platform.HeaderRequestID), "bytes", len(body), "error", err)
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		} else {
-			s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
-		}
-		return nil, func() {}, false
-	}
-	return body, release, true
-}
-
 // copyHeader copies the header fields of a response. A nil Date or Content-Type prevents
 // net/http from adding the field to a response that lacks it.
 func copyHeader(dst, src http.Header) {
--- a/shed/cost.go
+++ b/shed/cost.go
@@ -73,7 +73,9 @@
 	if slack < 0 {
 		return 0
 	}
-	return math.Exp(-float64(slack) / float64(drain+work.Expected+minExpected))
+	// An exponential function is 0 for much time, and the order is then that of arrival.
+	late := 1 + float64(slack)/float64(drain+work.Expected+minExpected)
+	return 1 / (late * late)
 }
 
 // rankByCost returns the expected loss for each unit of capacity if the work does not start now:
--- a/shed/policy_test.go
+++ b/shed/policy_test.go
@@ -136,3 +136,15 @@
 		policy.Decide(state)
 	}
 }
+
+// TestPriorityWithMuchTime guards against the order of arrival among requests that all have much
+// more time than the queue takes.
+func TestPriorityWithMuchTime(t *testing.T) {
+	is := is.New(t)
+	state := &gypsum.ShedState{Now: epoch, Slots: 1, Interval: time.Millisecond}
+	for i, priority := range []int{2, 1, 0} {
+		arrived := epoch.Add(time.Duration(i-3) * 50 * time.Millisecond)
+		state.Waiting = append(state.Waiting, gypsum.Work{Class: gypsum.WorkLive, Priority: priority, Arrived: arrived, Target: arrived.Add(8 * time.Second), Deadline: arrived.Add(time.Minute)})
+	}
+	is.Equal(shed.NewCostPolicy().Decide(state).Order, []int{2, 1, 0})
+}
