--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/front"
@@ -74,6 +75,9 @@
 	// responseMemoryDivisor limits the memory for responses of replicas that are being read to
 	// 1/responseMemoryDivisor of the memory limit.
 	responseMemoryDivisor = 8
+	// clientMemoryDivisor limits the memory for responses that clients have not read to
+	// 1/clientMemoryDivisor of the memory limit.
+	clientMemoryDivisor = 8
 	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
 	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
 	forwardMemoryDivisor = 16
@@ -242,6 +246,7 @@
 	d.reach.Prober, d.reach.Forwarder, d.reach.ListPeers, d.reach.Peers = backends, backends, d.peers, peers
 	d.reach.Stopping = func() bool { return d.frontend.Stopping.Load() }
 	d.relay = relay.New()
+	d.relay.Buffers = buffer.NewPool(d.Settings.MemoryLimit / clientMemoryDivisor)
 	d.relay.Reach = d.reach
 	d.relay.HostCount = func() int { return len(d.batchState.DaemonRecords()) }
 	d.relay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(peers.ReplicasVia(address)) }
@@ -256,7 +261,7 @@
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
 		Registry: d.registry, Relay: d.relay, Batches: d.batches, Access: d.access, StoreDowntime: d.storeDowntime, ConfigAge: d.configAge,
-		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Logger: d.Logger,
+		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Buffers: d.relay.Buffers, Logger: d.Logger,
 	}
 	closeDuties := d.createDuties()
 	return func() {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -67,6 +67,9 @@
 	ForwardRejected  int64            `json:"requests_not_forwarded"`
 	RelayRefused     int64            `json:"relay_refused"`
 	RelayFailed      int64            `json:"relay_failed"`
+	LiveWaits        waitMetrics      `json:"live_waits"`
+	Unread           unreadMetrics    `json:"unread_responses"`
+	BodiesWaited     int64            `json:"bodies_waited"`
 	ItemsStarted     int64            `json:"items_started"`
 	ItemsResumed     int64            `json:"items_resumed"`
 	ItemsMoved       int64            `json:"items_moved"`
@@ -106,6 +109,29 @@
 	}
 }
 
+// waitMetrics count the live requests that found all replicas full. Waiting is the number of
+// those that wait now, WaitMS the total time of waiting.
+type waitMetrics struct {
+	Waiting int   `json:"waiting"`
+	Waited  int64 `json:"waited"`
+	Granted int64 `json:"granted"`
+	Refused int64 `json:"refused"`
+	WaitMS  int64 `json:"wait_ms"`
+}
+
+// unreadMetrics are about responses that clients read slowly: the bytes that are held and their
+// limit, the clients that lost their responses and streams, those of them that made room for
+// others, and the times at which the memory did not suffice.
+type unreadMetrics struct {
+	Bytes         int64 `json:"bytes"`
+	Limit         int64 `json:"limit"`
+	Clients       int   `json:"clients"`
+	ResponsesLost int64 `json:"responses_lost"`
+	StreamsLost   int64 `json:"streams_lost"`
+	Evicted       int64 `json:"evicted"`
+	Rejected      int64 `json:"rejected"`
+}
+
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
 // texts to their scores.
 type rewardMetrics struct {
@@ -134,7 +160,7 @@
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
 		Authenticated: d.access.Stats.Authenticated.Load(), Unauthenticated: d.access.Stats.Unauthenticated.Load(),
 		KeysOutdated: d.access.Stats.Outdated.Load(), RefusedSends: d.access.Stats.RefusedSends.Load(),
-		BeyondShare: relayStats.BeyondShare.Load(), SendsLimited: d.relay.Sends.Limited(time.Now()), BodiesRefused: d.frontend.Stats.BodiesRefused.Load(),
+		BeyondShare: relayStats.BeyondShare.Load(), SendsLimited: d.relay.Sends.Limited(time.Now()),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
 		RelayResumes: relayStats.Resumes.Load(), ClientResumes: relayStats.ClientResumes.Load(),
@@ -142,6 +168,12 @@
 		ReachChecks: d.reach.Stats.Checks.Load(), ServicesCutOff: d.reach.Stats.OutOfReach.Load(), RelayDetours: relayStats.Detours.Load(),
 		Forwarded: d.reach.Stats.Forwarded.Load(), ForwardRejected: d.reach.Stats.Rejected.Load(),
 		RelayRefused: relayStats.Refused.Load(), RelayFailed: relayStats.Failed.Load(),
+		LiveWaits: waitMetrics{
+			Waiting: d.relay.WaitingCount(), Waited: relayStats.Waits.Waited.Load(), Granted: relayStats.Waits.Granted.Load(),
+			Refused: relayStats.Waits.Refused.Load(), WaitMS: time.Duration(relayStats.Waits.Time.Load()).Milliseconds(),
+		},
+		BodiesWaited: d.frontend.Stats.Bodies.Waited.Load(), BodiesRefused: d.frontend.Stats.Bodies.Refused.Load(),
+		Unread:       d.unreadMetrics(),
 		ItemsStarted: runnerStats.ItemsStarted.Load(), ItemsResumed: runnerStats.ItemsResumed.Load(), ItemsMoved: runnerStats.ItemsMoved.Load(),
 		SlowPeriods: runnerStats.SlowPeriods.Load(), SlowMS: time.Duration(runnerStats.SlowTime.Load()).Milliseconds(), TextsDiscarded: runnerStats.TextsDiscarded.Load(), ItemsCompleted: runnerStats.ItemsCompleted.Load(),
 		ItemsErrored: runnerStats.ItemsErrored.Load(), AttemptsBroken: runnerStats.AttemptsBroken.Load(), AttemptsRejected: runnerStats.AttemptsRejected.Load(),
@@ -165,3 +197,11 @@
 	}
 	return current
 }
+
+func (d *Daemon) unreadMetrics() unreadMetrics {
+	usage := d.relay.Buffers.Usage()
+	return unreadMetrics{
+		Bytes: int64(usage.Used), Limit: int64(usage.Limit), Clients: usage.Holders, Evicted: usage.Evicted, Rejected: usage.Rejected,
+		ResponsesLost: d.frontend.Stats.WritesFailed.Load(), StreamsLost: d.relay.Stats.SlowClients.Load(),
+	}
+}
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -465,5 +465,5 @@
 	}
 	wg.Wait()
 	is.True(statuses[http.StatusOK] >= 8 && statuses[http.StatusServiceUnavailable] >= 16)
-	is.Equal(s.frontend.Stats.BodiesRefused.Load(), int64(statuses[http.StatusServiceUnavailable]))
+	is.Equal(s.frontend.Stats.Bodies.Refused.Load(), int64(statuses[http.StatusServiceUnavailable]))
 }
--- a/front/server.go
+++ b/front/server.go
@@ -2,12 +2,12 @@
 package front
 
 import (
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,9 +16,9 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
-	"github.com/gypsumhook/gypsum/share"
 	"github.com/gypsumhook/gypsum/state"
 	"github.com/gypsumhook/gypsum/wire"
 )
@@ -40,10 +40,13 @@
 	Stopping atomic.Bool
 	// BodyMemory limits the total size of the request bodies in memory.
 	BodyMemory gypsum.Bytes
-	Logger     *slog.Logger
-	Stats      Stats
+	// Buffers limits the total size of the responses that clients have not read.
+	Buffers *buffer.Pool
+	Logger  *slog.Logger
+	Stats   Stats
 
-	bodies share.Memory
+	initBodies sync.Once
+	bodyMemory *bodyMemory
 }
 
 // Stats holds the latencies of requests by their kind, and counts requests that were not served.
@@ -53,8 +56,9 @@
 	ResultReads      Histogram
 	UnknownRoute     atomic.Int64
 	BadInput         atomic.Int64
-	// BodiesRefused counts the requests that were refused for lack of memory for their bodies.
-	BodiesRefused atomic.Int64
+	// WritesFailed counts the complete responses that clients did not read.
+	WritesFailed atomic.Int64
+	Bodies       BodyStats
 }
 
 // maxConfigAge is how long the store may have been unavailable for a request without a
@@ -152,7 +156,7 @@
 
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
-	body, release, ok := s.readBody(w, r, config.Limits.MaxBody, grant)
+	body, release, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
 	if !ok {
 		return
 	}
@@ -182,7 +186,7 @@
 		writeRefusal(w, refusal)
 		return
 	}
-	writeResponse(w, response)
+	s.writeResponse(w, response, request)
 	s.Logger.Info("request completed", "request", request.ID, "account", request.Account, "service", request.Service, "status", response.Status,
 		"took_ms", time.Since(arrived).Milliseconds())
 }
@@ -197,48 +201,6 @@
 	return timeout
 }
 
-// readBody reads the body of a request. The caller must call release when it no longer
-// needs the body. If ok is false, readBody has written the response.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes, grant *access.Grant) (body []byte, release func(), ok bool) {
-	release = func() {}
-	if r.ContentLength > int64(limit) {
-		s.Stats.BadInput.Add(1)
-		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		return nil, release, false
-	}
-	account, expected := grant.AccountName(), gypsum.Bytes(max(0, r.ContentLength))
-	if !s.bodies.Acquire(account, grant.AccountsInForce, expected, s.BodyMemory) {
-		s.Stats.BodiesRefused.Add(1)
-		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "too many large bodies at one time"))
-		return nil, release, false
-	}
-	release = func() { s.bodies.Release(account, expected) }
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	if err != nil {
-		release()
-		s.Stats.BadInput.Add(1)
-		s.Logger.Info("failed to read request body", "request", r.Header.Get(platform.HeaderRequestID), "bytes", len(body), "error", err)
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		} else {
-			s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
-		}
-		return nil, func() {}, false
-	}
-	return body, release, true
-}
-
-// writeResponse writes a complete response of a replica.
-func writeResponse(w http.ResponseWriter, response *gypsum.LiveResponse) {
-	copyHeader(w.Header(), response.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
-	w.WriteHeader(response.Status)
-	// A failed write means that the client has disconnected, which is no failure of this
-	// daemon.
-	_, _ = w.Write(response.Body)
-}
-
 // copyHeader copies the header fields of a response. A nil Date or Content-Type prevents
 // net/http from adding the field to a response that lacks it.
 func copyHeader(dst, src http.Header) {
@@ -271,7 +233,8 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, request *relay.Request) {
-	sink := &streamSink{writer: w, controller: http.NewResponseController(w)}
+	sink := &streamSink{server: s, request: request, writer: w, deadline: newWriteDeadline(w)}
+	defer sink.deadline.clear()
 	err := s.Relay.ServeStream(r.Context(), request, sink)
 	var refusal *gypsum.Refusal
 	switch {
@@ -287,27 +250,34 @@
 
 // streamSink writes a streamed response to a client.
 type streamSink struct {
-	writer     http.ResponseWriter
-	controller *http.ResponseController
+	server   *Server
+	request  *relay.Request
+	writer   http.ResponseWriter
+	deadline *writeDeadline
 }
 
 // BeginResponse implements relay.Sink. A response with a body is written completely,
 // otherwise only its header.
 func (s *streamSink) BeginResponse(response *gypsum.LiveResponse) error {
-	copyHeader(s.writer.Header(), response.Header)
 	if response.Body != nil {
-		writeResponse(s.writer, response)
+		s.server.writeResponse(s.writer, response, s.request)
 		return nil
 	}
+	copyHeader(s.writer.Header(), response.Header)
 	s.writer.Header().Del("Content-Length")
 	s.writer.WriteHeader(response.Status)
-	return s.controller.Flush()
+	s.deadline.extend(stallTimeout)
+	return s.deadline.controller.Flush()
 }
 
 // WriteEvent implements relay.Sink.
 func (s *streamSink) WriteEvent(raw []byte) error {
+	s.deadline.extend(stallTimeout)
 	if _, err := s.writer.Write(raw); err != nil {
 		return err
 	}
-	return s.controller.Flush()
+	return s.deadline.controller.Flush()
 }
+
+// Abort implements relay.Sink.
+func (s *streamSink) Abort() { s.deadline.abort() }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -146,7 +146,7 @@
 	}
 	s.access = &access.Checker{Registry: s.registry, Clock: func() time.Duration { return time.Duration(s.clock.Load()) }, StoreDowntime: storeDowntime}
 	s.frontend = &front.Server{
-		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
+		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Buffers: liveRelay.Buffers, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
 	}
 	s.frontend.ConfigAge = s.frontend.StoreDowntime
 	server := httptest.NewServer(s.frontend.Handler())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,10 +12,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/reach"
 	"github.com/gypsumhook/gypsum/share"
+	"github.com/gypsumhook/gypsum/shed"
 	"github.com/gypsumhook/gypsum/state"
 )
 
@@ -41,12 +43,18 @@
 	// them. Reward calls are not among them.
 	Runs gypsum.RunObserver
 
+	// Policy decides about live requests that wait because all replicas are full.
+	Policy gypsum.Policy
+	// Buffers bounds what is held of streams for clients that read slowly.
+	Buffers *buffer.Pool
+
 	Location gypsum.Location
 	Logger   *slog.Logger
 	Stats    Stats
 
 	mu            sync.Mutex
 	replicaStates map[gypsum.BackendID]*replicaState
+	rooms         map[gypsum.ServiceName]*waitingRoom
 	probes        chan crashProbe
 }
 
@@ -64,11 +72,18 @@
 	BeyondShare atomic.Int64
 	Refused     atomic.Int64
 	Failed      atomic.Int64
+	Waits       WaitStats
+	// SlowClients counts the streams that were aborted because their clients read too slowly.
+	SlowClients atomic.Int64
 }
 
 // New returns a Relay whose exported fields are not set yet.
 func New() *Relay {
-	return &Relay{HostCount: func() int { return 1 }, replicaStates: make(map[gypsum.BackendID]*replicaState), probes: make(chan crashProbe, maxQueuedProbes)}
+	return &Relay{
+		HostCount: func() int { return 1 },
+		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), rooms: make(map[gypsum.ServiceName]*waitingRoom),
+		probes: make(chan crashProbe, maxQueuedProbes),
+	}
 }
 
 // Request is a live request and the state of its attempts.
@@ -95,6 +110,11 @@
 	// request.
 	tried   map[attemptPath]bool
 	reached map[gypsum.BackendID]bool
+	// foundFull are the replicas that refused the request as full and may be tried again.
+	foundFull map[gypsum.BackendID]bool
+	// reservation is the replica with a slot reserved for the request, nil for none.
+	reservation *replicaState
+	reservedAt  gypsum.BackendID
 	// sentAttempts is the number of replicas that the request was sent to. mayHaveRun
 	// means that one of them may have run it.
 	sentAttempts int
@@ -123,6 +143,7 @@
 // whatever crashed while they ran.
 func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
 	request.tried, request.reached = make(map[attemptPath]bool), make(map[gypsum.BackendID]bool)
+	request.foundFull = make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
 	switch {
 	case !time.Now().Before(request.Deadline):
@@ -192,6 +213,9 @@
 func (r *Relay) nextReplica(ctx context.Context, request *Request) (*Candidate, *gypsum.Refusal) {
 	for {
 		r.awaitDetour(ctx, request)
+		if refusal := r.awaitSlot(ctx, request); refusal != nil {
+			return nil, refusal
+		}
 		candidate, isLast, refusal := r.chooseReplica(request)
 		if refusal != nil {
 			return nil, refusal
@@ -200,7 +224,8 @@
 		if isLast {
 			maxWait = PermitWait(request.Route.LatencyTarget, time.Until(request.Deadline))
 		}
-		err := r.Limiter.Acquire(ctx, candidate.Replica, maxWait)
+		work := request.work(max(candidate.Latency, minProbeInterval))
+		err := r.Limiter.AcquireFor(ctx, candidate.Replica, maxWait, &work)
 		var limited *gypsum.RateLimitError
 		switch {
 		case err == nil:
@@ -213,6 +238,7 @@
 			}
 			return candidate, nil
 		case errors.As(err, &limited):
+			r.releaseSlot(request)
 			if request.permitWait == 0 || limited.RetryAfter < request.permitWait {
 				request.permitWait = limited.RetryAfter
 			}
@@ -261,6 +287,9 @@
 		}
 	}
 	candidate := ChooseReplica(candidates, r.Location, failureCost)
+	if reserved := request.reservedCandidate(candidates); reserved != nil {
+		candidate = reserved
+	}
 	if candidate == nil {
 		detail := "the service has no replica now"
 		if request.software != nil {
@@ -275,6 +304,21 @@
 	return candidate, untried == 1, nil
 }
 
+// reservedCandidate returns the candidate with a slot reserved for the request, nil if there is
+// none.
+func (r *Request) reservedCandidate(candidates []Candidate) *Candidate {
+	if r.reservation == nil {
+		return nil
+	}
+	for i := range candidates {
+		if candidates[i].Replica.ID == r.reservedAt && !candidates[i].Tried {
+			candidates[i].InFlight-- // the reserved slot itself
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
 // exhaustedRefusal returns the refusal of a request that all available replicas have
 // refused or failed.
 func (r *Relay) exhaustedRefusal(request *Request) *gypsum.Refusal {
@@ -294,6 +338,7 @@
 	if refusal := r.prepareRequest(request); refusal != nil {
 		return nil, r.recordRefusal(request, refusal)
 	}
+	defer r.releaseSlot(request)
 	var failed *gypsum.LiveResponse
 	for {
 		candidate, refusal := r.nextReplica(ctx, request)
@@ -395,7 +440,7 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	attemptCtx, send := r.traceSend(attemptCtx, request, candidate, startedAt)
-	tracked := r.beginAttempt(replica)
+	tracked := r.beginAttempt(request, replica)
 	response, err := r.transport(candidate).RoundTrip(attemptCtx, replica, &request.LiveRequest, request.Deadline.Sub(startedAt))
 	elapsed := time.Since(startedAt)
 	r.observeRun(request, send, err)
@@ -442,13 +487,15 @@
 		request.lastReason = gypsum.ReasonNoBackend
 	case errors.Is(err, gypsum.ErrNotRun):
 		request.sentAttempts++
+		request.foundFull[replica.ID] = true
 		request.lastReason = gypsum.ReasonOverloaded
 	default:
 		request.sentAttempts++
+		delete(request.foundFull, replica.ID)
 		request.mayHaveRun = true
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
-			!errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
+			!errors.Is(err, errClientDisconnected) && !errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
 		if connectionBroke && !request.isReward {
 			r.queueProbe(request, replica)
 		}
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -118,6 +118,9 @@
 // WriteEvent implements relay.Sink.
 func (discardSink) WriteEvent([]byte) error { return nil }
 
+// Abort implements relay.Sink.
+func (discardSink) Abort() {}
+
 // TestRunIsObserved guards against requests that are counted twice, not at all, or although the
 // replica has confirmed that it did not run them.
 func TestRunIsObserved(t *testing.T) {
--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,7 @@
 
 	mu     sync.Mutex
 	inUse  map[gypsum.BackendID]int
-	served map[gypsum.AccountName]int
+	served map[string]int // by the client that sent them
 }
 
 // RoundTrip implements gypsum.ReplicaTransport.
@@ -38,7 +39,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inUse[replica.ID]--
-	s.served[request.Account]++
+	client, _, _ := strings.Cut(string(request.ID), "/")
+	s.served[client]++
 	return &gypsum.LiveResponse{Status: http.StatusOK, Header: make(http.Header)}, nil
 }
 
@@ -52,20 +54,24 @@
 				is := is.New(t)
 				const daemons, accounts = 3, 20
 				d := newLimitedDeployment(t, daemons, 3, 0)
-				replicas := &slotReplicas{serviceTime: 25 * time.Millisecond, inUse: make(map[gypsum.BackendID]int), served: make(map[gypsum.AccountName]int)}
+				replicas := &slotReplicas{serviceTime: 25 * time.Millisecond, inUse: make(map[gypsum.BackendID]int), served: make(map[string]int)}
 				for _, r := range d.relays {
 					r.Transport, r.HostCount = replicas, func() int { return daemons }
 				}
-				sent := make(map[gypsum.AccountName]int)
+				sent := make(map[string]int)
 				var wg sync.WaitGroup
-				send := func(account gypsum.AccountName, number int) {
-					sent[account]++
+				send := func(client string, number int) {
+					sent[client]++
+					account := gypsum.AccountName("")
+					if inForce {
+						account = gypsum.AccountName(client)
+					}
 					r := d.relays[number%daemons]
 					wg.Go(func() {
 						now := time.Now()
 						_, _ = r.Serve(t.Context(), &relay.Request{
 							LiveRequest: gypsum.LiveRequest{
-								ID: gypsum.RequestID(fmt.Sprint(account, number)), Method: http.MethodPost, Target: "/x", Header: make(http.Header),
+								ID: gypsum.RequestID(fmt.Sprint(client, "/", number)), Method: http.MethodPost, Target: "/x", Header: make(http.Header),
 								Account: account, AccountsInForce: inForce,
 							},
 							Route:   &gypsum.Route{Name: "desk", Kind: gypsum.RouteIdempotent, MaxAttempts: 3, LatencyTarget: 250 * time.Millisecond},
@@ -79,16 +85,16 @@
 						send("burst", 3*milli+burst)
 					}
 					if milli%20 == 0 {
-						send(gypsum.AccountName(fmt.Sprint("a", milli/20%accounts)), milli/20)
+						send(fmt.Sprint("a", milli/20%accounts), milli/20)
 					}
 					time.Sleep(time.Millisecond)
 				}
 				wg.Wait()
 				all, light := 0.0, 0.0
-				for account, count := range sent {
+				for client, count := range sent {
 					all += float64(count)
-					if account != "burst" {
-						light += float64(replicas.served[account]) / float64(count) / accounts
+					if client != "burst" {
+						light += float64(replicas.served[client]) / float64(count) / accounts
 					}
 				}
 				servedOfAll := 0.0
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -229,7 +229,7 @@
 			ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, HostName: scorer.HostName, Header: make(http.Header), Body: scorer.Body,
 			Account: a.batch.header.Account, AccountsInForce: s.runner.accountsInForce(),
 		},
-		Route: route, Service: service, Arrived: a.scoring.completedAt, Deadline: deadline,
+		Route: route, Service: service, Priority: route.Priority, Arrived: a.scoring.completedAt, Deadline: deadline,
 	}
 	timeout := min(sched.RewardTimeout(candidate.Latency, a.scoring.timeouts), deadline.Sub(now))
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/share/sends.go
+++ b/share/sends.go
@@ -1,3 +1,5 @@
+// Package share divides the sends to replicas that are full among client accounts, so that a burst
+// of one account takes no other account's share.
 package share
 
 import (
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -23,38 +23,6 @@
 	is.True(math.IsInf(share.Level(nil, 0), 1))
 }
 
-// TestMemory guards against an account that takes all memory, and against a large body that is
-// refused although the memory is free.
-func TestMemory(t *testing.T) {
-	is := is.New(t)
-	const limit = gypsum.Bytes(46 << 20)
-	var memory share.Memory
-	is.True(memory.Acquire("large", true, 32<<20, limit)) // alone
-	is.True(!memory.Acquire("large", true, 32<<20, limit))
-	memory.Release("large", 32<<20)
-	is.True(!memory.Acquire("large", true, limit+1, limit))
-	held := 0
-	for memory.Acquire("burst", true, 1<<20, limit) {
-		held++
-	}
-	is.Equal(held, 23)
-	for i := range 20 {
-		is.True(memory.Acquire(gypsum.AccountName(fmt.Sprint("a", i)), true, 1<<20, limit))
-	}
-	is.True(!memory.Acquire("burst", true, 1<<20, limit))
-	for range held {
-		memory.Release("burst", 1<<20)
-	}
-	for range 3 {
-		is.True(memory.Acquire("burst", true, 1<<20, limit))
-	}
-	var undivided share.Memory
-	for range 46 {
-		is.True(undivided.Acquire("", false, 1<<20, limit)) // without accounts only the limit counts
-	}
-	is.True(!undivided.Acquire("", false, 1, limit))
-}
-
 // Sizes of the simulated deployment: those of the deployment with the most hosts for its replicas.
 const (
 	simHosts       = 30
