store: a follower that confirms nothing reads no more often

The first read of a follower that confirms does not wait. It did not wait as long as no read had reached the end of the topic, which could have become a loop without a pause; now it is one read. ReadWait 0 means the default, so that the constant stays in its package. TestFollowerConfirms read a variable while the follower wrote it, which the race detector reported; it uses atomics now.

--- a/edge/records.go
+++ b/edge/records.go
@@ -67,12 +67,13 @@
 // which must be less than the age by which keys count as unknown.
 const accountReadWait = 300 * time.Millisecond
 
-// operatorReadWait returns how long the next read of the operator topic may wait for new records.
+// operatorReadWait returns how long the next read of the operator topic may wait for new records, 0
+// for the default.
 func (d *Daemon) operatorReadWait() time.Duration {
 	if config := d.registry.Current().Config; config != nil && config.Accounts != nil {
 		return accountReadWait
 	}
-	return store.LongPollWait
+	return 0
 }
 
 // applyReplicas applies registrations and their removals. Consecutive registrations are
--- a/store/confirm_test.go
+++ b/store/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,11 +50,13 @@
 		backing := fake.NewKeyedStore()
 		pages := &pageStore{KeyedStore: backing}
 		start := time.Now()
-		confirmedAt, handled, handledAtConfirm := time.Duration(-1), 0, 0
+		var confirmed, handled, handledAtConfirm atomic.Int64
+		confirmed.Store(-1)
+		confirmedAt := func() time.Duration { synctest.Wait(); return time.Duration(confirmed.Load()) }
 		const wait = 300 * time.Millisecond
 		follower := &store.Follower{
-			Store: pages, Topic: topic, Logger: discardLogger(), Handle: func(update store.Update) { handled += len(update.Records) },
-			Confirmed: func(at time.Duration) { confirmedAt, handledAtConfirm = at, handled },
+			Store: pages, Topic: topic, Logger: discardLogger(), Handle: func(update store.Update) { handled.Add(int64(len(update.Records))) },
+			Confirmed: func(at time.Duration) { confirmed.Store(int64(at)); handledAtConfirm.Store(handled.Load()) },
 			Clock:     func() time.Duration { return time.Since(start) },
 			ReadWait:  func() time.Duration { return wait },
 		}
@@ -62,54 +65,65 @@
 		ended := make(chan error, 1)
 		go func() { ended <- follower.Run(ctx) }()
 		t.Cleanup(func() { stop(); <-ended })
-		synctest.Wait()
-		is.Equal(confirmedAt, time.Duration(0)) // at once, by the first read after the load
+		is.Equal(confirmedAt(), time.Duration(0)) // at once, by the first read after the load
 		time.Sleep(wait + time.Millisecond)
-		synctest.Wait()
-		is.Equal(confirmedAt, time.Duration(0)) // the read was sent then; it returned only now
+		is.Equal(confirmedAt(), time.Duration(0)) // the read was sent then; it returned only now
 		time.Sleep(wait)
-		synctest.Wait()
-		is.Equal(confirmedAt, wait)
+		is.Equal(confirmedAt(), wait)
 		appendRecord(t, backing, "b")
-		synctest.Wait()
-		is.Equal(confirmedAt, 2*wait) // a read that returns records
-		is.Equal(handledAtConfirm, 2) // they are handled before
+		is.Equal(confirmedAt(), 2*wait)             // a read that returns records
+		is.Equal(handledAtConfirm.Load(), int64(2)) // they are handled before
 
 		// Pages that show nothing about newer records.
 		for _, change := range []func(*gypsum.KeyedPage){
 			func(page *gypsum.KeyedPage) { page.Next++ }, func(page *gypsum.KeyedPage) { page.Next-- },
 		} {
-			before := confirmedAt
+			before := confirmedAt()
 			pages.setChange(change)
 			time.Sleep(3 * wait)
-			synctest.Wait()
-			is.Equal(confirmedAt, before)
+			is.Equal(confirmedAt(), before)
 			pages.setChange(nil)
 			time.Sleep(3 * wait)
-			synctest.Wait()
-			is.True(confirmedAt > before)
+			is.True(confirmedAt() > before)
 		}
 
 		// A page that another daemon knew already.
 		pages.setChange(func(page *gypsum.KeyedPage) { page.Age = 10 * wait })
-		before := confirmedAt
+		before := confirmedAt()
 		time.Sleep(4 * wait)
-		synctest.Wait()
-		is.True(confirmedAt <= time.Since(start)-10*wait)
+		is.True(confirmedAt() <= time.Since(start)-10*wait)
 		pages.setChange(nil)
-		is.True(confirmedAt != before)
+		is.True(confirmedAt() != before)
 
 		// No read succeeds.
 		backing.SetFault(fake.KeyedRefused)
 		time.Sleep(wait)
-		synctest.Wait()
-		before = confirmedAt
+		before = confirmedAt()
 		time.Sleep(5 * time.Second)
-		synctest.Wait()
-		is.Equal(confirmedAt, before)
+		is.Equal(confirmedAt(), before)
 		backing.SetFault(0)
 		time.Sleep(time.Second)
-		synctest.Wait()
-		is.True(time.Since(start)-confirmedAt <= 2*wait)
+		is.True(time.Since(start)-confirmedAt() <= 2*wait)
+	})
+}
+
+// TestUnconfirmedReadsWait guards against a follower that reads without a pause because no page
+// reaches the end of the topic.
+func TestUnconfirmedReadsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		pages := &pageStore{KeyedStore: backing, change: func(page *gypsum.KeyedPage) { page.Next++ }}
+		follower := &store.Follower{
+			Store: pages, Topic: topic, Logger: discardLogger(), Handle: func(store.Update) {}, Confirmed: func(time.Duration) { t.Error("confirmed") },
+			Clock: func() time.Duration { return 0 }, ReadWait: func() time.Duration { return 0 },
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(5500 * time.Millisecond)
+		stop()
+		<-ended
+		is.True(backing.CallCount() <= 8) // the load, the first read and one a second
 	})
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -16,11 +16,11 @@
 
 // Timeouts and delays of reads.
 const (
-	// LongPollWait is how long the store may hold a read open while there are no new
+	// longPollWait is how long the store may hold a read open while there are no new
 	// records. It is below the time after which a holder without heartbeats counts
 	// as failed, so that a store that does not respond is not mistaken for a failed
 	// holder.
-	LongPollWait = time.Second
+	longPollWait = time.Second
 	// longPollGrace is how long a read may take beyond its wait before it times out and
 	// the store counts as unavailable.
 	longPollGrace = 800 * time.Millisecond
@@ -56,7 +56,8 @@
 	// the store had accepted at a time by Clock have been handled. Nil for none.
 	Confirmed func(at time.Duration)
 	Clock     gypsum.SteadyClock
-	// ReadWait returns how long the next read may wait for new records. Nil means LongPollWait.
+	// ReadWait returns how long the next read may wait for new records, 0 for the default. Nil means
+	// the default.
 	ReadWait func() time.Duration
 	Logger   *slog.Logger
 
@@ -66,8 +67,8 @@
 	lastResponse time.Time
 	recoveredAt  time.Time
 	unavailable  bool
-	// hasConfirmed is used only by the goroutine of Run.
-	hasConfirmed bool
+	// hasRead is used only by the goroutine of Run.
+	hasRead bool
 	// offsetAdvanced is closed when nextOffset advances, nil if nothing waits for that.
 	offsetAdvanced chan struct{}
 }
@@ -211,7 +212,6 @@
 	// about newer records. The age counts from the time of sending and not from the time of the
 	// response, since the process may have been suspended in between.
 	if f.Confirmed != nil && page.Next == next {
-		f.hasConfirmed = true
 		f.Confirmed(sentAt - page.Age)
 	}
 	return nil
@@ -220,13 +220,16 @@
 // readWait returns how long the next read may wait for new records. The first read does not wait,
 // since what depends on Confirmed is not served before.
 func (f *Follower) readWait() time.Duration {
-	switch {
-	case f.Confirmed != nil && !f.hasConfirmed:
+	if f.Confirmed != nil && !f.hasRead {
+		f.hasRead = true
 		return 0
-	case f.ReadWait == nil:
-		return LongPollWait
 	}
-	return f.ReadWait()
+	if f.ReadWait != nil {
+		if wait := f.ReadWait(); wait > 0 {
+			return wait
+		}
+	}
+	return longPollWait
 }
 
 // advanceOffset sets the offset before which all records have been handled.
