--- a/store/follower.go
+++ b/store/follower.go
@@ -17,11 +17,11 @@
 
 // Timeouts and delays of reads.
 const (
-	// LongPollWait is how long the store may hold a read open while there are no new
+	// longPollWait is how long the store may hold a read open while there are no new
 	// records. It is below the time after which a holder without heartbeats counts
 	// as failed, so that a store that does not respond is not mistaken for a failed
 	// holder.
-	LongPollWait = time.Second
+	longPollWait = time.Second
 	// longPollGrace is how long a read may take beyond its wait before it times out and
 	// the store counts as unavailable.
 	longPollGrace = 800 * time.Millisecond
@@ -61,7 +61,8 @@
 	Confirmed func(at time.Duration)
 	// Clock measures the ages of what has been read, the runtime's monotonic clock if it is nil.
 	Clock gypsum.SteadyClock
-	// ReadWait returns how long the next read may wait for new records. Nil means LongPollWait.
+	// ReadWait returns how long the next read may wait for new records, 0 for the default. Nil means
+	// the default.
 	ReadWait func() time.Duration
 	// Patience is how long a read may wait for the daemon's share of the store's calls, in addition
 	// to the timeout of the read.
@@ -74,8 +75,8 @@
 	lastResponse time.Time
 	recoveredAt  time.Time
 	unavailable  bool
-	// hasConfirmed is used only by the goroutine of Run.
-	hasConfirmed bool
+	// hasRead is used only by the goroutine of Run.
+	hasRead bool
 	// rateLimited means that the newest read was refused since all daemons together made too many
 	// calls.
 	rateLimited bool
@@ -274,7 +275,6 @@
 	// about newer records. The age counts from the time of sending and not from the time of the
 	// response, since the process may have been suspended in between.
 	if f.Confirmed != nil && page.Next == next {
-		f.hasConfirmed = true
 		f.Confirmed(sentAt)
 	}
 	return sentAt, nil
@@ -283,13 +283,16 @@
 // readWait returns how long the next read may wait for new records. The first read does not wait,
 // since what depends on Confirmed is not served before.
 func (f *Follower) readWait() time.Duration {
-	switch {
-	case f.Confirmed != nil && !f.hasConfirmed:
+	if f.Confirmed != nil && !f.hasRead {
+		f.hasRead = true
 		return 0
-	case f.ReadWait == nil:
-		return LongPollWait
 	}
-	return f.ReadWait()
+	if f.ReadWait != nil {
+		if wait := f.ReadWait(); wait > 0 {
+			return wait
+		}
+	}
+	return longPollWait
 }
 
 // advanceOffset sets the offset before which all records have been handled.
