--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -239,7 +239,8 @@
 // runner of engine services. The caller holds mu.
 func (k *Keeper) sendHeartbeat(ctx context.Context, records *sync.WaitGroup) {
 	now := k.Clock()
-	if k.heartbeatActive || now-k.lastHeartbeat < HeartbeatInterval(k.Lease) {
+	if k.heartbeatActive || now-k.lastHeartbeat < HeartbeatInterval(k.Lease) || k.StoreUnavailable() {
+		// A holder that cannot read its heartbeats back must not seem alive to others.
 		return
 	}
 	k.heartbeatActive, k.lastHeartbeat = true, now
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -276,6 +276,14 @@
 			holder.direct.SetAppendsHang(false)
 			return from
 		}},
+		{name: "reads of the holder hang", bound: 4500 * time.Millisecond, changes: true, fault: func(_ *deployment, holder *testDaemon) time.Time {
+			holder.direct.SetReadsHang(true)
+			time.Sleep(testLease)
+			from := time.Now()
+			time.Sleep(8 * time.Second)
+			holder.direct.SetReadsHang(false)
+			return from
+		}},
 		{name: "cut off from the API", bound: 3500 * time.Millisecond, changes: true, fault: func(_ *deployment, holder *testDaemon) time.Time {
 			from := time.Now()
 			holder.setCut(true)
--- a/fake/storeclient.go
+++ b/fake/storeclient.go
@@ -15,6 +15,14 @@
 	mu           sync.Mutex
 	disconnected bool
 	appendsHang  bool
+	readsHang    bool
+}
+
+// SetReadsHang sets whether reads get no response, while appends are served.
+func (c *StoreClient) SetReadsHang(hang bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsHang = hang
 }
 
 // SetAppendsHang sets whether appends get no response, while reads are served.
@@ -64,6 +72,13 @@
 	if err := c.awaitConnected(ctx); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	hang := c.readsHang
+	c.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return nil, fmt.Errorf("read from store: %w: %w", gypsum.ErrStoreUnknown, ctx.Err())
+	}
 	return c.KeyedStore.Read(ctx, req)
 }
 
