--- a/edge/duties.go
+++ b/edge/duties.go
@@ -23,6 +23,10 @@
 // stopped.
 const flushTimeout = 500 * time.Millisecond
 
+// slackDivisor limits the slack to 1/slackDivisor of the lease: what is left of a lease after
+// the slack and the age of the newest heartbeat must suffice for a call.
+const slackDivisor = 3
+
 // duties are the components for the platform's API. Its methods may be called on nil, which
 // stands for a deployment without duties.
 type duties struct {
@@ -46,6 +50,10 @@
 	keeper := duty.NewKeeper(settings.Duties...)
 	keeper.Host, keeper.Incarnation, keeper.Batches, keeper.Clock = d.Settings.Host, d.incarnation, d.batches, clock.Steady
 	keeper.Lease, keeper.Slack, keeper.ChecksFencing = d.Settings.LeaseDuration, settings.ThawSlack, settings.ChecksFencing
+	if longest := keeper.Lease / slackDivisor; keeper.Slack > longest {
+		d.Logger.Warn("lease is too short for the slack of suspensions", "lease_ms", keeper.Lease.Milliseconds(), "thaw_slack_ms", keeper.Slack.Milliseconds())
+		keeper.Slack = longest
+	}
 	keeper.CPUShare, keeper.Logger = d.Settings.CPUShare, d.Logger
 	keeper.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.duties = &duties{keeper: keeper}
--- a/fake/keyedstore.go
+++ b/fake/keyedstore.go
@@ -77,6 +77,13 @@
 	s.fault = fault
 }
 
+// SetLatency sets how long each call takes from now on.
+func (s *KeyedStore) SetLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Latency = latency
+}
+
 // CallCount returns the number of calls so far, including those that failed.
 func (s *KeyedStore) CallCount() int64 {
 	s.mu.Lock()
--- a/store/reader.go
+++ b/store/reader.go
@@ -14,7 +14,7 @@
 
 // pollTimeout bounds one call of a Reader: some records between regions. A call that was made
 // just before the end of an outage delays the next one by as much.
-const pollTimeout = 500 * time.Millisecond
+const pollTimeout = 600 * time.Millisecond
 
 // Reader reads a keyed topic's first partition when it is asked to. It is for topics that are read
 // seldom; a Follower is for those that are followed. It may not be used concurrently. Set the
--- a/usage/report_test.go
+++ b/usage/report_test.go
@@ -259,6 +259,11 @@
 			d.store.SetFault(0)
 			d.serve(10 * time.Second)
 		}},
+		{name: "store slow", tolerated: 4, fault: func(d *deployment) {
+			d.store.SetLatency(400 * time.Millisecond)
+			d.serve(20 * time.Second)
+			d.store.SetLatency(30 * time.Millisecond)
+		}},
 		{name: "holder cut off from the store", tolerated: 6, fault: func(d *deployment) {
 			// What it has counted just before cannot be written until the end of the cut.
 			holder := d.holder()
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -60,6 +60,8 @@
 	// last success, zero if there is none. storeBack is when the store responded again.
 	failingSince time.Time
 	storeBack    time.Time
+	// storeLatency is how long the last read or append took.
+	storeLatency time.Duration
 	held         bool
 	// heldFrom is when this daemon became the holder: windows that were too late by then are not
 	// its own to report.
@@ -105,9 +107,9 @@
 
 // round closes and reports what is due, and returns how long to wait until the next round.
 func (r *Reporter) round(ctx context.Context) time.Duration {
-	now, storeBack := r.Clock.Now(), r.lastOutage()
+	now, storeState := r.Clock.Now(), StoreState{Back: r.lastOutage(), Latency: r.storeLatency}
 	// Windows that are closed are reported first: this needs no access to the store.
-	windows := r.Timing.Reportable(now, storeBack)
+	windows := r.Timing.Reportable(now, storeState)
 	sent := r.sendReports(ctx, windows)
 	if err := r.closeWindows(ctx, windows); err != nil {
 		r.logFailure(err)
@@ -118,7 +120,7 @@
 	if !sent {
 		return retryDelay + rand.N(retryDelay/2)
 	}
-	return r.untilNextClose(storeBack)
+	return r.untilNextClose(storeState)
 }
 
 // lastOutage returns when the store responded again after its last outage, zero if there was none.
@@ -140,9 +142,11 @@
 // poll reads the topic. ok is false if the store has just responded again after an outage: the
 // counts of other hosts are still to come.
 func (r *Reporter) poll(ctx context.Context) (ok bool, err error) {
+	startedAt := time.Now()
 	if err := r.reader.Poll(ctx); err != nil {
 		return false, err
 	}
+	r.storeLatency = time.Since(startedAt)
 	r.Stats.LostCounts.Store(r.ledger.Lost())
 	if r.failingSince.IsZero() {
 		return true, nil
@@ -157,10 +161,10 @@
 }
 
 // untilNextClose returns the time until the next window is closed, at most idleInterval.
-func (r *Reporter) untilNextClose(storeBack time.Time) time.Duration {
+func (r *Reporter) untilNextClose(storeState StoreState) time.Duration {
 	now, next := r.Clock.Now(), idleInterval
 	for window := r.Timing.WindowAt(now.Add(-r.Timing.Lateness)); window <= r.Timing.WindowAt(now); window++ {
-		if until := r.Timing.CloseAt(window, storeBack).Sub(now); until > 0 {
+		if until := r.Timing.CloseAt(window, storeState).Sub(now); until > 0 {
 			next = min(next, until)
 		}
 	}
@@ -196,9 +200,11 @@
 	}
 	appendCtx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	if _, err := r.Writer.Append(appendCtx, records...); err != nil {
 		return fmt.Errorf("close windows: %w", err)
 	}
+	r.storeLatency = max(r.storeLatency, time.Since(startedAt))
 	// Another daemon's record may be the first one.
 	if err := r.reader.Poll(ctx); err != nil {
 		return err
--- a/usage/window.go
+++ b/usage/window.go
@@ -30,6 +30,9 @@
 	// minSettleTime suffices for most of them: a writer repeats its call every 250 ms.
 	settleTime    = time.Second
 	minSettleTime = 300 * time.Millisecond
+	// pendingAppends is the number of appends that counts wait for: the one in flight and their
+	// own.
+	pendingAppends = 2
 	// closeMargin is what an append and some calls to the platform's API take.
 	closeMargin = 1500 * time.Millisecond
 )
@@ -49,21 +52,32 @@
 	return time.Unix(0, (int64(window)+1)*int64(t.Window))
 }
 
+// StoreState is what the holder knows of its access to the store.
+type StoreState struct {
+	// Back is when the store responded again after its last outage, zero if there was none.
+	Back time.Time
+	// Latency is how long the holder's last calls took.
+	Latency time.Duration
+}
+
 // CloseAt returns when a window is closed: after a share of its lateness, which leaves time for
-// slow responses before, and for a change of the holder after it. After an outage of the store it
-// is later, as the counts of the hosts arrive with its end. storeBack is zero if the store was not
-// away.
-func (t Timing) CloseAt(window gypsum.UsageWindow, storeBack time.Time) time.Time {
+// slow responses before, and for a change of the holder after it. While the store is slow, and
+// after an outage of it, a window is closed later, since the counts of the hosts come later.
+func (t Timing) CloseAt(window gypsum.UsageWindow, storeState StoreState) time.Time {
 	end := t.End(window)
-	closeAt := end.Add(time.Duration(closeShare * float64(t.Lateness)))
-	if storeBack.IsZero() {
+	latest := end.Add(t.Lateness - closeMargin)
+	closeAt := end.Add(time.Duration(closeShare*float64(t.Lateness)) + pendingAppends*storeState.Latency)
+	if closeAt.After(latest) {
+		closeAt = latest
+	}
+	if storeState.Back.IsZero() {
 		return closeAt
 	}
-	settled := storeBack.Add(settleTime)
-	if latest := end.Add(t.Lateness - closeMargin); settled.After(latest) {
+	settled := storeState.Back.Add(settleTime)
+	if settled.After(latest) {
 		settled = latest
 	}
-	if least := storeBack.Add(minSettleTime); settled.Before(least) {
+	if least := storeState.Back.Add(minSettleTime); settled.Before(least) {
 		settled = least
 	}
 	if settled.After(closeAt) {
@@ -84,10 +98,10 @@
 
 // Reportable returns the windows whose time to be closed has come and that can still be reported,
 // the oldest first.
-func (t Timing) Reportable(now, storeBack time.Time) []gypsum.UsageWindow {
+func (t Timing) Reportable(now time.Time, storeState StoreState) []gypsum.UsageWindow {
 	var windows []gypsum.UsageWindow
 	for window := t.WindowAt(now.Add(-t.Lateness - t.Window)); !t.End(window).After(now); window++ {
-		if !t.IsLate(window, now) && !now.Before(t.CloseAt(window, storeBack)) {
+		if !t.IsLate(window, now) && !now.Before(t.CloseAt(window, storeState)) {
 			windows = append(windows, window)
 		}
 	}
