emul: second copies of the last texts of a step, measured and not built

Hypothesis: a second copy of the text that decides a step, resumed after its last event on another engine, gives the better of the two.

Change: policies copy_last and copy_last_4 of the emulator run copies of the last text, or the last four, of a batch that need another second; the first of the two to end gives the result, and a copy replaces an attempt that its engine loses. Nothing in the runner.

Not built in the runner.

--- a/emul/holder.go
+++ b/emul/holder.go
@@ -39,6 +39,7 @@
 	s.checkpoint()
 	s.startItems(views)
 	s.moveItems(views)
+	s.copyTexts(views)
 	s.sendRewards()
 	s.loadWeights(views)
 	for _, e := range s.engines {
@@ -156,6 +157,9 @@
 	byID := make(map[gypsum.ItemID]*item)
 	for _, e := range s.engines {
 		for _, it := range e.running {
+			if it.copy != nil || it.original != nil {
+				continue
+			}
 			view := s.schedItem(it)
 			attempts = append(attempts, sched.Attempt{Item: &view, Engine: e.view.ID, RemainingEvents: view.RemainingEvents})
 			byID[it.id] = it
--- a/emul/policy.go
+++ b/emul/policy.go
@@ -19,6 +19,9 @@
 	Place func(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement
 	// Move decides which attempts move, as sched.ScheduleMoves.
 	Move func(attempts []sched.Attempt, engines []*sched.Engine, overhead time.Duration, periods *sched.SlowPeriods) []sched.Placement
+	// Copy decides which attempts get a second copy, nil for none. unfinished is the number of texts
+	// of each batch that are not complete.
+	Copy func(attempts []sched.Attempt, engines []*sched.Engine, unfinished map[gypsum.BatchID]int) []sched.Placement
 	// AnswerRead reports whether a read is answered now.
 	AnswerRead func(state *ReadState) bool
 	// KnowsLengths means that the lengths of the texts are known to Place and Move.
@@ -43,6 +46,8 @@
 			}
 		}),
 		vary("moves_at_once", func(p *Policy) { p.Move = moveAtOnce }),
+		vary("copy_last", func(p *Policy) { p.Copy = newCopyPolicy(1) }),
+		vary("copy_last_4", func(p *Policy) { p.Copy = newCopyPolicy(4) }),
 		vary("reads_held", func(p *Policy) { p.AnswerRead = holdTail }),
 		vary("least_loaded", func(p *Policy) { p.Place = placeBy(byOrder, leastLoaded) }),
 		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
--- a/emul/result.go
+++ b/emul/result.go
@@ -40,8 +40,11 @@
 	// total duration of all attempts that have ended.
 	Aborted  int
 	SlotTime time.Duration
-	Loads    int
-	Rounds   int
+	// Copies is the number of second copies of texts, CopiesFirst how many of them ended first.
+	Copies      int
+	CopiesFirst int
+	Loads       int
+	Rounds      int
 	// Violations are broken guarantees, such as an item with two results.
 	Violations []string
 }
@@ -86,7 +89,7 @@
 // WriteCSV writes one row for each run.
 func WriteCSV(w io.Writer, results []*Result) error {
 	writer := csv.NewWriter(w)
-	header := []string{"scenario", "policy", "seed", "met_share", "steps", "step_p50_ms", "step_p90_ms", "step_p99_ms", "attempts", "moves", "aborted", "slot_ms", "loads", "rounds", "violations"}
+	header := []string{"scenario", "policy", "seed", "met_share", "steps", "step_p50_ms", "step_p90_ms", "step_p99_ms", "attempts", "moves", "copies", "copies_first", "aborted", "slot_ms", "loads", "rounds", "violations"}
 	for _, phase := range phases {
 		header = append(header, phase.name+"_ms")
 	}
@@ -97,7 +100,7 @@
 		row := []string{
 			r.Scenario, r.Policy, strconv.FormatUint(r.Seed, 10), strconv.FormatFloat(r.MetShare(), 'f', 4, 64), strconv.Itoa(len(r.Steps)),
 			milliseconds(r.StepTime(0.5)), milliseconds(r.StepTime(0.9)), milliseconds(r.StepTime(0.99)),
-			strconv.Itoa(r.Attempts), strconv.Itoa(r.Moves), strconv.Itoa(r.Aborted), milliseconds(r.SlotTime), strconv.Itoa(r.Loads), strconv.Itoa(r.Rounds), strconv.Itoa(len(r.Violations)),
+			strconv.Itoa(r.Attempts), strconv.Itoa(r.Moves), strconv.Itoa(r.Copies), strconv.Itoa(r.CopiesFirst), strconv.Itoa(r.Aborted), milliseconds(r.SlotTime), strconv.Itoa(r.Loads), strconv.Itoa(r.Rounds), strconv.Itoa(len(r.Violations)),
 		}
 		for _, phase := range phases {
 			row = append(row, milliseconds(r.meanPhase(phase.value)))
--- a/emul/sim.go
+++ b/emul/sim.go
@@ -97,7 +97,10 @@
 	firstEventAt time.Duration
 	// startedAt is when the current attempt started. eventsSeen is the number of events that the
 	// holder has seen, the last of them at lastEventAt, 0 before the first of the attempt.
-	startedAt   time.Duration
+	startedAt time.Duration
+	// copy is a second attempt at the item, nil without one, and original the item of a copy.
+	copy        *item
+	original    *item
 	eventsSeen  int
 	lastEventAt time.Duration
 	scoringSent bool
@@ -393,6 +396,7 @@
 		s.advance(e)
 		for _, it := range slices.Clone(e.running) {
 			s.abortAttempt(it)
+			it.copy = nil
 			it.generated = it.checkpointed
 		}
 		s.planCompletion(e)
@@ -415,7 +419,7 @@
 	}
 	for _, it := range slices.Clone(e.running) {
 		it.avoided = e.view.ID
-		s.abortAttempt(it)
+		s.loseAttempt(it)
 	}
 	e.unusable = s.now + engineCooldown
 	s.planRound()
@@ -501,8 +505,7 @@
 		s.advance(e)
 		for _, it := range slices.Clone(e.running) {
 			if it.generated >= it.length-progressTolerance {
-				s.stopAttempt(it)
-				s.completeText(it)
+				s.finishAttempt(it)
 			}
 		}
 		s.planCompletion(e)
@@ -598,6 +601,7 @@
 	s.open = slices.DeleteFunc(s.open, func(other *batch) bool { return other == b })
 	for _, it := range b.items {
 		if it.phase == itemRunning {
+			s.dropCopy(it)
 			e := it.engine
 			s.advance(e)
 			s.abortAttempt(it)
