--- a/front/slow_test.go
+++ b/front/slow_test.go
@@ -102,6 +102,10 @@
 	size, err := io.Copy(io.Discard, response.Body)
 	is.NoErr(err)
 	is.Equal(size, int64(largeBody))
+	for begin := time.Now(); active.Load() > 1 && time.Since(begin) < 2*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(active.Load(), int64(1)) // one of the slow clients made room
 	is.True(s.frontend.Buffers.Usage().Used <= 30<<20)
 	is.True(s.frontend.Stats.WritesFailed.Load() >= 2)
 }
--- a/shed/policy_test.go
+++ b/shed/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,35 @@
 	}
 	is.Equal(shed.NewCostPolicy().Decide(state).Order, []int{2, 1, 0})
 }
+
+// TestLeastShare guards against a class that is starved by a flow of more valuable work: it
+// comes first once it is behind its least share, and only until it has that.
+func TestLeastShare(t *testing.T) {
+	is := is.New(t)
+	shares := shed.NewShares()
+	high, low := gypsum.Work{Class: gypsum.WorkLive}, gypsum.Work{Class: gypsum.WorkLive, Priority: 4}
+	for range 20 {
+		shares.Serve(&high, epoch)
+		shares.Refuse(&low, epoch)
+	}
+	state := &gypsum.ShedState{Now: epoch, Slots: 1, Interval: time.Millisecond, Shares: shares}
+	for i := range 12 {
+		work := high
+		if i >= 6 {
+			work = low
+		}
+		work.Arrived, work.Target, work.Deadline, work.Expected = epoch, epoch.Add(250*time.Millisecond), epoch.Add(time.Second), time.Millisecond
+		state.Waiting = append(state.Waiting, work)
+	}
+	order := shed.NewCostPolicy().Decide(state).Order
+	// 20 of 40 were served, so the least share is 0.2 of 20 and grows with what is served next.
+	first := 0
+	for _, index := range order[:6] {
+		if index >= 6 {
+			first++
+		}
+	}
+	is.True(first >= 4)
+	is.True(slices.Index(order, 0) <= 6)
+	is.True(slices.Index(order, 11) > 6)
+}
