--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -159,3 +159,30 @@
 		})
 	}
 }
+
+// TestFullAndRateLimited guards against a request that goes round in circles without a pause: a
+// replica refused it as full some time ago, may have free slots again, and accepts no requests
+// by its rate limit.
+func TestFullAndRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newLimitedDeployment(t, 1, 0, 0)
+		replicas := d.replicas.Replicas()
+		d.replicas.SetFault(replicas[0].ID, fake.RewardFull)
+		d.replicas.SetFault(replicas[1].ID, fake.RewardError)
+		d.replicas.SetFault(replicas[2].ID, fake.RewardError)
+		d.replicas.ServiceTime = 300 * time.Millisecond
+		time.AfterFunc(450*time.Millisecond, func() {
+			d.relays[0].Limiter.Table.ObserveRateLimit(replicas[0], new(gypsum.RequestRate), time.Now())
+		})
+		now := time.Now()
+		response, refusal := d.relays[0].Serve(t.Context(), &relay.Request{
+			LiveRequest: gypsum.LiveRequest{ID: "r", Method: http.MethodPost, Target: "/x", Header: make(http.Header)},
+			Route:       &gypsum.Route{Name: "desk", Kind: gypsum.RouteIdempotent, MaxAttempts: 10, LatencyTarget: time.Second},
+			Service:     deskService, Arrived: now, Deadline: now.Add(20 * time.Second),
+		})
+		is.True(refusal == nil)
+		is.Equal(response.Status, http.StatusInternalServerError)
+		is.Equal(d.relays[0].Limiter.Stats.Denied.Load(), int64(1))
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -193,6 +193,9 @@
 			return candidate, nil
 		case errors.As(err, &limited):
 			r.releaseSlot(request)
+			// Without this, a request that the replica refused as full would ask for its slot
+			// again at once.
+			delete(request.foundFull, candidate.Replica.ID)
 			if request.permitWait == 0 || limited.RetryAfter < request.permitWait {
 				request.permitWait = limited.RetryAfter
 			}
