Daemons share their reads of the store within a data centre

Cause: every daemon follows three topics by itself, 20 to 30 reads a second. 300 daemons need 9,000 reads a second, of which the store allows 2,000.

Change: package feed. Where the allowance is not ample for the known daemons, two or three daemons of a data centre read a topic, chosen by rendezvous hashing with weak hosts last; the others get the records from them (procedure feed on the internal port) by long polls, in the order of the log and with the age of the read behind each page. The age grows by the transit time, by the clock that counts suspended time. A daemon that finds a gap, an old page, a broken connection or no response reads from another reader, then from the store; it does not ask the reader for a while, and the next daemon in the order takes its place. Only what a daemon reads itself is served. The record of a daemon states that it serves its reads, so that older builds are never asked. Readers start at the allowance divided by the readers (pace.Share.SetUsers). The first reads of a daemon come before others.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -54,7 +54,7 @@
 // RecordDaemon stores the address and location of this daemon and its share of a CPU core,
 // for other daemons.
 func (m *Manager) RecordDaemon(ctx context.Context, address string, location gypsum.Location, cpuShare float64) error {
-	_, err := m.appendRecord(ctx, DaemonRecord{Host: m.Host, Address: address, Location: location, CPUShare: cpuShare}, kindDaemon, string(m.Host))
+	_, err := m.appendRecord(ctx, DaemonRecord{Host: m.Host, Address: address, Location: location, CPUShare: cpuShare, SharesReads: true}, kindDaemon, string(m.Host))
 	return err
 }
 
--- a/batch/record.go
+++ b/batch/record.go
@@ -130,6 +130,9 @@
 	Location gypsum.Location `cbor:"3,keyasint"`
 	// CPUShare is the share of a CPU core that the host has.
 	CPUShare float64 `cbor:"4,keyasint"`
+	// SharesReads means that the daemon serves the records that it reads to others. Daemons of older
+	// builds leave it out.
+	SharesReads bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Crash is the record of a replica that crashed while it ran a request.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/daemon"
+	"github.com/gypsumhook/gypsum/feed"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
@@ -76,6 +77,10 @@
 	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
 	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
 	forwardMemoryDivisor = 16
+	// feedMemoryDivisor limits the memory for the records of each topic that other daemons get from
+	// this one to 1/feedMemoryDivisor of the memory limit: half a minute of the batch state on the
+	// smallest host.
+	feedMemoryDivisor = 64
 )
 
 // Daemon is the daemon process of a host. Set the exported fields before Run.
@@ -87,6 +92,7 @@
 
 	incarnation gypsum.Incarnation
 	store       *proxy.Store
+	feed        *feed.Feed
 	registry    *state.Registry
 	limiter     *limit.Limiter
 	origins     *origin.Tracker
@@ -199,6 +205,10 @@
 		Writes: pace.NewGate(pace.Use{Allowance: d.Settings.WritesPerSecond, Need: writesPerDaemon, Users: writingDaemons}),
 		Class:  storeCallClass(topics), Clock: clock.Steady,
 	}
+	d.feed = &feed.Feed{
+		Self: d.Settings.Host, Location: d.Settings.Location, Store: d.store, Peers: peers, ListDaemons: d.feedDaemons, Ample: d.store.Reads.Ample,
+		Clock: clock.Steady, Memory: d.Settings.MemoryLimit / feedMemoryDivisor, Logger: d.Logger,
+	}
 	d.createWriters(topics)
 	follower := d.newFollower(topics.State, stateReadInterval, d.batchState.Apply)
 	d.newFollower(platform.TopicOperator, 0, d.applyOperatorRecords)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/feed"
 	"github.com/gypsumhook/gypsum/pace"
 )
 
@@ -28,6 +29,7 @@
 	ProxiedCalls     int64            `json:"store_detours"`
 	StoreReads       storeMetrics     `json:"store_reads"`
 	StoreWrites      storeMetrics     `json:"store_writes"`
+	Feed             feedMetrics      `json:"feed"`
 	Replicas         int              `json:"replicas"`
 	ReplicasLeaving  int64            `json:"replicas_leaving"`
 	ReplicasLimited  int              `json:"replicas_rate_limited"`
@@ -92,6 +94,26 @@
 	}
 }
 
+// feedMetrics count the pages that the daemon has read from the store, received from other daemons
+// and served to them, and the requests to readers that failed, by cause.
+type feedMetrics struct {
+	OwnReads int64 `json:"own_reads"`
+	Received int64 `json:"received"`
+	Served   int64 `json:"served"`
+	Broken   int64 `json:"broken"`
+	Unserved int64 `json:"unserved"`
+	Stale    int64 `json:"stale"`
+	Gaps     int64 `json:"gaps"`
+}
+
+// newFeedMetrics returns the metrics of a feed.
+func newFeedMetrics(stats *feed.Stats) feedMetrics {
+	return feedMetrics{
+		OwnReads: stats.OwnReads.Load(), Received: stats.Received.Load(), Served: stats.Served.Load(),
+		Broken: stats.Broken.Load(), Unserved: stats.Unserved.Load(), Stale: stats.Stale.Load(), Gaps: stats.Gaps.Load(),
+	}
+}
+
 // rewardMetrics count the reward calls by their ends. WaitMS is the total time from complete
 // texts to their scores.
 type rewardMetrics struct {
@@ -114,7 +136,7 @@
 func (d *Daemon) currentMetrics() metrics {
 	snapshot, relayStats, runnerStats := d.registry.Current(), &d.relay.Stats, &d.runner.Stats
 	current := metrics{
-		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), StoreReads: newStoreMetrics(d.store.Reads), StoreWrites: newStoreMetrics(d.store.Writes), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
+		StoreDowntimeMS: d.storeDowntime().Milliseconds(), ProxiedCalls: d.store.ProxiedCalls(), StoreReads: newStoreMetrics(d.store.Reads), StoreWrites: newStoreMetrics(d.store.Writes), Feed: newFeedMetrics(&d.feed.Stats), Replicas: len(snapshot.Replicas), ReplicasLeaving: d.registry.LeavingCount(), DroppedLogLines: d.DroppedLines(),
 		LiveRequests: d.frontend.Stats.LiveRequests.Snapshot(), BatchSubmissions: d.frontend.Stats.BatchSubmissions.Snapshot(), BatchReads: d.frontend.Stats.ResultReads.Snapshot(),
 		ReplicasLimited: d.limiter.Table.Count(), LimitsStated: d.limiter.Table.Stats.Stated.Load(), LimitsLifted: d.limiter.Table.Stats.Lifted.Load(),
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
--- a/edge/records.go
+++ b/edge/records.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/batch"
 	"github.com/gypsumhook/gypsum/clock"
+	"github.com/gypsumhook/gypsum/feed"
 	"github.com/gypsumhook/gypsum/pace"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/store"
@@ -27,6 +28,7 @@
 			daemons := d.batchState.DaemonCount()
 			d.store.Reads.SetDaemons(daemons)
 			d.store.Writes.SetDaemons(daemons)
+			d.store.Reads.SetUsers(d.feed.ReaderCount(d.followedTopics()))
 			limits.update(d.store.Reads.Stats(), d.store.Writes.Stats(), daemons, now)
 			d.registry.ExpireRegistrations(d.storeDowntime() > 0, now)
 			d.relay.PruneReplicaStates(d.registry.Current())
@@ -145,9 +147,30 @@
 	}
 }
 
+// followedTopics returns the topics that every daemon follows.
+func (d *Daemon) followedTopics() []gypsum.Topic {
+	topics := make([]gypsum.Topic, 0, len(d.followers))
+	for _, follower := range d.followers {
+		topics = append(topics, follower.Topic)
+	}
+	return topics
+}
+
+// feedDaemons returns the daemons that have stored their addresses, for shared reads.
+func (d *Daemon) feedDaemons() []feed.Daemon {
+	records := d.batchState.DaemonRecords()
+	daemons := make([]feed.Daemon, 0, len(records))
+	for _, record := range records {
+		daemons = append(daemons, feed.Daemon{
+			Host: record.Host, Address: record.Address, Location: record.Location, CPUShare: record.CPUShare, SharesReads: record.SharesReads,
+		})
+	}
+	return daemons
+}
+
 // newFollower returns a follower of a topic and adds it to the daemon's followers.
 func (d *Daemon) newFollower(topic gypsum.Topic, minInterval time.Duration, handle func(store.Update)) *store.Follower {
-	follower := &store.Follower{Store: d.store, Topic: topic, MinReadInterval: minInterval, Handle: handle, Logger: d.Logger, Clock: clock.Steady, Patience: readPatience}
+	follower := &store.Follower{Store: d.store, Pages: d.feed, Topic: topic, MinReadInterval: minInterval, Handle: handle, Logger: d.Logger, Clock: clock.Steady, Patience: readPatience}
 	d.followers = append(d.followers, follower)
 	return follower
 }
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -49,6 +49,7 @@
 		internal.Handle("/debug/vars", metricsHandler)
 		internal.Handle(wire.StoreHandler(d.store.StoreForPeers()))
 		internal.Handle(wire.PermitHandler(d.limiter))
+		internal.Handle(wire.FeedHandler(d.feed))
 		for path, handler := range wire.OriginHandler(d.origins) {
 			internal.Handle(path, handler)
 		}
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -88,6 +88,18 @@
 	g.grant()
 }
 
+// SetUsers sets the number of daemons that make calls at the same time, if this daemon is one of
+// them. 0 means all daemons.
+func (g *Gate) SetUsers(users int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share.SetUsers(users, time.Since(g.start))
+	g.grant()
+}
+
 // Ample reports whether the allowance covers what all known daemons need. It does for a nil Gate.
 func (g *Gate) Ample() bool {
 	if g == nil {
--- a/pace/share.go
+++ b/pace/share.go
@@ -41,6 +41,9 @@
 	// outageFraction is the rate during an outage relative to the rate at the start. At its end, all
 	// daemons have calls to make.
 	outageFraction = 0.8
+	// usersChangeTime is the time without a refusal after which a daemon that begins to make calls
+	// for others starts at their share.
+	usersChangeTime = 5 * time.Second
 	// maxPause bounds the time without calls after a refused one.
 	maxPause = 400 * time.Millisecond
 )
@@ -124,6 +127,19 @@
 	}
 }
 
+// SetUsers sets the number of daemons that make calls at the same time, if this daemon is one of
+// them. 0 means all daemons.
+func (s *Share) SetUsers(users int, now time.Duration) {
+	if users == s.use.Users {
+		return
+	}
+	s.refill(now)
+	s.use.Users = users
+	if !s.limited || now-s.limitedAt >= usersChangeTime {
+		s.rate = max(s.rate, s.startRate())
+	}
+}
+
 // Rate returns the calls per second that the daemon may make now.
 func (s *Share) Rate() float64 { return s.rate }
 
@@ -165,7 +181,7 @@
 	}
 	s.refill(now)
 	calm := min(now-s.limitedAt, maxCalmTime).Seconds() / calmUnit
-	s.rate = min(max(s.rate, s.use.Allowance*ampleFraction), s.rate+s.equalShare()*(firstIncrease+calm*calm)*step)
+	s.rate = min(max(s.rate, s.use.Allowance*ampleFraction), s.rate+s.usualShare()*(firstIncrease+calm*calm)*step)
 }
 
 // Limited records a call that the store refused for its rate. The next call waits for a random time,
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -307,7 +307,9 @@
 
 // LatestRecords implements gypsum.KeyedStore.
 func (s *Store) LatestRecords(ctx context.Context, topic gypsum.Topic, partition gypsum.Partition, after string) (*gypsum.LatestPage, error) {
-	if err := s.Reads.Wait(ctx, s.class(topic, false), patience(ctx, callTime)); err != nil {
+	// A daemon can do little before it has read the latest records of its topics.
+	class := min(s.class(topic, false), pace.ClassConfig)
+	if err := s.Reads.Wait(ctx, class, patience(ctx, callTime)); err != nil {
 		return nil, err
 	}
 	page, err := callWithFailover(ctx, s, 0, func(ctx context.Context, store gypsum.KeyedStore) (*gypsum.LatestPage, error) {
--- a/store.go
+++ b/store.go
@@ -54,6 +54,9 @@
 	// Age is how long before the return the read behind the page was sent to the store, at most.
 	// Records that the store accepted earlier are in the page or before it.
 	Age time.Duration
+	// ResponseAge is how long before the return the store responded to that read. It is 0 if the
+	// store itself was called.
+	ResponseAge time.Duration `cbor:"-"`
 }
 
 // LatestPage is a page of the latest records of the keys of a partition.
--- a/store/follower.go
+++ b/store/follower.go
@@ -46,10 +46,17 @@
 	Complete bool
 }
 
+// PageSource reads pages of topics and states their ages.
+type PageSource interface {
+	Read(ctx context.Context, req gypsum.KeyedRead) (*gypsum.KeyedPage, error)
+}
+
 // Follower reads the latest records of a keyed topic's first partition and then
 // follows new records as they are appended. Set the exported fields before Run.
 type Follower struct {
 	Store gypsum.KeyedStore
+	// Pages is where new records are read, Store if it is nil.
+	Pages PageSource
 	Topic gypsum.Topic
 	// MinReadInterval is the minimum time between two reads that returned records,
 	// 0 for none.
@@ -72,6 +79,8 @@
 	// rateLimited means that the newest read was refused since all daemons together made too many
 	// calls.
 	rateLimited bool
+	// responseAge is the ResponseAge of the page that was just read.
+	responseAge time.Duration
 	// readSentAt is the time by Clock at which the newest successful read was sent to the store.
 	readSentAt time.Duration
 	// offsetAdvanced is closed when nextOffset advances, nil if nothing waits for that.
@@ -163,8 +172,9 @@
 		f.Logger.Warn("access to the store lost or recovered", "topic", f.Topic, "lost", failed, "last_answer_ms", time.Since(f.lastResponse).Milliseconds(), "error", err)
 	}
 	if !failed {
-		f.lastResponse = time.Now()
+		f.lastResponse = time.Now().Add(-f.responseAge)
 	}
+	f.responseAge = 0
 	if f.unavailable && !failed {
 		f.recoveredAt = f.lastResponse
 	}
@@ -246,7 +256,11 @@
 	f.mu.Unlock()
 	readCtx, cancel := context.WithTimeout(ctx, timeout+f.Patience)
 	defer cancel()
-	page, err := f.Store.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait, Timeout: timeout})
+	var pages PageSource = f.Store
+	if f.Pages != nil {
+		pages = f.Pages
+	}
+	page, err := pages.Read(readCtx, gypsum.KeyedRead{Topic: f.Topic, From: from, Wait: wait, Timeout: timeout})
 	if err != nil {
 		return 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
 	}
@@ -256,6 +270,9 @@
 	if page.Age > 0 {
 		sentAt = f.now() - page.Age
 	}
+	f.mu.Lock()
+	f.responseAge = page.ResponseAge
+	f.mu.Unlock()
 	if len(page.Records) == 0 {
 		return sentAt, nil
 	}
--- a/wire/store.go
+++ b/wire/store.go
@@ -102,7 +102,7 @@
 }
 
 // PeerClients holds the clients of other daemons. It implements gypsum.PeerStores,
-// gypsum.PeerPermits, gypsum.PeerOrigins and gypsum.PeerReplicas.
+// gypsum.PeerPermits, gypsum.PeerOrigins, gypsum.PeerFeeds and gypsum.PeerReplicas.
 type PeerClients struct {
 	// ForwardMemory limits the total size of the requests that are being forwarded to other
 	// daemons. It must be set before ReplicasVia is used.
@@ -116,6 +116,7 @@
 	stores   map[string]*peerStore
 	permits  map[string]*peerPermits
 	origins  map[string]*peerOrigins
+	feeds    map[string]*peerFeed
 	replicas map[string]*peerReplicas
 }
 
@@ -133,7 +134,7 @@
 	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: peerIdleConns}
 	return &PeerClients{
 		httpClient: &http.Client{Transport: transport}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
-		origins: make(map[string]*peerOrigins), replicas: make(map[string]*peerReplicas),
+		origins: make(map[string]*peerOrigins), feeds: make(map[string]*peerFeed), replicas: make(map[string]*peerReplicas),
 	}, transport.CloseIdleConnections
 }
 
--- a/wire/store_test.go
+++ b/wire/store_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"testing"
 
@@ -35,19 +34,12 @@
 		is := is.New(t)
 		mux := http.NewServeMux()
 		mux.Handle(StoreHandler(&failingStore{err: sentinel}))
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		server := &http.Server{Handler: mux}
-		ended := make(chan error, 1)
-		go func() { ended <- server.Serve(listener) }()
 		peers, cleanup := NewPeerClients()
-		_, err = peers.StoreVia(listener.Addr().String()).Append(t.Context(), gypsum.KeyedAppend{})
+		_, err := peers.StoreVia(serve(t, mux)).Append(t.Context(), gypsum.KeyedAppend{})
 		for _, other := range sentinels {
 			is.Equal(errors.Is(err, other), other == sentinel) // exactly this error
 		}
 		cleanup()
-		is.NoErr(server.Close())
-		<-ended
 	}
 }
 
