--- a/store.go
+++ b/store.go
@@ -55,6 +55,9 @@
 	// SteadyClock; 0 means that it was sent after the call began. It is not sent to other daemons,
 	// whose clocks differ. Records that the store accepted earlier are in the page or before it.
 	SentAt time.Duration `cbor:"-" json:"-"`
+	// ResponseAge is how long before the return the store responded to that read. It is 0 if the
+	// store itself was called.
+	ResponseAge time.Duration `cbor:"-" json:"-"`
 }
 
 // LatestPage is a page of the latest records of the keys of a partition.
