--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,6 +56,7 @@
 	replicaStates map[gypsum.BackendID]*replicaState
 	rooms         map[gypsum.ServiceName]*waitingRoom
 	probes        chan crashProbe
+	transits      TransitEstimator
 }
 
 // Stats counts the requests, responses and attempts of a Relay since its start.
