--- a/emul/emul_test.go
+++ b/emul/emul_test.go
@@ -134,6 +134,26 @@
 	is.True(total.Seconds() > 0.98*want && total.Seconds() < 1.02*want)
 }
 
+// TestHostsLost replays the loss of all hosts near the end: no guarantee is broken, steps complete
+// again, and starting the late step's items first completes at least as many steps as starting them
+// last would, since their trainer's next steps wait for that one.
+func TestHostsLost(t *testing.T) {
+	is := is.New(t)
+	scenario := readScenario(t, "accounts")
+	policies := []*emul.Policy{emul.FindPolicy(emul.CurrentPolicy), emul.FindPolicy("late_last")}
+	results, err := emul.RunAll(t.Context(), []*emul.Scenario{scenario}, policies, 8, func(int, int) {})
+	is.NoErr(err)
+	steps, met := make(map[string]int), make(map[string]int)
+	for _, result := range results {
+		is.Equal(result.Violations, nil)
+		steps[result.Policy] += len(result.Steps)
+		met[result.Policy] += result.GroupsMet
+	}
+	t.Logf("steps %v, groups in time %v", steps, met)
+	is.True(steps[emul.CurrentPolicy] >= steps["late_last"])
+	is.True(met[emul.CurrentPolicy] > met["late_last"])
+}
+
 // TestInvalidScenarios checks that the errors of scenario files name the section and key.
 func TestInvalidScenarios(t *testing.T) {
 	const valid = "[engines]\ncount = 2\nslots = 2\nevent_time = 20ms\n[trainer.a]\ngroups = 2\ngroup_size = 2\nmedian_events = 5\n"
--- a/emul/policy.go
+++ b/emul/policy.go
@@ -53,6 +53,7 @@
 		vary("round_robin", func(p *Policy) { p.Place = placeBy(byOrder, newRoundRobin()) }),
 		vary("short_groups_first", func(p *Policy) { p.Place = inOrder(shortGroupsFirst) }),
 		vary("long_groups_first", func(p *Policy) { p.Place = inOrder(longGroupsFirst) }),
+		vary("late_last", func(p *Policy) { p.Place = lateLast }),
 		vary("longest_hint_first", func(p *Policy) { p.Place = placeBy(longestFirst, leastLoaded) }),
 	}
 }
@@ -80,6 +81,26 @@
 	}
 }
 
+// lateLast starts the items that cannot end in time after all others.
+func lateLast(items []sched.Item, engines []*sched.Engine, now time.Time) []sched.Placement {
+	var usual []time.Duration
+	for _, e := range engines {
+		usual = append(usual, cmp.Or(e.UsualEventTime, e.IdleEventTime))
+	}
+	slices.Sort(usual)
+	eventTime := usual[len(usual)/2]
+	var inTime, late []sched.Item
+	for i := range items {
+		item := items[i]
+		if item.DueAt.Add(readSlack).Sub(now) < item.ScoringTime+time.Duration(item.RemainingEvents)*eventTime {
+			late = append(late, item)
+		} else {
+			inTime = append(inTime, item)
+		}
+	}
+	return append(sched.ScheduleItems(inTime, engines, now), sched.ScheduleItems(late, engines, now)...)
+}
+
 // shortGroupsFirst sorts items by group: those of the batch that is due first, and in it the groups
 // with the least work left.
 func shortGroupsFirst(items []sched.Item) {
