--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -80,6 +80,8 @@
 status_s = 120
 %s[platform]
 addr = "%s"
+reads_per_s = %g
+writes_per_s = %g
 parts = 4
 record_bytes = 262144
 call_bytes = 2097152
@@ -90,6 +92,7 @@
 type testEnv struct {
 	t           *testing.T
 	store       *fake.KeyedStore
+	limited     *fake.LimitedStore
 	engines     *fake.BatchEngines
 	replicas    []*registeredReplica
 	daemons     []*daemonProcess
@@ -100,6 +103,8 @@
 	// strictly, within revokeTime.
 	accounts   map[gypsum.AccountName][]string
 	revokeTime time.Duration
+	// reads and writes are the limits of the store's calls per second, 0 for none.
+	reads, writes float64
 	// dutySettings are the settings of the platform's API, empty for a deployment without duties.
 	dutySettings string
 }
@@ -140,10 +145,10 @@
 // newTestEnv starts the stand-ins, the replicas and the given number of daemons of the current
 // build, and waits until the daemons are ready.
 func newTestEnv(t *testing.T, daemons int) *testEnv {
-	return startTestEnv(&testEnv{t: t}, daemons)
+	return startTestEnv(&testEnv{t: t, reads: *readRate, writes: *writeRate}, daemons)
 }
 
-// startTestEnv does what newTestEnv does for an environment whose accounts, build and duties may be set.
+// startTestEnv does what newTestEnv does for an environment whose accounts, build, duties and rates of the store may be set.
 func startTestEnv(env *testEnv, daemons int) *testEnv {
 	t := env.t
 	if env.binary == "" {
@@ -151,6 +156,7 @@
 	}
 	env.store, env.settingsDir = fake.NewKeyedStore(), t.TempDir()
 	env.store.Latency = 2 * time.Millisecond
+	env.limited = &fake.LimitedStore{KeyedStore: env.store, ReadsPerSecond: env.reads, WritesPerSecond: env.writes}
 	env.engines = fake.NewBatchEngines(engineCount, engineSlots, eventInterval, model)
 	env.engines.EventCount = eventCount
 	env.engines.LoadTime = 200 * time.Millisecond
@@ -178,7 +184,7 @@
 		for _, replica := range env.replicas {
 			daemon.links[string(replica.ID)] = newReplicaLink(t, replica.address)
 		}
-		daemon.storeProxy = newProxy(t, startServer(t, mimic.StoreHandler(&linkedStore{KeyedStore: env.store, links: daemon.links})))
+		daemon.storeProxy = newProxy(t, startServer(t, mimic.StoreHandler(&linkedStore{KeyedStore: env.limited, links: daemon.links})))
 		if i%3 == 2 {
 			daemon.dataCentre, daemon.region = "chioggia", "adriatico"
 		}
@@ -315,7 +321,7 @@
 	if env.accounts != nil {
 		bounds = fmt.Sprintf("strict_revoke = true\nrevoke_ms = %d\n", env.revokeTime.Milliseconds())
 	}
-	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address()) + env.dutySettings
+	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address(), env.limited.ReadsPerSecond, env.limited.WritesPerSecond) + env.dutySettings
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		env.t.Error(err)
 		return
