--- a/relay/run.go
+++ b/relay/run.go
@@ -74,6 +74,10 @@
 		}
 	}
 	byDistance := transitByDistance[replica.Location.DistanceTo(from)]
+	if known != nil && known.elapsed < byDistance {
+		// Less than the assumed way there alone: the data centres are not far from each other.
+		return transitByDistance[gypsum.SameRegion]
+	}
 	if known == nil || known.samples < minTransitSamples || nearest == known {
 		return byDistance
 	}
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -215,4 +215,6 @@
 	is.Equal(estimator.Transit(here, usual), 30*time.Millisecond) // the measurement is not better
 	is.Equal(estimator.Transit(here, near), 800*time.Microsecond) // the nearest one by its distance
 	is.Equal(estimator.Transit(here, other), 30*time.Millisecond) // another service
+	estimator.Record(other, 26*time.Millisecond)
+	is.Equal(estimator.Transit(here, other), 800*time.Microsecond) // the way there and back takes less
 }
