relay: full replicas are asked less often while they refuse

Cause: each refusal by a full replica costs a request one of its attempts.

Change: the time between two requests to a full replica doubles up to twice while it refuses.

--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -19,6 +19,9 @@
 	// yet. nextProbe is when the next request may be sent while the replica is full.
 	reserved  int
 	nextProbe time.Time
+	// refusals is the number of requests that the replica has refused as full since it last ran
+	// one.
+	refusals int
 	// bodyBytes is the size of the request bodies in flight and of those with a reserved slot.
 	bodyBytes int
 	estimator ReplicaEstimator
@@ -115,7 +118,7 @@
 	tracked.bodyBytes -= len(request.Body)
 	if result != resultFull {
 		// The request leaves a free slot.
-		tracked.nextProbe = now
+		tracked.nextProbe, tracked.refusals = now, 0
 	}
 	switch result {
 	case resultSucceeded:
@@ -126,7 +129,8 @@
 		tracked.estimator.RecordResponse(elapsed, now)
 	case resultFull:
 		tracked.estimator.RecordFull(now)
-		tracked.nextProbe = now.Add(probeInterval(tracked.estimator.Latency()))
+		tracked.nextProbe = now.Add(min(maxProbeInterval, probeInterval(tracked.estimator.Latency())<<min(tracked.refusals, maxProbeDoublings)))
+		tracked.refusals++
 	case resultFailed:
 		tracked.estimator.RecordFailure(now)
 	}
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -21,6 +21,9 @@
 	// replica knows when one is free.
 	minProbeInterval = 10 * time.Millisecond
 	maxProbeInterval = 100 * time.Millisecond
+	// maxProbeDoublings limits the doublings of the interval while the replica refuses probes:
+	// each refusal costs a request one of its attempts.
+	maxProbeDoublings = 2
 	// maxDispatchInterval is the longest time between two checks of the waiting requests.
 	// Replicas may be registered or leave meanwhile.
 	maxDispatchInterval = 50 * time.Millisecond
