explain: where a request would go now, without sending it

Cause: operators cannot see why a request went to a replica, waited or was refused before they send one.

Change: gypsumhook explain asks a daemon at its internal port. front and relay decide by the code of the real path, on copies, and print the route, the services, the replicas with what speaks against each, the refusal with its retry time and the age of what is known.

Result: TestExplain in relay, front and cmd; what is explained is what then happens, and no counter changes.

--- a/cmd/gypsumhook/main.go
+++ b/cmd/gypsumhook/main.go
@@ -115,7 +115,7 @@
 				Flags: []cli.Flag{&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true}},
 			},
 			{Name: "settings", Usage: "print all settings as a table", Action: printSettings},
-			edgeCommand(), stepsCommand(),
+			edgeCommand(), explainCommand(), stepsCommand(),
 		}, operatorCommands()...),
 	}
 }
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -11,6 +11,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -49,6 +50,7 @@
 		internal.Handle("/debug/vars", metricsHandler)
 		internal.Handle(wire.StoreHandler(d.store.StoreForPeers()))
 		internal.Handle(wire.PermitHandler(d.limiter))
+		internal.Handle(front.ExplainPath, d.frontend.ExplainHandler(d.Settings.Host))
 		for path, handler := range wire.OriginHandler(d.origins) {
 			internal.Handle(path, handler)
 		}
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -236,6 +236,11 @@
 	return l.deniedFor(replica, now) > 0
 }
 
+// DeniedFor returns how long no permit for a replica is available, as far as this daemon knows.
+func (l *Limiter) DeniedFor(replica gypsum.BackendID, now time.Time) time.Duration {
+	return max(0, l.deniedFor(replica, now))
+}
+
 // Available returns the number of requests that the keeper of a replica may send to it now.
 // limited is false if the replica does not limit its rate.
 func (l *Limiter) Available(replica *gypsum.Replica, now time.Time) (count int, limited bool) {
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -304,13 +304,10 @@
 	r.scheduleDispatch(service, room, candidates, now)
 }
 
-// grant reserves a free slot for a waiting request. It returns false if the request has to wait
-// on. A request without a replica that it may use does not wait: it is refused for that.
-func (r *Relay) grant(waiting *waiter, candidates []Candidate, now time.Time) bool {
-	request := waiting.request
+// bestFreeCandidate returns the candidate with a free slot that is preferred for the request, nil
+// if there is none. usable reports whether there is any that the request may use.
+func (r *Relay) bestFreeCandidate(request *Request, candidates []Candidate, now time.Time) (best *Candidate, usable bool) {
 	failureCost := FailureCost(request.Route.Retryable(), request.Route.LatencyTarget, request.Deadline.Sub(now))
-	var best *Candidate
-	usable := false
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !request.mayUse(candidate) {
@@ -322,6 +319,14 @@
 			best = candidate
 		}
 	}
+	return best, usable
+}
+
+// grant reserves a free slot for a waiting request. It returns false if the request has to wait
+// on. A request without a replica that it may use does not wait: it is refused for that.
+func (r *Relay) grant(waiting *waiter, candidates []Candidate, now time.Time) bool {
+	request := waiting.request
+	best, usable := r.bestFreeCandidate(request, candidates, now)
 	if best == nil {
 		return !usable
 	}
