A small deployment knows at its start that the store's allowance is ample

Cause: until the whole batch state is read, a daemon assumes 100 daemons. The state of a small deployment with thousands of results takes a dozen calls, which waited for that rate, about 0.4 s after the loss of all hosts.

Change: the daemons' records are read first (batch.Manager.CountDaemons, one call). If the allowance is ample for their number, calls are not paced from then on (pace.Gate.ExpectDaemons). Otherwise the assumed number stays until the state has been read.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gypsumhook/gypsum"
@@ -58,6 +59,28 @@
 	return err
 }
 
+// CountDaemons reads the records of the daemons from the store and returns their number, before the
+// whole topic has been read.
+func (m *Manager) CountDaemons(ctx context.Context) (int, error) {
+	count, prefix := 0, kindDaemon+"/"
+	for after := prefix; ; {
+		page, err := m.Store.LatestRecords(ctx, m.Topics.State, 0, after)
+		if err != nil {
+			return 0, fmt.Errorf("read daemon records: %w", err)
+		}
+		for i := range page.Records {
+			if !strings.HasPrefix(page.Records[i].Key, prefix) {
+				return count, nil
+			}
+			count++
+			after = page.Records[i].Key
+		}
+		if len(page.Records) == 0 || !page.More {
+			return count, nil
+		}
+	}
+}
+
 // RemoveDaemon removes the record stored by RecordDaemon.
 func (m *Manager) RemoveDaemon(ctx context.Context) error {
 	if _, err := m.StateWriter.Append(ctx, gypsum.KeyedRecord{Key: kindDaemon + "/" + string(m.Host)}); err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -290,6 +290,7 @@
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
+	d.tasks.start(ctx, d.countDaemons)
 }
 
 // publishOnce ensures that the metrics are published once per process, as expvar panics
--- a/edge/records.go
+++ b/edge/records.go
@@ -38,6 +38,25 @@
 	}
 }
 
+// countDaemons tells the number of daemons to the pace of the store's calls as soon as it is known:
+// reading the whole batch state takes several calls, which need not wait in a small deployment.
+func (d *Daemon) countDaemons(ctx context.Context) error {
+	for !d.batches.Follower.Loaded() {
+		count, err := d.batches.CountDaemons(ctx)
+		if err == nil {
+			d.store.Reads.ExpectDaemons(count)
+			d.store.Writes.ExpectDaemons(count)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(watchInterval):
+		}
+	}
+	return nil
+}
+
 // limitLogInterval is the minimum time between two log lines about refused calls.
 const limitLogInterval = 5 * time.Second
 
--- a/feed/herd_test.go
+++ b/feed/herd_test.go
@@ -153,6 +153,10 @@
 
 // watch tells the gate the numbers of daemons and readers until ctx ends.
 func (m *member) watch(ctx context.Context) error {
+	page, err := m.proxy.LatestRecords(ctx, stateTopic, 0, "n/")
+	if err == nil {
+		m.proxy.Reads.ExpectDaemons(len(page.Records))
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -88,6 +88,21 @@
 	g.grant()
 }
 
+// ExpectDaemons sets the number of daemons, including this one, if the allowance is ample for them. It
+// is called before their records have all been read. A daemon of many starts at the rate of an
+// assumed number all the same, since most of the others do not call at that moment.
+func (g *Gate) ExpectDaemons(count int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	ample := float64(count)*g.share.use.Need <= g.share.use.Allowance
+	g.mu.Unlock()
+	if ample {
+		g.SetDaemons(count)
+	}
+}
+
 // SetUsers sets the number of daemons that make calls at the same time, if this daemon is one of
 // them. 0 means all daemons.
 func (g *Gate) SetUsers(users int) {
--- a/pace/gate_test.go
+++ b/pace/gate_test.go
@@ -68,6 +68,21 @@
 	})
 }
 
+// TestExpectedDaemons guards against a slow start of a small deployment whose batch state takes many
+// calls to read, and against the small rate of an equal share at the start of a large one.
+func TestExpectedDaemons(t *testing.T) {
+	is := is.New(t)
+	use := pace.Use{Allowance: 2000, Need: 45}
+	small, large := pace.NewGate(use), pace.NewGate(use)
+	small.ExpectDaemons(12)
+	large.ExpectDaemons(300)
+	is.Equal(small.Stats().Rate, 500.0)
+	is.Equal(large.Stats().Rate, 20.0)
+	is.True(large.Ample()) // until their records have been read
+	large.SetDaemons(300)
+	is.True(!large.Ample())
+}
+
 // TestGateGivesUp guards against callers that wait longer than they can, and against an error that
 // would be taken for a lost path.
 func TestGateGivesUp(t *testing.T) {
--- a/pace/share.go
+++ b/pace/share.go
@@ -33,7 +33,7 @@
 	burstTime = 250 * time.Millisecond
 	minBurst  = 1.5
 	// firstCalls is the number of calls that a daemon makes without delay after its start: the first
-	// reads of its topics and its record.
+	// reads of its topics and of the records of the daemons.
 	firstCalls = 4
 	// outageTime is the time without a response after which the store counts as unavailable. Single
 	// calls are lost without that.
--- a/proxy/herd_test.go
+++ b/proxy/herd_test.go
@@ -129,6 +129,10 @@
 
 // count tells the gates the number of known daemons until ctx ends.
 func (d *herdDaemon) count(ctx context.Context) error {
+	page, err := d.store.LatestRecords(ctx, stateTopic, 0, "n/")
+	if err == nil {
+		d.store.Reads.ExpectDaemons(len(page.Records))
+	}
 	for {
 		select {
 		case <-ctx.Done():
