--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -321,6 +321,7 @@
 	d.tasks.start(ctx, d.store.Run)
 	d.tasks.start(ctx, d.announceAddress)
 	d.duties.startTasks(ctx, &d.tasks)
+	d.tasks.start(ctx, d.countDaemons)
 }
 
 // publishOnce ensures that the metrics are published once per process, as expvar panics
