A holder's heartbeat counts once it is read back; a host whose calls are all refused uses others

The store had refused all calls of a third of the hosts with status 429 for 8 s, the holder of the engines among them; another host took the service over. At the end, the old holder's heartbeat was stored first, and it sent load orders 15 ms before it read the other's claim. Cause: load orders rested on the append of the heartbeat alone; and since 429 is no lost path any more, a host that gets nothing else did not reach the store through other hosts. Change: a heartbeat counts when all records before it are applied. A series of five refused calls over a second, paced, is a lost path of this host.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -29,20 +29,20 @@
 	Offset gypsum.Offset
 }
 
-// RecordHeartbeat stores a heartbeat of this daemon.
-func (m *Manager) RecordHeartbeat(ctx context.Context, sequence int64) error {
+// RecordHeartbeat stores a heartbeat of this daemon and returns the offset of its record.
+func (m *Manager) RecordHeartbeat(ctx context.Context, sequence int64) (gypsum.Offset, error) {
 	sentAt := time.Duration(0)
 	if m.Clock != nil {
 		sentAt = m.Clock()
 	}
 	offset, err := m.appendRecord(ctx, Heartbeat{Host: m.Host, Incarnation: m.Incarnation, Sequence: sequence}, kindHeartbeat, string(m.Host))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if m.Clock != nil {
 		m.lastHeartbeat.Store(&OwnHeartbeat{SentAt: sentAt, Offset: offset})
 	}
-	return nil
+	return offset, nil
 }
 
 // LastHeartbeat returns the heartbeat that this daemon has stored last, nil if there is none or
--- a/batch/claim_test.go
+++ b/batch/claim_test.go
@@ -27,13 +27,15 @@
 		is.NoErr(a.RecordClaim(t.Context(), "~usage_report", 1, false))
 		time.Sleep(time.Second)
 		is.True(earlier().IsZero()) // there was no earlier holder
-		is.NoErr(a.RecordHeartbeat(t.Context(), 1))
+		_, err := a.RecordHeartbeat(t.Context(), 1)
+		is.NoErr(err)
 		time.Sleep(time.Second)
 		heartbeat := time.Now().Add(-time.Second)
 		is.NoErr(b.RecordClaim(t.Context(), "~usage_report", 2, false))
 		time.Sleep(time.Second)
 		is.True(earlier().Sub(heartbeat).Abs() < 100*time.Millisecond)
-		is.NoErr(b.RecordHeartbeat(t.Context(), 1))
+		_, err = b.RecordHeartbeat(t.Context(), 1)
+		is.NoErr(err)
 		is.NoErr(b.RecordClaim(t.Context(), "~usage_report", 3, true)) // b has released it, a has not
 		is.NoErr(c.RecordClaim(t.Context(), "~usage_report", 4, false))
 		time.Sleep(time.Second)
@@ -56,12 +58,14 @@
 		backing := fake.NewKeyedStore()
 		backing.Latency = 50 * time.Millisecond
 		a, start := startManager(t, backing, "a"), time.Now()
-		is.NoErr(a.RecordHeartbeat(t.Context(), 1))
+		_, err := a.RecordHeartbeat(t.Context(), 1)
+		is.NoErr(err)
 		is.True(a.LastHeartbeat() == nil) // there is no clock
 		a.Clock = func() time.Duration { return time.Since(start) }
 		time.Sleep(time.Second)
 		sentAt := a.Clock()
-		is.NoErr(a.RecordHeartbeat(t.Context(), 2))
+		_, err = a.RecordHeartbeat(t.Context(), 2)
+		is.NoErr(err)
 		is.Equal(a.LastHeartbeat().SentAt, sentAt) // not when it was stored
 		is.Equal(a.LastHeartbeat().Offset, gypsum.Offset(1))
 		is.True(a.State.AppliedOffset() <= 1)
--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -249,7 +249,7 @@
 	records.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, k.Lease)
 		defer cancel()
-		err := k.Batches.RecordHeartbeat(ctx, number)
+		_, err := k.Batches.RecordHeartbeat(ctx, number)
 		if err != nil {
 			k.Logger.Warn("failed to store heartbeat of a duty's holder", "error", err)
 		} else {
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -396,7 +396,8 @@
 		d := newDeployment(t, true, map[gypsum.HostID]float64{"host-1": 0.8})
 		daemon := d.daemons["host-1"]
 		for number := range int64(100) {
-			is.NoErr(daemon.batches.RecordHeartbeat(t.Context(), number))
+			_, err := daemon.batches.RecordHeartbeat(t.Context(), number)
+			is.NoErr(err)
 			time.Sleep(380 * time.Millisecond)
 		}
 		is.Equal(daemon.keeper.Stats.Heartbeats.Load(), int64(0))
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -66,10 +66,14 @@
 
 	mu                sync.Mutex
 	directUnavailable bool
-	wake              chan struct{}
-	initOnce          sync.Once
-	cooldownUntil     map[gypsum.HostID]time.Time
-	proxiedCalls      int64
+	// limitedCalls is the number of direct calls since the last that the store did not refuse for
+	// its rate, limitedSince the time of the first of them.
+	limitedCalls  int
+	limitedSince  time.Time
+	wake          chan struct{}
+	initOnce      sync.Once
+	cooldownUntil map[gypsum.HostID]time.Time
+	proxiedCalls  int64
 }
 
 // lazyInit prepares the store on its first use.
@@ -139,14 +143,42 @@
 	}
 	_, err := s.DirectStore.Read(ctx, s.ProbeRead)
 	s.report(ctx, s.Reads, err)
-	if err == nil || errors.Is(err, gypsum.ErrTruncated) || errors.Is(err, gypsum.ErrStoreRateLimited) {
+	if err == nil || errors.Is(err, gypsum.ErrTruncated) {
+		s.recordAccepted()
 		s.setDirectUnavailable(false, nil)
 	}
 }
 
+// Limits of a series of direct calls that the store refuses for their rate. The store may refuse all
+// calls of one host while it serves the others. While all daemons together make too many calls, each
+// paces its own, so that some of them succeed within that time.
+const (
+	maxLimitedTime  = time.Second
+	maxLimitedCalls = 5
+)
+
+// recordLimited records a direct call that was refused for its rate, and reports whether the
+// store refuses all calls of this host.
+func (s *Store) recordLimited(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limitedCalls == 0 {
+		s.limitedSince = now
+	}
+	s.limitedCalls++
+	return s.Reads != nil && s.limitedCalls >= maxLimitedCalls && now.Sub(s.limitedSince) >= maxLimitedTime
+}
+
+// recordAccepted ends the series of refused calls.
+func (s *Store) recordAccepted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limitedCalls = 0
+}
+
 // isPathError reports whether an error is due to the path rather than to the call.
 // gypsum.ErrStoreRateLimited is not: the store responded, and the same call through another daemon
-// would exceed the rate as well.
+// would exceed the rate as well. Only a series of them is (recordLimited).
 func isPathError(err error) bool {
 	return errors.Is(err, gypsum.ErrStoreUnknown) || errors.Is(err, gypsum.ErrStoreRefused)
 }
@@ -178,7 +210,12 @@
 	defer slowTimer.Stop()
 	result, err = do(ctx, s.DirectStore)
 	switch {
+	case errors.Is(err, gypsum.ErrStoreRateLimited):
+		if s.recordLimited(time.Now()) {
+			s.setDirectUnavailable(true, err)
+		}
 	case err == nil || !isPathError(err):
+		s.recordAccepted()
 		s.setDirectUnavailable(false, nil)
 	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		s.setDirectUnavailable(true, err)
--- a/runner/claims.go
+++ b/runner/claims.go
@@ -220,7 +220,12 @@
 	go func() {
 		heartbeatCtx, cancel := context.WithTimeout(ctx, holderTimeout)
 		defer cancel()
-		err := r.Batches.RecordHeartbeat(heartbeatCtx, number)
+		offset, err := r.Batches.RecordHeartbeat(heartbeatCtx, number)
+		if err == nil {
+			// A host that was cut off may reach the store for appends before it has read the claim of
+			// another daemon. Its heartbeat counts once all records before it are known.
+			err = r.Batches.Follower.WaitForOffset(heartbeatCtx, offset+1)
+		}
 		if err != nil {
 			r.Logger.Warn("failed to store heartbeat", "error", err)
 		}
--- a/runner/claims_test.go
+++ b/runner/claims_test.go
@@ -58,3 +58,25 @@
 		})
 	}
 }
+
+// TestNoLoadOrdersBeforeHeartbeatIsRead guards against a holder that was cut off from the store and
+// whose appends succeed again before its reads: it does not know yet that another daemon has claimed
+// the service, and must not send load orders on the strength of its heartbeat alone.
+func TestNoLoadOrdersBeforeHeartbeatIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.8, 0.8)
+		submitted := newBatch("bat", 1, itemLengths(40, 2)...)
+		d.submitBatch(0, submitted)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(d.holderKnownTo(0), gypsum.HostID("host-1"))
+		d.daemons[0].direct.SetReadsHang(true)
+		time.Sleep(1100 * time.Millisecond) // reads go through the other daemon 0.35 s later
+		d.daemons[0].registry.ApplyVersion(testModel, 2)
+		time.Sleep(250 * time.Millisecond)
+		is.Equal(len(d.engines.LoadOrders()), 0)
+		d.daemons[0].direct.SetReadsHang(false)
+		d.awaitResults(0, submitted, 20*time.Second)
+		is.True(len(d.engines.LoadOrders()) > 0)
+	})
+}
--- a/runner/scoring_test.go
+++ b/runner/scoring_test.go
@@ -312,7 +312,7 @@
 		defer stop()
 		older.startGoroutine(heartbeats, func(ctx context.Context) error {
 			for number := int64(1); ctx.Err() == nil; number++ {
-				_ = older.batches.RecordHeartbeat(ctx, number)
+				_, _ = older.batches.RecordHeartbeat(ctx, number)
 				time.Sleep(200 * time.Millisecond)
 			}
 			return nil
