batch: a daemon keeps the items of a refused submission apart from those of the batch

A submission whose id another account had taken left its items in the cache under that id. The daemon then returned them as the bodies of the accepted batch, and ran them in its account's name.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -63,7 +63,7 @@
 	keySerial     atomic.Int64
 	lastHeartbeat atomic.Pointer[OwnHeartbeat]
 	texts         textCache
-	items         *lru.Cache[gypsum.BatchID, []gypsum.BatchItem]
+	items         *lru.Cache[gypsum.BatchID, cachedItems]
 }
 
 // Init creates the caches.
@@ -72,7 +72,7 @@
 	if m.texts, err = newTextCache(); err != nil {
 		return err
 	}
-	if m.items, err = lru.New[gypsum.BatchID, []gypsum.BatchItem](maxCachedBatches); err != nil {
+	if m.items, err = lru.New[gypsum.BatchID, cachedItems](maxCachedBatches); err != nil {
 		return fmt.Errorf("create item cache: %w", err)
 	}
 	return nil
@@ -105,7 +105,7 @@
 		Bodies: bodies, Origin: m.Host, Step: batch.Step, Scored: batch.IsScored(),
 		Account: batch.Account,
 	}
-	m.items.Add(batch.ID, batch.Items)
+	m.items.Add(batch.ID, cachedItems{bodies: bodies.Key, items: batch.Items})
 	offset, err := m.appendRecord(ctx, header, kindHeader, string(batch.ID), m.uniqueKey())
 	if err != nil {
 		return err
--- a/batch/values.go
+++ b/batch/values.go
@@ -102,10 +102,17 @@
 	return items, nil
 }
 
+// cachedItems are the items of a submission, whose bodies were stored under a key. Of several
+// submissions with the same batch id, only one is the batch.
+type cachedItems struct {
+	bodies string
+	items  []gypsum.BatchItem
+}
+
 // Items returns the items of an accepted batch.
 func (m *Manager) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
-	if items, ok := m.items.Get(header.ID); ok {
-		return items, nil
+	if cached, ok := m.items.Get(header.ID); ok && cached.bodies == header.Bodies.Key {
+		return cached.items, nil
 	}
 	values, err := m.fetchValues(ctx, m.Topics.Bodies, header.ID, header.Bodies)
 	if err != nil {
@@ -115,7 +122,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("decode items of batch %s: %w", header.ID, err)
 	}
-	m.items.Add(header.ID, items)
+	m.items.Add(header.ID, cachedItems{bodies: header.Bodies.Key, items: items})
 	return items, nil
 }
 
