relay: a full replica that accepts no connection any more is not tried in circles

A replica that had refused a request as full could be chosen again after a failed connection, at once and without a bound on the attempts, until the deadline of the request.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -488,6 +488,9 @@
 	}
 	switch {
 	case request.lastUnconnected:
+		// Without this, a request that the replica refused as full would try to connect again at
+		// once, until its deadline.
+		delete(request.foundFull, replica.ID)
 		request.lastReason = gypsum.ReasonNoBackend
 	case errors.Is(err, gypsum.ErrNotRun):
 		request.sentAttempts++
--- a/relay/waiting_test.go
+++ b/relay/waiting_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -269,3 +270,41 @@
 		wg.Wait()
 	})
 }
+
+// crashingReplica refuses the first request as full and accepts no connection after that.
+type crashingReplica struct {
+	gypsum.ReplicaTransport
+	sends atomic.Int64
+}
+
+// RoundTrip implements gypsum.ReplicaTransport. It succeeds in the end, since a loop without a pause
+// would never reach the deadline in virtual time.
+func (c *crashingReplica) RoundTrip(context.Context, *gypsum.Replica, *gypsum.LiveRequest, time.Duration) (*gypsum.LiveResponse, error) {
+	switch sends := c.sends.Add(1); {
+	case sends == 1:
+		return nil, gypsum.ErrNotRun
+	case sends < 1000:
+		return nil, gypsum.ErrNotSent
+	}
+	return &gypsum.LiveResponse{Status: http.StatusOK, Header: make(http.Header)}, nil
+}
+
+// TestFullReplicaCrashes guards against a request that tries to connect without a pause until its
+// deadline: its replica refused it as full and accepts no connection when it has a slot again.
+func TestFullReplicaCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newFullDeployment(t, 1)
+		for _, replica := range d.replicas.Replicas()[1:] {
+			leaving := *replica
+			leaving.State = gypsum.ReplicaDraining
+			d.relays[0].Registry.ApplyReplica(&leaving)
+		}
+		transport := &crashingReplica{}
+		d.relays[0].Transport = transport
+		a := d.send(t.Context(), 0, "r", 0, 1500*time.Millisecond)
+		is.Equal(transport.sends.Load(), int64(2))
+		is.True(a.refusal != nil)
+		is.Equal(a.refusal.Outcome, gypsum.OutcomeNotRun)
+	})
+}
