--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -138,7 +138,13 @@
 		if tenure.holding {
 			held++
 		}
-		if action == Wait || k.recording[duty] {
+		if k.recording[duty] {
+			if action == Claim {
+				tenure.ClaimEnded()
+			}
+			continue
+		}
+		if action == Wait {
 			continue
 		}
 		k.recording[duty] = true
@@ -279,7 +285,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.recording, duty)
-	if !appended {
+	if !appended && action == Claim {
 		k.tenures[duty].ClaimEnded()
 	}
 }
--- a/duty/tenure.go
+++ b/duty/tenure.go
@@ -120,9 +120,10 @@
 
 	claimPending bool
 	claimDue     time.Duration
-	// claiming means that a claim was made whose effect is not known, since claimedAt.
-	claiming  bool
-	claimedAt time.Duration
+	// unknownClaims is the number of claims that were made whose effect is not known, the first of
+	// them at claimedAt.
+	unknownClaims int
+	claimedAt     time.Duration
 
 	failing       bool
 	failingSince  time.Duration
@@ -140,7 +141,7 @@
 }
 
 // Observe takes note of an observation and returns what to do next. A returned Claim or Release
-// must be made, and the outcome be reported with ClaimEnded if no record was appended.
+// must be made. ClaimEnded must be called if a claim was not made or appended no record.
 func (t *Tenure) Observe(o *Observation) Action {
 	if o.Known && o.Own {
 		t.hold(o)
@@ -176,7 +177,7 @@
 			t.notBefore = max(t.notBefore, t.lastActed+t.Lease)
 		}
 	}
-	t.holding, t.token, t.releasing, t.claiming, t.claimPending, t.failing = true, o.Token, false, false, false, false
+	t.holding, t.token, t.releasing, t.unknownClaims, t.claimPending, t.failing = true, o.Token, false, 0, false, false
 }
 
 // lose takes note that this daemon is not the holder.
@@ -227,19 +228,17 @@
 		return Wait
 	}
 	t.claimPending = false
-	if !t.claiming {
+	if t.unknownClaims == 0 {
 		// The lease begins with the first claim whose effect is not known.
-		t.claiming, t.claimedAt = true, o.Now
+		t.claimedAt = o.Now
 	}
+	t.unknownClaims++
 	return Claim
 }
 
-// ClaimEnded takes note that a claim certainly appended no record.
-func (t *Tenure) ClaimEnded() {
-	if !t.holding {
-		t.claiming = false
-	}
-}
+// ClaimEnded takes note that the latest claim certainly appended no record. Earlier ones may still
+// take effect.
+func (t *Tenure) ClaimEnded() { t.unknownClaims = max(0, t.unknownClaims-1) }
 
 // Holding reports whether this daemon is the holder and does not give the duty up. Only its lease
 // says whether it may make calls.
--- a/duty/tenure_test.go
+++ b/duty/tenure_test.go
@@ -248,3 +248,24 @@
 	weak.Now += 5 * time.Second
 	is.Equal(tenure.Observe(weak), duty.Release)
 }
+
+// TestEarlierClaimWithUnknownOutcome guards against a lease that begins with a later claim than the
+// one in the log: other daemons count it from the claim that they read. A later claim that was
+// certainly not appended says nothing about an earlier one.
+func TestEarlierClaimWithUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	tenure := newTenure()
+	released := func(now time.Duration) *duty.Observation {
+		observation := observedOther(now, now)
+		observation.Released = true
+		return observation
+	}
+	is.Equal(tenure.Observe(released(10*time.Second)), duty.Claim) // its outcome is unknown
+	is.Equal(tenure.Observe(released(11*time.Second)), duty.Claim)
+	tenure.ClaimEnded()
+	is.Equal(tenure.Observe(released(20*time.Second)), duty.Claim)
+	tenure.Observe(observedHolder(20100*time.Millisecond, 7))
+	is.True(!mayCall(tenure, 20200*time.Millisecond))
+	tenure.Observe(observedHolder(20300*time.Millisecond, 7, 20200*time.Millisecond))
+	is.True(mayCall(tenure, 20300*time.Millisecond))
+}
