--- a/limit/line.go
+++ b/limit/line.go
@@ -20,15 +20,22 @@
 	changed chan struct{}
 }
 
-// reassign assigns the permits in the order that the policy chooses, unless a request that can
-// be met with its own permit could not be met with the assigned one.
+// reassign assigns the permits in the order that the policy chooses, unless a request could not be
+// met with the assigned one. A request that is not expected to be met with its own permit keeps it:
+// the policy would give it the last one again and again, beyond its deadline.
 func (l permitLine) reassign(policy gypsum.Policy, now time.Time) {
-	if len(l) < 2 {
+	line := make(permitLine, 0, len(l))
+	for _, waiting := range l {
+		if canUse(waiting, waiting.at) {
+			line = append(line, waiting)
+		}
+	}
+	if len(line) < 2 {
 		return
 	}
-	times := make([]time.Time, len(l))
+	times := make([]time.Time, len(line))
 	state := &gypsum.ShedState{Now: now, Slots: 1}
-	for i, waiting := range l {
+	for i, waiting := range line {
 		times[i] = waiting.at
 		state.Waiting = append(state.Waiting, waiting.work)
 	}
@@ -40,13 +47,12 @@
 		order = append(order, refused.Index)
 	}
 	for position, index := range order {
-		waiting := l[index]
-		if canUse(waiting, waiting.at) && !canUse(waiting, times[position]) {
+		if !canUse(line[index], times[position]) {
 			return
 		}
 	}
 	for position, index := range order {
-		if waiting := l[index]; !waiting.at.Equal(times[position]) {
+		if waiting := line[index]; !waiting.at.Equal(times[position]) {
 			waiting.at = times[position]
 			select {
 			case waiting.changed <- struct{}{}:
--- a/limit/line_test.go
+++ b/limit/line_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
@@ -90,3 +91,36 @@
 		})
 	}
 }
+
+// TestPermitAfterDeadline guards against a request that waits beyond its deadline, since permits go
+// to other requests again and again: no permit lets it end in time, so that its delay costs
+// nothing.
+func TestPermitAfterDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limiter, replica := newLineLimiter()
+		begin := time.Now()
+		acquire := func(deadline, expected time.Duration) error {
+			now := time.Now()
+			work := gypsum.Work{Class: gypsum.WorkLive, Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(deadline), Expected: expected}
+			return limiter.AcquireFor(t.Context(), replica, 2*time.Second, &work)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { is.NoErr(acquire(4*time.Second, 20*time.Millisecond)) })
+		synctest.Wait()
+		var waited time.Duration
+		var err error
+		wg.Go(func() {
+			err = acquire(600*time.Millisecond, 550*time.Millisecond)
+			waited = time.Since(begin)
+		})
+		for range 20 {
+			time.Sleep(250 * time.Millisecond)
+			wg.Go(func() { is.NoErr(acquire(4*time.Second, 20*time.Millisecond)) })
+		}
+		wg.Wait()
+		is.True(waited <= 600*time.Millisecond)
+		var limited *gypsum.RateLimitError
+		is.True(err == nil || errors.As(err, &limited))
+	})
+}
