relay: a client that reads the head or a complete response slowly occupies no slot

The response of a streaming route was written from the goroutine that reads the replica's, so that a slow client held the slot, and the replica's response time included that of the client.

--- a/relay/slowreader_test.go
+++ b/relay/slowreader_test.go
@@ -189,3 +189,47 @@
 		})
 	}
 }
+
+// bodyTransport responds to streams with a complete response.
+type bodyTransport struct{ eventTransport }
+
+// Stream implements gypsum.ReplicaTransport.
+func (t *bodyTransport) Stream(context.Context, *gypsum.Replica, *gypsum.LiveRequest, time.Duration, int64) (gypsum.LiveStream, error) {
+	return &bodyStream{eventStream{&t.eventTransport}}, nil
+}
+
+// bodyStream is the response of a bodyTransport.
+type bodyStream struct{ eventStream }
+
+func (s *bodyStream) Response() *gypsum.LiveResponse {
+	return &gypsum.LiveResponse{Status: http.StatusBadRequest, Header: make(http.Header), Body: []byte("body")}
+}
+func (s *bodyStream) IsEventStream() bool { return false }
+
+// slowHeadSink is a client that reads the head and the body of a response slowly.
+type slowHeadSink struct{ *slowSink }
+
+func (s *slowHeadSink) BeginResponse(*gypsum.LiveResponse) error { return s.WriteEvent(nil) }
+
+// TestSlowClientHoldsNoSlot guards against a client that reads the head of a stream, or a complete
+// response, slowly and thereby occupies a slot of a replica that has ended its response: others
+// would be refused while the replicas are idle, and the replica would count as slow.
+func TestSlowClientHoldsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newFullDeployment(t, 1)
+		d.relays[0].Transport = &bodyTransport{}
+		var wg sync.WaitGroup
+		for i := range 6 { // as many as there are slots
+			wg.Go(func() {
+				sink := &slowHeadSink{newSlowSink(5 * time.Second)}
+				is.NoErr(d.relays[0].ServeStream(t.Context(), streamRequest(gypsum.RequestID(fmt.Sprint("s", i)), 60*time.Second), sink))
+				is.Equal(sink.received, 1)
+			})
+		}
+		time.Sleep(time.Second)
+		is.Equal(d.relays[0].InFlightCount(), 0)
+		is.Equal(d.relays[0].WaitingCount(), 0)
+		wg.Wait()
+	})
+}
--- a/relay/streambuffer.go
+++ b/relay/streambuffer.go
@@ -26,18 +26,20 @@
 // have to be held for it.
 var ErrClientTooSlow = errors.New("client reads too slowly")
 
-// streamBuffer passes events on to a client in a goroutine of its own, so that a client that
-// reads slowly does not delay the reading of the replica's response: replicas abort responses
-// that stay unread for some seconds. It is bounded; a client that exceeds the bound loses its
-// stream. It implements Sink.
+// streamBuffer passes a response and its events on to a client in a goroutine of its own, so that a
+// client that reads slowly does not delay the reading of the replica's response, and does not occupy
+// its slot: replicas abort responses that stay unread for some seconds. It is bounded; a client that
+// exceeds the bound loses its stream. It implements Sink.
 type streamBuffer struct {
 	sink   Sink
 	holder *buffer.Holder
 
-	mu     sync.Mutex
-	events [][]byte
-	ended  bool
-	err    error
+	mu sync.Mutex
+	// response is the one that has begun, until it is passed on.
+	response *gypsum.LiveResponse
+	events   [][]byte
+	ended    bool
+	err      error
 	// wake receives a value when there are events or the stream has ended, done the result of
 	// the goroutine.
 	wake chan struct{}
@@ -52,9 +54,16 @@
 	return b
 }
 
-// BeginResponse implements Sink.
+// BeginResponse implements Sink. It does not wait for the client.
 func (b *streamBuffer) BeginResponse(response *gypsum.LiveResponse) error {
-	return b.sink.BeginResponse(response)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil {
+		return b.err
+	}
+	b.response = response
+	b.notify()
+	return nil
 }
 
 // WriteEvent implements Sink. It does not wait for the client.
@@ -86,7 +95,7 @@
 	if b.err == nil {
 		b.err = err
 	}
-	b.events = nil
+	b.response, b.events = nil, nil
 	b.notify()
 }
 
@@ -102,24 +111,21 @@
 // accept them.
 func (b *streamBuffer) run(ctx context.Context) error {
 	for {
-		events, ended, err := b.take()
+		response, events, ended, err := b.take()
 		if err != nil {
 			return err
 		}
-		for _, raw := range events {
-			if err := b.sink.WriteEvent(raw); err != nil {
-				b.fail(err)
-				_, _, err = b.take()
-				return err
-			}
-			b.holder.Remove(gypsum.Bytes(len(raw)), time.Now())
-		}
-		if ended && len(events) == 0 {
-			return nil
+		if err := b.write(response, events); err != nil {
+			b.fail(err)
+			_, _, _, err = b.take()
+			return err
 		}
-		if len(events) > 0 {
+		if response != nil || len(events) > 0 {
 			continue
 		}
+		if ended {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			b.fail(ctx.Err())
@@ -129,15 +135,33 @@
 	}
 }
 
-// take returns the events that have not been written.
-func (b *streamBuffer) take() (events [][]byte, ended bool, err error) {
+// write passes a response, nil for none, and events on to the client.
+func (b *streamBuffer) write(response *gypsum.LiveResponse, events [][]byte) error {
+	if response != nil {
+		if err := b.sink.BeginResponse(response); err != nil {
+			return err
+		}
+		b.holder.Progress(time.Now())
+	}
+	for _, raw := range events {
+		if err := b.sink.WriteEvent(raw); err != nil {
+			return err
+		}
+		b.holder.Remove(gypsum.Bytes(len(raw)), time.Now())
+	}
+	return nil
+}
+
+// take returns the response, if it has just begun, and the events that have not been written.
+func (b *streamBuffer) take() (response *gypsum.LiveResponse, events [][]byte, ended bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	events, b.events = b.events, nil
-	return events, b.ended, b.err
+	response, events = b.response, b.events
+	b.response, b.events = nil, nil
+	return response, events, b.ended, b.err
 }
 
-// finish waits until the client has received all events. If the client has left, a write in
+// finish waits until the client has received the response and all events. If the client has left, a write in
 // progress is aborted.
 func (b *streamBuffer) finish(ctx context.Context) error {
 	defer b.holder.Close()
