--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,8 @@
 	limited *fake.LimitedStore
 	daemons map[string]*daemon
 	start   time.Time
+	// ample means that the store's allowance covers the reads of all daemons.
+	ample atomic.Bool
 
 	mu     sync.Mutex
 	list   []feed.Daemon
@@ -87,7 +90,7 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	d := &daemon{path: &fake.StoreClient{KeyedStore: c.limited}}
 	d.feed = &feed.Feed{
-		Self: record.Host, Location: record.Location, Store: d.path, Peers: c, ListDaemons: c.listDaemons, Ample: func() bool { return false },
+		Self: record.Host, Location: record.Location, Store: d.path, Peers: c, ListDaemons: c.listDaemons, Ample: c.ample.Load,
 		Clock: func() time.Duration { return time.Since(c.start) }, Memory: 1 << 20, Logger: logger,
 	}
 	d.follower = &store.Follower{
@@ -417,9 +420,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t, 9)
-		for _, d := range c.daemons {
-			d.feed.Ample = func() bool { return true }
-		}
+		c.ample.Store(true)
 		time.Sleep(2 * time.Second)
 		received := int64(0)
 		for _, d := range c.daemons {
