--- a/feed/feed.go
+++ b/feed/feed.go
@@ -222,9 +222,10 @@
 	// All of the time that the reader does not account for may have passed after it took the age.
 	now := f.Clock()
 	transit := max(0, now-sentAt-max(0, response.Held))
-	age := max(0, response.Age) + transit
+	// Ages are bounded first, since their sums with the transit could overflow and look new.
+	age := min(max(0, response.Age), 2*maxAge) + transit
 	page := &gypsum.KeyedPage{
-		Records: response.Records, Next: response.Next, SentAt: now - age, ResponseAge: max(0, response.ResponseAge) + transit,
+		Records: response.Records, Next: response.Next, SentAt: now - age, ResponseAge: min(max(0, response.ResponseAge), 2*maxAge) + transit,
 	}
 	if age > maxAge {
 		return nil, fmt.Errorf("page of daemon %s is %s old: %w", reader.Host, age, errStale)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -433,3 +434,26 @@
 		is.Equal(received, int64(0))
 	})
 }
+
+// TestUnusualAges guards against a page whose ages overflow or are negative: the store would seem to
+// have responded in the future.
+func TestUnusualAges(t *testing.T) {
+	for _, age := range []time.Duration{math.MaxInt64, math.MaxInt64 - time.Second, math.MinInt64, -time.Hour} {
+		for _, held := range []time.Duration{0, math.MaxInt64, math.MinInt64} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				now := time.Minute
+				peers := &frozenFeed{page: gypsum.FeedPage{Age: age, ResponseAge: age, Held: held}, wait: func() { now += 10 * time.Millisecond }}
+				f := &feed.Feed{
+					Self: "self", Store: fake.NewKeyedStore(), Peers: peers, Ample: func() bool { return false },
+					ListDaemons: func() []feed.Daemon { return []feed.Daemon{{Host: "r", Address: "r", SharesReads: true}} },
+					Clock:       func() time.Duration { return now }, Memory: 1 << 20, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				}
+				page, err := f.Read(t.Context(), gypsum.KeyedRead{Topic: topic})
+				is.NoErr(err)
+				is.True(page.SentAt <= now)
+				is.True(page.ResponseAge >= 0)
+			})
+		}
+	}
+}
