relay: a replica with a free slot and one in use counts with both

When requests of several replicas ended at one time, the slots were underestimated by up to a half, and waiting requests that could be met were refused.

--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -235,7 +235,7 @@
 			latency = defaultLatency
 		}
 		state.Free += candidates[i].free
-		state.Slots += max(busy, candidates[i].free)
+		state.Slots += max(busy, candidates[i].InFlight+candidates[i].free)
 		perSecond += float64(busy) / latency.Seconds()
 	}
 	if perSecond > 0 {
--- a/relay/waiting_test.go
+++ b/relay/waiting_test.go
@@ -308,3 +308,34 @@
 		is.Equal(a.refusal.Outcome, gypsum.OutcomeNotRun)
 	})
 }
+
+// TestNotRefusedWhileSlotsBecomeFree guards against requests that are refused although they could be
+// met, since a replica with a free slot and one in use counted as one with a single slot when the
+// slot became free.
+func TestNotRefusedWhileSlotsBecomeFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newFullDeployment(t, 1)
+		for _, replica := range d.replicas.Replicas()[1:] {
+			leaving := *replica
+			leaving.State = gypsum.ReplicaDraining
+			d.relays[0].Registry.ApplyReplica(&leaving)
+		}
+		d.burst(1, time.Second) // the response time is known
+		var wg sync.WaitGroup
+		send := func(id string) {
+			wg.Go(func() {
+				a := d.send(t.Context(), 0, gypsum.RequestID(id), 0, 200*time.Millisecond)
+				is.True(a.refusal == nil)
+			})
+		}
+		send("first")
+		time.Sleep(12 * time.Millisecond)
+		send("second")
+		time.Sleep(time.Millisecond)
+		for i := range 10 { // ten of 25 ms in two slots
+			send(fmt.Sprint("waiting", i))
+		}
+		wg.Wait()
+	})
+}
