--- a/batch.go
+++ b/batch.go
@@ -42,16 +42,18 @@
 // Batch is a set of requests that are submitted together and run later.
 type Batch struct {
 	ID BatchID
-	// Account is the client account that the batch belongs to, empty for none.
-	Account    AccountName
-	Route      string
-	HostName   string
-	Service    ServiceName
-	Model      EngineModel
-	Step       int
-	MinVersion WeightVersion
-	GroupCount int
-	Items      []BatchItem
+	// Account is the client account that the batch belongs to, empty for none. AccountsInForce means
+	// that the configuration had accounts when the batch was submitted.
+	Account         AccountName
+	AccountsInForce bool
+	Route           string
+	HostName        string
+	Service         ServiceName
+	Model           EngineModel
+	Step            int
+	MinVersion      WeightVersion
+	GroupCount      int
+	Items           []BatchItem
 	// SingleVersion requires that one weight version generates the whole text of an item.
 	SingleVersion bool
 	MaxAttempts   int
--- a/batch/account_test.go
+++ b/batch/account_test.go
@@ -40,3 +40,22 @@
 		}
 	})
 }
+
+// TestBatchWithoutAccountIsRefused guards against an accepted batch that nobody can read: a route
+// without keys accepts it under an id that the batch of an account has.
+func TestBatchWithoutAccountIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		backing.Latency = 4 * time.Millisecond
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
+		time.Sleep(100 * time.Millisecond)
+		owned, anonymous := newBatch("one", 1, 0), newBatch("one", 1, 0)
+		owned.Account, owned.AccountsInForce, anonymous.AccountsInForce = "hule", true, true
+		accepted := make(chan error)
+		go func() { accepted <- a.AcceptBatch(t.Context(), owned) }()
+		time.Sleep(time.Millisecond)
+		is.True(errors.Is(b.AcceptBatch(t.Context(), anonymous), batch.ErrBatchTaken))
+		is.NoErr(<-accepted)
+	})
+}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -119,10 +119,10 @@
 }
 
 // checkBatchWon returns ErrBatchTaken if an earlier header of another account has the id of a batch
-// whose header was appended at an offset. Batches without an account need no check: whoever
-// submits one with the same id may access it.
+// whose header was appended at an offset. Without accounts there is nothing to check: whoever submits
+// a batch with the same id may access it.
 func (m *Manager) checkBatchWon(ctx context.Context, batch *gypsum.Batch, offset gypsum.Offset) error {
-	if batch.Account == "" {
+	if batch.Account == "" && !batch.AccountsInForce {
 		return nil
 	}
 	if err := m.Follower.WaitForOffset(ctx, offset+1); err != nil {
--- a/front/batch.go
+++ b/front/batch.go
@@ -51,7 +51,7 @@
 		s.logAndRefuse(w, r, refusal)
 		return
 	}
-	submitted.Account = grant.AccountName()
+	submitted.Account, submitted.AccountsInForce = grant.AccountName(), grant.AccountsInForce
 	submitted.Route, submitted.HostName, submitted.Service = route.Name, r.Host, route.PickService()
 	submitted.SingleVersion, submitted.MaxAttempts = route.SingleVersion, route.MaxAttempts
 	submitted.SubmittedAt = time.Now()
