--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +47,8 @@
 	limited *fake.LimitedStore
 	daemons map[string]*daemon
 	start   time.Time
+	// ample means that the store's allowance covers the reads of all daemons.
+	ample atomic.Bool
 
 	mu     sync.Mutex
 	list   []feed.Daemon
@@ -87,7 +91,7 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	d := &daemon{path: &fake.StoreClient{KeyedStore: c.limited}}
 	d.feed = &feed.Feed{
-		Self: record.Host, Location: record.Location, Store: d.path, Peers: c, ListDaemons: c.listDaemons, Ample: func() bool { return false },
+		Self: record.Host, Location: record.Location, Store: d.path, Peers: c, ListDaemons: c.listDaemons, Ample: c.ample.Load,
 		Clock: func() time.Duration { return time.Since(c.start) }, Memory: 1 << 20, Logger: logger,
 	}
 	d.follower = &store.Follower{
@@ -427,9 +431,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t, 9)
-		for _, d := range c.daemons {
-			d.feed.Ample = func() bool { return true }
-		}
+		c.ample.Store(true)
 		time.Sleep(2 * time.Second)
 		received := int64(0)
 		for _, d := range c.daemons {
@@ -442,3 +444,26 @@
 		is.Equal(received, int64(0))
 	})
 }
+
+// TestUnusualAges guards against a page whose ages overflow or are negative: the store would seem to
+// have responded in the future.
+func TestUnusualAges(t *testing.T) {
+	for _, age := range []time.Duration{math.MaxInt64, math.MaxInt64 - time.Second, math.MinInt64, -time.Hour} {
+		for _, held := range []time.Duration{0, math.MaxInt64, math.MinInt64} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				now := time.Minute
+				peers := &frozenFeed{page: gypsum.FeedPage{Age: age, ResponseAge: age, Held: held}, wait: func() { now += 10 * time.Millisecond }}
+				f := &feed.Feed{
+					Self: "self", Store: fake.NewKeyedStore(), Peers: peers, Ample: func() bool { return false },
+					ListDaemons: func() []feed.Daemon { return []feed.Daemon{{Host: "r", Address: "r", SharesReads: true}} },
+					Clock:       func() time.Duration { return now }, Memory: 1 << 20, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				}
+				page, err := f.Read(t.Context(), gypsum.KeyedRead{Topic: topic})
+				is.NoErr(err)
+				is.True(page.SentAt <= now)
+				is.True(page.ResponseAge >= 0)
+			})
+		}
+	}
+}
