explain uses up no share of an account

Cause: an explanation prepared the request as a real one, which takes from the share of its account while replicas are full. Change: share.Sends.Peek decides as Admit does and changes nothing; the checks of a request are apart from its admission. Measured: share.TestPeekChangesNothing; relay.TestExplain and TestBurstTakesNoOtherAccountsSlots green.

--- a/relay/explain.go
+++ b/relay/explain.go
@@ -12,7 +12,11 @@
 // as Serve, on copies; nothing is sent, counted or changed.
 func (r *Relay) Explain(request *Request) gypsum.ServiceExplanation {
 	explanation := gypsum.ServiceExplanation{Service: request.Service}
-	if refusal := r.prepareRequest(request); refusal != nil {
+	refusal := r.checkRequest(request)
+	if refusal == nil {
+		refusal = r.admitToShare(request, r.Sends.Peek)
+	}
+	if refusal != nil {
 		explainRefusal(&explanation, refusal)
 		return explanation
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,10 +139,23 @@
 	via     gypsum.HostID
 }
 
-// prepareRequest initializes the state of a request. It refuses requests without remaining time
+// prepareRequest initializes the state of a request. It refuses requests that checkRequest refuses,
+// and those beyond the share of their account.
+func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
+	if refusal := r.checkRequest(request); refusal != nil {
+		return refusal
+	}
+	refusal := r.admitToShare(request, r.Sends.Admit)
+	if refusal != nil {
+		r.Stats.BeyondShare.Add(1)
+	}
+	return refusal
+}
+
+// checkRequest initializes the state of a request. It refuses requests without remaining time
 // and those that crash replicas. Reward calls belong to accepted items, which are owed a result
 // whatever crashed while they ran.
-func (r *Relay) prepareRequest(request *Request) *gypsum.Refusal {
+func (r *Relay) checkRequest(request *Request) *gypsum.Refusal {
 	request.tried, request.reached = make(map[attemptPath]bool), make(map[gypsum.BackendID]bool)
 	request.foundFull = make(map[gypsum.BackendID]bool)
 	request.fingerprint = gypsum.FingerprintOf(request.Service, request.Target, request.Body)
@@ -152,20 +165,22 @@
 	case !request.isReward && r.Crashes.CrashCount(request.fingerprint) >= crashLimit:
 		return r.requestRefusal(request, gypsum.ReasonPoison, 0, "the request crashes replicas")
 	}
-	return r.admitToShare(request)
+	return nil
 }
 
+// admitFunc is share.Sends.Admit or Peek.
+type admitFunc func(service gypsum.ServiceName, account gypsum.AccountName, now time.Time) (ok bool, retryAfter time.Duration)
+
 // admitToShare refuses a request whose account has used its share of a service whose replicas are
 // full.
-func (r *Relay) admitToShare(request *Request) *gypsum.Refusal {
+func (r *Relay) admitToShare(request *Request, admit admitFunc) *gypsum.Refusal {
 	if !request.AccountsInForce || request.isReward {
 		return nil
 	}
-	ok, retryAfter := r.Sends.Admit(request.Service, request.Account, time.Now())
+	ok, retryAfter := admit(request.Service, request.Account, time.Now())
 	if ok {
 		return nil
 	}
-	r.Stats.BeyondShare.Add(1)
 	return r.requestRefusal(request, gypsum.ReasonOverloaded, retryAfter, "the account has used its share of the replicas, which are full")
 }
 
--- a/share/sends.go
+++ b/share/sends.go
@@ -126,17 +126,51 @@
 		sends.recordSent(now)
 		return true, 0
 	}
-	sender.tokens = min(max(minBurst, level*burstTime.Seconds()), sender.tokens+level*max(0, now.Sub(sender.updatedAt).Seconds()))
-	sender.updatedAt = now
+	sender.refill(level, now)
 	if sender.tokens < 1 {
-		wait := time.Duration((1 - sender.tokens) / max(level, minDemand) * float64(time.Second))
-		return false, min(maxRetryAfter, max(minRetryAfter, wait))
+		return false, sender.wait(level)
 	}
 	sender.tokens--
 	sends.recordSent(now)
 	return true, 0
 }
 
+// Peek returns what Admit would return, and changes nothing.
+func (s *Sends) Peek(service gypsum.ServiceName, account gypsum.AccountName, now time.Time) (ok bool, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sends := s.services[service]
+	if sends == nil || !sends.limited || sends.accounts[account] == nil {
+		return true, 0
+	}
+	demands := make([]float64, 0, len(sends.accounts))
+	for _, sender := range sends.accounts {
+		demands = append(demands, sender.demand.value(now))
+	}
+	level := Level(demands, sends.rate)
+	if math.IsInf(level, 1) {
+		return true, 0
+	}
+	sender := *sends.accounts[account]
+	sender.refill(level, now)
+	return sender.tokens >= 1, sender.wait(level)
+}
+
+// refill adds the tokens since the last time.
+func (a *accountSends) refill(level float64, now time.Time) {
+	a.tokens = min(max(minBurst, level*burstTime.Seconds()), a.tokens+level*max(0, now.Sub(a.updatedAt).Seconds()))
+	a.updatedAt = now
+}
+
+// wait returns the retry delay of a request for which there is no token.
+func (a *accountSends) wait(level float64) time.Duration {
+	if a.tokens >= 1 {
+		return 0
+	}
+	wait := time.Duration((1 - a.tokens) / max(level, minDemand) * float64(time.Second))
+	return min(maxRetryAfter, max(minRetryAfter, wait))
+}
+
 // recordSent records that a request is sent.
 func (s *serviceSends) recordSent(now time.Time) {
 	s.admitted.record(now)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -206,3 +206,32 @@
 		}
 	}
 }
+
+// TestPeekChangesNothing guards against explanations that use up the share of an account, or that
+// differ from what happens to a request.
+func TestPeekChangesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var sends share.Sends
+	ok, _ := sends.Peek("desk", "a", now)
+	is.True(ok) // nothing is limited
+	for range 200 {
+		sends.Admit("desk", "burst", now)
+	}
+	sends.RecordFull("desk", 10, now)
+	refused := 0
+	for range 50 {
+		expected, expectedWait := sends.Peek("desk", "burst", now)
+		for range 10 {
+			sends.Peek("desk", "burst", now)
+		}
+		ok, wait := sends.Admit("desk", "burst", now)
+		is.Equal(ok, expected)
+		if !ok {
+			is.Equal(wait, expectedWait)
+			refused++
+		}
+		now = now.Add(time.Millisecond)
+	}
+	is.True(refused > 10 && refused < 50)
+}
