--- a/relay/explain.go
+++ b/relay/explain.go
@@ -65,9 +65,9 @@
 // previewWait returns what the policy would decide about the waiting requests with this one, and
 // the index of this one, or an empty decision if the request would not wait. The caller holds mu.
 func (r *Relay) previewWait(request *Request, candidates []Candidate, now time.Time) (decision gypsum.ShedDecision, index, waiting int) {
-	room := r.rooms[request.Service]
-	if room != nil {
-		waiting = len(room.waiters)
+	queue := r.queues[request.Service]
+	if queue != nil {
+		waiting = len(queue.waiters)
 	}
 	free, usable := r.bestFreeCandidate(request, candidates, now)
 	limited := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.rateLimited && request.mayUse(&c) })
@@ -75,9 +75,9 @@
 		return decision, 0, 0
 	}
 	state := slotState(candidates, now)
-	if room != nil {
-		state.Shares = room.shares
-		for _, other := range room.waiters {
+	if queue != nil {
+		state.Shares = queue.shares
+		for _, other := range queue.waiters {
 			state.Waiting = append(state.Waiting, other.work)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,7 +54,7 @@
 
 	mu            sync.Mutex
 	replicaStates map[gypsum.BackendID]*replicaState
-	rooms         map[gypsum.ServiceName]*waitingRoom
+	queues        map[gypsum.ServiceName]*waitQueue
 	probes        chan crashProbe
 	transits      TransitEstimator
 }
@@ -78,11 +78,12 @@
 	SlowClients atomic.Int64
 }
 
-// New returns a Relay whose exported fields are not set yet.
+// New returns a Relay with the default Policy and Buffers, for one daemon. Its other exported fields
+// are not set yet.
 func New() *Relay {
 	return &Relay{
 		HostCount: func() int { return 1 },
-		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), rooms: make(map[gypsum.ServiceName]*waitingRoom),
+		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), queues: make(map[gypsum.ServiceName]*waitQueue),
 		probes: make(chan crashProbe, maxQueuedProbes),
 	}
 }
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -186,9 +186,9 @@
 			delete(r.replicaStates, id)
 		}
 	}
-	for service, room := range r.rooms {
-		if len(snapshot.Services[service]) == 0 && len(room.waiters) == 0 {
-			delete(r.rooms, service)
+	for service, queue := range r.queues {
+		if len(snapshot.Services[service]) == 0 && len(queue.waiters) == 0 {
+			delete(r.queues, service)
 		}
 	}
 }
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -49,8 +49,8 @@
 	Time atomic.Int64
 }
 
-// waitingRoom holds the live requests that wait for a slot of a service.
-type waitingRoom struct {
+// waitQueue holds the live requests that wait for a slot of a service.
+type waitQueue struct {
 	waiters []*waiter
 	shares  *shed.Shares
 	timer   *time.Timer
@@ -61,7 +61,7 @@
 // retryAfter returns the retry delay of a refused request, for which a slot is expected to be
 // free after a time. Requests that are refused one after the other come back one after the
 // other, since they would find the replicas full again otherwise.
-func (w *waitingRoom) retryAfter(free, interval time.Duration, now time.Time) time.Duration {
+func (w *waitQueue) retryAfter(free, interval time.Duration, now time.Time) time.Duration {
 	free = max(free, minSlotRetryAfter, w.promisedAt.Add(interval).Sub(now))
 	free = min(free, maxRetryAfter)
 	w.promisedAt = now.Add(free)
@@ -108,14 +108,14 @@
 	return c.bodyBytes == 0 || c.bodyBytes+size <= slots*bodyBytesPerSlot
 }
 
-// room returns the waiting room of a service. The caller holds mu.
-func (r *Relay) room(service gypsum.ServiceName) *waitingRoom {
-	room := r.rooms[service]
-	if room == nil {
-		room = &waitingRoom{shares: shed.NewShares()}
-		r.rooms[service] = room
-	}
-	return room
+// queue returns the waiting queue of a service. The caller holds mu.
+func (r *Relay) queue(service gypsum.ServiceName) *waitQueue {
+	queue := r.queues[service]
+	if queue == nil {
+		queue = &waitQueue{shares: shed.NewShares()}
+		r.queues[service] = queue
+	}
+	return queue
 }
 
 // mayUse reports whether the request may be sent to a candidate: one that it has not been sent
@@ -150,14 +150,14 @@
 	if !now.Before(request.Deadline) {
 		return nil
 	}
-	waiting := r.enterRoom(request, now)
+	waiting := r.enqueue(request, now)
 	if waiting == nil {
 		return nil
 	}
 	select {
 	case <-waiting.done:
 	case <-ctx.Done():
-		if r.leaveRoom(waiting) {
+		if r.dequeue(waiting) {
 			return r.failureRefusal(gypsum.ReasonCancelled, http.StatusBadGateway, "the client has left")
 		}
 		<-waiting.done
@@ -177,40 +177,40 @@
 	return nil
 }
 
-// enterRoom adds the request to the waiting room of its service if it has to wait, and returns
+// enqueue adds the request to the waiting queue of its service if it has to wait, and returns
 // nil otherwise.
-func (r *Relay) enterRoom(request *Request, now time.Time) *waiter {
+func (r *Relay) enqueue(request *Request, now time.Time) *waiter {
 	candidates := r.candidateSource(request.Service, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	room := r.room(request.Service)
+	queue := r.queue(request.Service)
 	current := candidates()
 	work := request.work(expectedSlotTime(current))
 	waiting := &waiter{request: request, work: work, done: make(chan struct{})}
 	// A replica whose request rate is at its limit is not waited for here: the limiter knows
 	// when it accepts the next request.
 	limited := slices.ContainsFunc(current, func(c Candidate) bool { return c.rateLimited && request.mayUse(&c) })
-	if len(room.waiters) == 0 && (r.grant(waiting, current, now) || limited) {
-		room.shares.Serve(&work, now)
+	if len(queue.waiters) == 0 && (r.grant(waiting, current, now) || limited) {
+		queue.shares.Serve(&work, now)
 		return nil
 	}
-	room.waiters = append(room.waiters, waiting)
+	queue.waiters = append(queue.waiters, waiting)
 	r.Stats.Waits.Waited.Add(1)
-	r.dispatch(request.Service, room, current, now)
+	r.dispatch(request.Service, queue, current, now)
 	return waiting
 }
 
-// leaveRoom removes a waiting request whose client has left. It reports false if the request
+// dequeue removes a waiting request whose client has left. It reports false if the request
 // does not wait any more.
-func (r *Relay) leaveRoom(waiting *waiter) bool {
+func (r *Relay) dequeue(waiting *waiter) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	room := r.room(waiting.request.Service)
-	index := slices.Index(room.waiters, waiting)
+	queue := r.queue(waiting.request.Service)
+	index := slices.Index(queue.waiters, waiting)
 	if index < 0 {
 		return false
 	}
-	room.waiters = slices.Delete(room.waiters, index, index+1)
+	queue.waiters = slices.Delete(queue.waiters, index, index+1)
 	return true
 }
 
@@ -249,51 +249,51 @@
 
 // dispatch lets the policy decide about the waiting requests, and gives the free slots to the
 // first ones. The caller holds mu.
-func (r *Relay) dispatch(service gypsum.ServiceName, room *waitingRoom, candidates []Candidate, now time.Time) {
-	if len(room.waiters) == 0 {
+func (r *Relay) dispatch(service gypsum.ServiceName, queue *waitQueue, candidates []Candidate, now time.Time) {
+	if len(queue.waiters) == 0 {
 		return
 	}
 	state := slotState(candidates, now)
-	state.Shares = room.shares
-	for _, waiting := range room.waiters {
+	state.Shares = queue.shares
+	for _, waiting := range queue.waiters {
 		state.Waiting = append(state.Waiting, waiting.work)
 	}
 	decision := r.Policy.Decide(state)
-	ended := make([]bool, len(room.waiters))
+	ended := make([]bool, len(queue.waiters))
 	for _, refused := range decision.Refused {
-		waiting := room.waiters[refused.Index]
-		room.shares.Refuse(&waiting.work, now)
+		waiting := queue.waiters[refused.Index]
+		queue.shares.Refuse(&waiting.work, now)
 		waiting.refusal = r.requestRefusal(waiting.request, gypsum.ReasonOverloaded,
-			room.retryAfter(refused.RetryAfter, state.Interval, now), "all replicas are full, and none would have a free slot in time")
+			queue.retryAfter(refused.RetryAfter, state.Interval, now), "all replicas are full, and none would have a free slot in time")
 		ended[refused.Index] = true
 		close(waiting.done)
 	}
 	for _, index := range decision.Order {
-		waiting := room.waiters[index]
+		waiting := queue.waiters[index]
 		switch {
 		case r.grant(waiting, candidates, now):
-			room.shares.Serve(&waiting.work, now)
+			queue.shares.Serve(&waiting.work, now)
 		case !now.Before(waiting.work.Deadline.Add(-waiting.work.Expected)):
 			// A slot is free, but not for this request: the replica failed it, or holds too
 			// many large bodies.
-			room.shares.Refuse(&waiting.work, now)
+			queue.shares.Refuse(&waiting.work, now)
 			waiting.refusal = r.requestRefusal(waiting.request, gypsum.ReasonOverloaded,
-				room.retryAfter(state.Interval, state.Interval, now), "no replica had a slot for the request in time")
+				queue.retryAfter(state.Interval, state.Interval, now), "no replica had a slot for the request in time")
 		default:
 			continue
 		}
 		ended[index] = true
 		close(waiting.done)
 	}
-	kept := room.waiters[:0]
-	for i, waiting := range room.waiters {
+	kept := queue.waiters[:0]
+	for i, waiting := range queue.waiters {
 		if !ended[i] {
 			kept = append(kept, waiting)
 		}
 	}
-	clear(room.waiters[len(kept):])
-	room.waiters = kept
-	r.scheduleDispatch(service, room, candidates, now)
+	clear(queue.waiters[len(kept):])
+	queue.waiters = kept
+	r.scheduleDispatch(service, queue, candidates, now)
 }
 
 // bestFreeCandidate returns the candidate with a free slot that is preferred for the request, nil
@@ -353,10 +353,10 @@
 
 // scheduleDispatch sets the time of the next dispatch while requests wait: when the next full
 // replica may be probed, or when the next request can no longer be met.
-func (r *Relay) scheduleDispatch(service gypsum.ServiceName, room *waitingRoom, candidates []Candidate, now time.Time) {
-	if len(room.waiters) == 0 {
-		if room.timer != nil {
-			room.timer.Stop()
+func (r *Relay) scheduleDispatch(service gypsum.ServiceName, queue *waitQueue, candidates []Candidate, now time.Time) {
+	if len(queue.waiters) == 0 {
+		if queue.timer != nil {
+			queue.timer.Stop()
 		}
 		return
 	}
@@ -366,14 +366,14 @@
 			wait = min(wait, tracked.nextProbe.Sub(now))
 		}
 	}
-	for _, waiting := range room.waiters {
+	for _, waiting := range queue.waiters {
 		wait = min(wait, max(time.Millisecond, waiting.work.Deadline.Add(-waiting.work.Expected).Sub(now)))
 	}
-	if room.timer == nil {
-		room.timer = time.AfterFunc(wait, func() { r.redispatch(service) })
+	if queue.timer == nil {
+		queue.timer = time.AfterFunc(wait, func() { r.redispatch(service) })
 		return
 	}
-	room.timer.Reset(wait)
+	queue.timer.Reset(wait)
 }
 
 // redispatch gives slots that have become free to waiting requests.
@@ -382,15 +382,15 @@
 	candidates := r.candidateSource(service, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if room := r.room(service); len(room.waiters) > 0 {
-		r.dispatch(service, room, candidates(), now)
+	if queue := r.queue(service); len(queue.waiters) > 0 {
+		r.dispatch(service, queue, candidates(), now)
 	}
 }
 
 // hasWaiters reports whether requests wait for a service. The caller holds mu.
 func (r *Relay) hasWaiters(service gypsum.ServiceName) bool {
-	room := r.rooms[service]
-	return room != nil && len(room.waiters) > 0
+	queue := r.queues[service]
+	return queue != nil && len(queue.waiters) > 0
 }
 
 // WaitingCount returns the number of live requests that wait for a slot.
@@ -398,8 +398,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
-	for _, room := range r.rooms {
-		count += len(room.waiters)
+	for _, queue := range r.queues {
+		count += len(queue.waiters)
 	}
 	return count
 }
