store: one function reads the latest records of a topic

Cause: Reader and Follower each had the loop over the pages of the latest records. Change: readLatestRecords serves both, each with its own timeout. Behaviour is unchanged.

--- a/store/follower.go
+++ b/store/follower.go
@@ -1,12 +1,10 @@
 package store
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -226,28 +224,10 @@
 // loadLatestRecords reads the latest records of all keys.
 func (f *Follower) loadLatestRecords(ctx context.Context) (sentAt time.Duration, err error) {
 	sentAt = f.now()
-	var records []gypsum.KeyedRecord
-	after, next := "", gypsum.Offset(-1)
-	for more := true; more; {
-		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
-		page, err := f.Store.LatestRecords(pageCtx, f.Topic, 0, after)
-		cancel()
-		if err != nil {
-			return 0, fmt.Errorf("load latest records of topic %s: %w", f.Topic, err)
-		}
-		if next < 0 {
-			next = page.Next
-		}
-		records = append(records, page.Records...)
-		more = page.More && len(page.Records) > 0
-		if more {
-			after = page.Records[len(page.Records)-1].Key
-		}
+	records, next, err := readLatestRecords(ctx, f.Store, f.Topic, pageTimeout)
+	if err != nil {
+		return 0, err
 	}
-	// The pages are not a consistent snapshot: records appended since the first page
-	// are dropped here and read afterwards in their order.
-	records = slices.DeleteFunc(records, func(r gypsum.KeyedRecord) bool { return r.Offset >= next })
-	slices.SortFunc(records, func(a, b gypsum.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	f.Handle(Update{Records: records, Complete: true})
 	f.advanceOffset(next)
 	return sentAt, nil
--- a/store/reader.go
+++ b/store/reader.go
@@ -1,10 +1,8 @@
 package store
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,28 +54,10 @@
 
 // load reads the latest records of all keys.
 func (r *Reader) load(ctx context.Context) error {
-	var records []gypsum.KeyedRecord
-	after, next := "", gypsum.Offset(-1)
-	for more := true; more; {
-		pageCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-		page, err := r.Store.LatestRecords(pageCtx, r.Topic, 0, after)
-		cancel()
-		if err != nil {
-			return fmt.Errorf("load latest records of topic %s: %w", r.Topic, err)
-		}
-		if next < 0 {
-			next = page.Next
-		}
-		records = append(records, page.Records...)
-		more = page.More && len(page.Records) > 0
-		if more {
-			after = page.Records[len(page.Records)-1].Key
-		}
+	records, next, err := readLatestRecords(ctx, r.Store, r.Topic, pollTimeout)
+	if err != nil {
+		return err
 	}
-	// The pages are not a consistent snapshot: records appended since the first page are dropped
-	// here and read afterwards in their order.
-	records = slices.DeleteFunc(records, func(record gypsum.KeyedRecord) bool { return record.Offset >= next })
-	slices.SortFunc(records, func(a, b gypsum.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	r.Handle(Update{Records: records, Complete: true})
 	r.loaded, r.nextOffset = true, next
 	return nil
