--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -40,7 +40,7 @@
 [limits]
 cpu_share = 0.8
 cores = 1
-memory_mb = 324
+memory_mb = %d
 max_fds = 8200
 link_mbps = 1000.0
 [fault_tolerance]
@@ -102,6 +102,8 @@
 	began    time.Time
 	program  string
 	dir      string
+	// memoryMB is the memory of a machine.
+	memoryMB int
 	mu       sync.Mutex
 	stopped  chan struct{}
 }
@@ -128,7 +130,7 @@
 	if err != nil {
 		fail("create folder: %v", err)
 	}
-	d := &deployment{store: newStore(), record: record, began: time.Now(), program: program, dir: dir, stopped: make(chan struct{})}
+	d := &deployment{store: newStore(), record: record, began: time.Now(), program: program, dir: dir, memoryMB: 324, stopped: make(chan struct{})}
 	current = d
 	return d
 }
@@ -167,7 +169,7 @@
 			link: newLink(listener.Addr().String()),
 		}
 		m.settings, m.log = filepath.Join(d.dir, m.name+".toml"), filepath.Join(d.dir, m.name+".log")
-		content := fmt.Sprintf(settings, m.name, m.zone, m.inner, m.inner, m.front, m.ready, m.link.address())
+		content := fmt.Sprintf(settings, m.name, m.zone, m.inner, m.inner, m.front, m.ready, d.memoryMB, m.link.address())
 		if err := os.WriteFile(m.settings, []byte(content), 0o600); err != nil {
 			fail("write settings: %v", err)
 		}
