--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -40,7 +40,7 @@
 [limits]
 cpu_share = 0.8
 cores = 1
-memory_mb = %d
+memory_mb = 324
 max_fds = 8200
 link_mbps = 1000.0
 [fault_tolerance]
@@ -102,8 +102,6 @@
 	began    time.Time
 	program  string
 	dir      string
-	// memoryMB is the memory of a machine.
-	memoryMB int
 	mu       sync.Mutex
 	stopped  chan struct{}
 }
@@ -130,7 +128,7 @@
 	if err != nil {
 		fail("create folder: %v", err)
 	}
-	d := &deployment{store: newStore(), record: record, began: time.Now(), program: program, dir: dir, memoryMB: 324, stopped: make(chan struct{})}
+	d := &deployment{store: newStore(), record: record, began: time.Now(), program: program, dir: dir, stopped: make(chan struct{})}
 	current = d
 	return d
 }
@@ -142,16 +140,30 @@
 	fmt.Fprintf(d.record, "%8.3f  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
+// firstPort and portRange are outside of the ports that systems usually give to outgoing channels.
+const (
+	firstPort = 20000
+	portRange = 10000
+)
+
+// lastPort is the number of ports that this run has tried.
+var lastPort int
+
+// freePort returns a port that nothing listens on.
 func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("find port: %v", err)
+	for range portRange {
+		lastPort++
+		port := firstPort + (os.Getpid()*64+lastPort)%portRange
+		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = listener.Close()
+			return port
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	fail("no port is free")
+	return 0
 }
 
-// serveStore serves the store and the renewals of the registrations.
+// start starts the store, the replicas and the daemons, and waits until these are ready.
 func (d *deployment) start(machines int) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -169,7 +181,7 @@
 			link: newLink(listener.Addr().String()),
 		}
 		m.settings, m.log = filepath.Join(d.dir, m.name+".toml"), filepath.Join(d.dir, m.name+".log")
-		content := fmt.Sprintf(settings, m.name, m.zone, m.inner, m.inner, m.front, m.ready, d.memoryMB, m.link.address())
+		content := fmt.Sprintf(settings, m.name, m.zone, m.inner, m.inner, m.front, m.ready, m.link.address())
 		if err := os.WriteFile(m.settings, []byte(content), 0o600); err != nil {
 			fail("write settings: %v", err)
 		}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -39,9 +39,9 @@
 
 // start serves the replica, at the address that it had if there was one.
 func (p *replica) start() {
-	address := "127.0.0.1:0"
-	if p.address != "" {
-		address = p.address
+	address := p.address
+	if address == "" {
+		address = fmt.Sprintf("127.0.0.1:%d", freePort())
 	}
 	var err error
 	for range 50 {
--- a/review/standin/route.go
+++ b/review/standin/route.go
@@ -104,7 +104,9 @@
 	d.note("%s runs the items of the service", holder.name)
 	time.Sleep(2 * time.Second)
 	if trouble {
-		silenced, open := holder.link.silence(func(request string) bool { return strings.Contains(request, "/log-read?") && strings.Contains(request, "topic=keyed.op") })
+		silenced, open := holder.link.silence(func(request string) bool {
+			return strings.Contains(request, "/log-read?") && strings.Contains(request, "topic=keyed.op")
+		})
 		d.note("disruption: %d of the %d open channels of %s to the store goes silent", silenced, open, holder.name)
 		if silenced != 1 {
 			fail("%d channels with a read of the operator's records", silenced)
