--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(d *deployment, trouble bool){"route": playRoute, "poison": playPoison}
+	cases := map[string]func(d *deployment, trouble bool){"route": playRoute, "poison": playPoison, "term": playTerm}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %q", os.Args[1])
