runner: a route counts as removed only in a configuration newer than the batch

Cause: a holder follows configurations and batches in two topics. Its copy of the configuration may be older than the one by which another host accepted the batch, and a route that it lacked was taken for a removed one.

The route counts as removed only if a configuration without it was current, by ConfirmedConfig, after the batch was known here. The accepting host had read the route before it stored the batch, so a read that is sent after that contains it. Nothing in the records changes. Items of a removed route still fail at once (runner.TestBatchOnRemovedRoute).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -267,7 +267,7 @@
 	d.runner.Registry, d.runner.Logger = d.registry, d.Logger
 	d.runner.Relay, d.runner.Limiter, d.runner.Reach = d.relay, d.limiter, d.reach
 	d.runner.Lease, d.runner.ResultRetention = d.Settings.LeaseDuration, d.Settings.StatusRetention
-	d.runner.CPUShare = d.Settings.CPUShare
+	d.runner.CPUShare, d.runner.Clock = d.Settings.CPUShare, clock.Steady
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
 		Registry: d.registry, Relay: d.relay, Batches: d.batches, Access: d.access, StoreDowntime: d.storeDowntime, ConfigAge: d.configAge,
--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -223,7 +223,9 @@
 
 // activeBatch is an open batch of a held service.
 type activeBatch struct {
-	header         batch.Header
+	header batch.Header
+	// addedAt is a time by the runner's clock at which the batch was known.
+	addedAt        time.Duration
 	versions       versionRule
 	tokensPerEvent int
 	items          map[gypsum.ItemID]*activeItem
--- a/runner/batches.go
+++ b/runner/batches.go
@@ -23,7 +23,7 @@
 		if !b.loaded && !b.loading && !now.Before(b.retryAt) {
 			s.loadItems(b)
 		}
-		s.failExpiredItems(snapshot, b, now)
+		s.failExpiredItems(b, now)
 	}
 	for id, b := range s.batches {
 		if !isOpen[id] {
@@ -38,23 +38,34 @@
 // addBatch adds a batch whose items have yet to be read.
 func (s *heldService) addBatch(snapshot *state.Snapshot, header batch.Header) *activeBatch {
 	b := &activeBatch{
-		header: header, versions: versionRule{minVersion: header.MinVersion, singleVersion: header.SingleVersion},
+		header: header, addedAt: s.runner.Clock(), versions: versionRule{minVersion: header.MinVersion, singleVersion: header.SingleVersion},
 		tokensPerEvent: max(1, snapshot.Config.Services[s.service].TokensPerEvent), items: make(map[gypsum.ItemID]*activeItem),
 	}
 	s.batches[header.ID] = b
+	if snapshot.Config.FindRoute(header.Route) == nil {
+		s.runner.Logger.Warn("batch on a route that the configuration in force lacks", "batch", header.ID, "route", header.Route,
+			"origin", header.Origin, "revision", snapshot.Config.Revision)
+	}
 	return b
 }
 
+// isRouteRemoved reports whether the route of a batch has been removed. Another daemon may have
+// accepted the batch by a newer configuration than the one in force here, which counts therefore
+// only once it is known to have been current after the batch was accepted.
+func (s *heldService) isRouteRemoved(b *activeBatch) bool {
+	config, confirmedAt, confirmed := s.runner.Registry.ConfirmedConfig()
+	return confirmed && confirmedAt >= b.addedAt && config.FindRoute(b.header.Route) == nil
+}
+
 // failExpiredItems fails the unfinished items of a batch that has expired or whose
 // route has been removed.
-func (s *heldService) failExpiredItems(snapshot *state.Snapshot, b *activeBatch, now time.Time) {
-	routeGone := snapshot.Config.FindRoute(b.header.Route) == nil
-	if !routeGone && now.Before(b.header.ExpiresAt().Add(maxClockSkew)) {
-		return
-	}
+func (s *heldService) failExpiredItems(b *activeBatch, now time.Time) {
 	reason := reasonExpired
-	if routeGone {
+	switch {
+	case s.isRouteRemoved(b):
 		reason = reasonRouteRemoved
+	case now.Before(b.header.ExpiresAt().Add(maxClockSkew)):
+		return
 	}
 	for _, a := range b.items {
 		if a.phase == phaseWaiting || a.phase == phaseRunning || a.phase == phaseScoring {
--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -26,6 +27,7 @@
 const (
 	testService = gypsum.ServiceName("motif")
 	testModel   = gypsum.EngineModel("crew")
+	testRoute   = "train"
 	testLease   = 3 * time.Second
 	// The service and the host name of reward calls.
 	rewardService  = gypsum.ServiceName("desk")
@@ -51,6 +53,8 @@
 	trackers map[string]*reach.Tracker
 	// proxies are the stores that daemons serve to others, by address.
 	proxies map[string]gypsum.KeyedStore
+	// startedAt is the origin of the daemons' clock.
+	startedAt time.Time
 }
 
 // StoreVia implements gypsum.PeerStores.
@@ -90,6 +94,7 @@
 // startDeployment starts the daemons of d, one per CPU share.
 func startDeployment(d *deployment, shares []float64) *deployment {
 	d.proxies, d.trackers = make(map[string]gypsum.KeyedStore), make(map[string]*reach.Tracker)
+	d.startedAt = time.Now()
 	d.store.Latency = 5 * time.Millisecond
 	if d.rewards == nil {
 		d.rewards = fake.NewRewardService(rewardService, 3, 6, 200*time.Millisecond)
@@ -134,17 +139,7 @@
 	if err := daemon.batches.Init(); err != nil {
 		d.t.Fatal(err)
 	}
-	daemon.registry.ApplyConfig(&gypsum.RoutingConfig{
-		Revision: 1, Routes: []gypsum.Route{{
-			Name: "train", Kind: gypsum.RouteRollout, Services: []gypsum.WeightedService{{Service: testService, Weight: 1}},
-		}, {
-			Name: "reward", HostName: rewardHostName, PathPrefix: "/reward/", Kind: gypsum.RouteIdempotent, MaxAttempts: 4,
-			LatencyTarget: 250 * time.Millisecond, Services: []gypsum.WeightedService{{Service: rewardService, Weight: 1}},
-		}},
-		Services: map[gypsum.ServiceName]gypsum.ServiceConfig{
-			testService: {Name: testService, Slots: 16, TokensPerEvent: 1, Models: []gypsum.EngineModel{testModel}},
-		},
-	})
+	daemon.registry.ApplyConfig(newConfig(1))
 	for _, replica := range d.engines.Replicas(testService) {
 		daemon.registry.ApplyReplica(replica)
 	}
@@ -178,6 +173,8 @@
 	d.trackers[name], daemon.runner.Reach = tracker, tracker
 	daemon.startGoroutine(ctx, tracker.Run)
 	daemon.runner.Registry, daemon.runner.CPUShare, daemon.runner.Lease = daemon.registry, share, testLease
+
+	daemon.runner.Clock = d.clock
 	daemon.runner.StoreUnavailable = func() bool { _, unavailable := daemon.follower.LastResponse(); return unavailable }
 	daemon.runner.Logger = logger
 	daemon.startGoroutine(ctx, daemon.runner.Run)
@@ -185,6 +182,27 @@
 	return daemon
 }
 
+// clock returns the time since the start of the deployment.
+func (d *deployment) clock() time.Duration { return time.Since(d.startedAt) }
+
+// newConfig returns a revision of the configuration with a route of batches, one of reward calls and
+// more routes of batches.
+func newConfig(revision gypsum.Revision, batchRoutes ...string) *gypsum.RoutingConfig {
+	config := &gypsum.RoutingConfig{Revision: revision, Services: map[gypsum.ServiceName]gypsum.ServiceConfig{
+		testService: {Name: testService, Slots: 16, TokensPerEvent: 1, Models: []gypsum.EngineModel{testModel}},
+	}}
+	for _, name := range append([]string{testRoute}, batchRoutes...) {
+		config.Routes = append(config.Routes, gypsum.Route{
+			Name: name, Kind: gypsum.RouteRollout, Services: []gypsum.WeightedService{{Service: testService, Weight: 1}},
+		})
+	}
+	config.Routes = slices.Insert(config.Routes, 1, gypsum.Route{
+		Name: "reward", HostName: rewardHostName, PathPrefix: "/reward/", Kind: gypsum.RouteIdempotent, MaxAttempts: 4,
+		LatencyTarget: 250 * time.Millisecond, Services: []gypsum.WeightedService{{Service: rewardService, Weight: 1}},
+	})
+	return config
+}
+
 func (d *testDaemon) startGoroutine(ctx context.Context, run func(context.Context) error) {
 	d.goroutines++
 	go func() { d.goroutineErrs <- run(ctx) }()
@@ -202,7 +220,7 @@
 func newBatch(id string, minVersion gypsum.WeightVersion, lengths ...int64) *gypsum.Batch {
 	now := time.Now()
 	b := &gypsum.Batch{
-		ID: gypsum.BatchID(id), Route: "train", HostName: "train.example", Service: testService, Model: testModel, MinVersion: minVersion,
+		ID: gypsum.BatchID(id), Route: testRoute, HostName: "train.example", Service: testService, Model: testModel, MinVersion: minVersion,
 		MaxAttempts: 3, SubmittedAt: now, DueAt: now.Add(7500 * time.Millisecond), ExpiresAt: now.Add(40 * time.Second),
 	}
 	for i, length := range lengths {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -73,6 +73,8 @@
 	Reach *reach.Tracker
 	// StoreUnavailable reports whether the store does not respond.
 	StoreUnavailable func() bool
+	// Clock dates batches. It is the clock by which Registry confirms the configuration.
+	Clock gypsum.SteadyClock
 	// CPUShare is the host's share of a CPU core.
 	CPUShare float64
 	// Lease is how long the holder waits after a takeover before it sends load orders.
