edge, serve: a signal during the start stops the daemon

Cause: main turns SIGTERM into the end of a context from its first instruction on, but edge and serve detached themselves from that context. Only the handler that kratos installs behind the start of the servers stopped the daemon.

Both daemons get the context that ends at the signal, and shut down in order whenever it ends. daemon.Servers runs the servers of both and calls what precedes their stop once, since a signal now arrives on two paths.

--- a/cmd/gypsumhook/edge.go
+++ b/cmd/gypsumhook/edge.go
@@ -38,6 +38,10 @@
 
 // runEdge runs a daemon on the users' platform.
 func runEdge(ctx context.Context, command *cli.Command) error {
+	// Without a handler SIGHUP ends the process, so this comes before the settings are read.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	path := command.String("settings")
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -47,10 +51,11 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryLimitShare))
 	}
 	logger, writer := logs.New(os.Stdout, slog.LevelInfo)
-	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	// Logging goes on while the daemon shuts down after a signal, which ends ctx.
+	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	done := make(chan error, 2)
-	go func() { done <- writer.Run(ctx) }()
-	go func() { done <- watchSettings(ctx, path, settings, logger) }()
+	go func() { done <- writer.Run(taskCtx) }()
+	go func() { done <- watchSettings(taskCtx, hangups, path, settings, logger) }()
 	d := &edge.Daemon{Settings: settings, Logger: logger, DroppedLines: writer.DroppedLines}
 	err = d.Run(ctx)
 	stop()
@@ -60,13 +65,10 @@
 	return err
 }
 
-// watchSettings reads the settings file again on SIGHUP and when it has changed, until ctx
+// watchSettings reads the settings file again on each of hangups and when it has changed, until ctx
 // is done. It only logs whether the file is valid and differs from the settings in use:
 // addresses and limits take effect at the next start.
-func watchSettings(ctx context.Context, path string, settings *platform.Settings, logger *slog.Logger) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, settings *platform.Settings, logger *slog.Logger) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	// If the file cannot be read now, the next check sees a change and logs the error.
--- a/cmd/gypsumhook/main.go
+++ b/cmd/gypsumhook/main.go
@@ -128,8 +128,7 @@
 	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel})).With("host", settings.Host)
 	d := &daemon.Daemon{Settings: settings, Logger: logger}
-	// The daemon handles signals itself, so that requests in flight can finish.
-	return d.Run(context.WithoutCancel(ctx))
+	return d.Run(ctx)
 }
 
 // checkConfig validates a settings file.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,13 +5,12 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/gypsumhook/gypsum"
@@ -43,7 +42,7 @@
 
 // Run serves until ctx is done or the process receives SIGTERM or SIGINT, and then until
 // the requests in flight have ended, for at most the drain timeout. Neither ctx nor the signal
-// cancels them.
+// cancels them. ctx must end at a signal that comes before Run is called.
 func (d *Daemon) Run(ctx context.Context) error {
 	cleanup := d.createCore()
 	defer cleanup()
@@ -58,15 +57,12 @@
 	peerPath, peerHandler := wire.PeerHandler(d.core)
 	peerServer := d.newServer(d.Settings.PeerAddr, peerPath, peerHandler)
 	operatorServer := d.newOperatorServer()
-	app := kratos.New(
-		kratos.Name("gypsumhook"), kratos.ID(string(d.Settings.Host)), kratos.Context(context.WithoutCancel(ctx)),
-		kratos.Logger(NewKratosLogger(d.Logger)), kratos.Server(callerServer, peerServer, operatorServer),
-		kratos.StopTimeout(d.Settings.DrainTimeout), kratos.BeforeStop(d.startLeaving),
-	)
-	stopOnDone := context.AfterFunc(ctx, func() { _ = app.Stop() })
-	defer stopOnDone()
-	if err := app.Run(); err != nil {
-		return fmt.Errorf("run servers: %w", err)
+	servers := &Servers{
+		Host: d.Settings.Host, Servers: []transport.Server{callerServer, peerServer, operatorServer}, Leave: d.startLeaving,
+		StopTimeout: d.Settings.DrainTimeout, Logger: d.Logger,
+	}
+	if err := servers.Run(ctx); err != nil {
+		return err
 	}
 	d.Logger.Info("stopped")
 	return nil
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
-
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
@@ -143,7 +140,7 @@
 }
 
 // Run serves until ctx is done or the process receives SIGTERM or SIGINT, and then shuts
-// down gracefully.
+// down gracefully. ctx must end at a signal that comes before Run is called.
 func (d *Daemon) Run(ctx context.Context) error {
 	cleanup, err := d.createComponents()
 	if err != nil {
@@ -159,15 +156,12 @@
 	d.publishMetrics()
 	d.Logger.Info("started", "host", d.Settings.Host, "data_centre", d.Settings.Location.DataCentre, "region", d.Settings.Location.Region,
 		"clients", d.Settings.ClientAddr, "store", d.Settings.StoreAddr, "boot", d.incarnation)
-	app := kratos.New(
-		kratos.Name("gypsumhook"), kratos.ID(string(d.Settings.Host)), kratos.Context(context.WithoutCancel(ctx)),
-		kratos.Logger(daemon.NewKratosLogger(d.Logger)), kratos.Server(d.newServers()...),
-		kratos.StopTimeout(d.Settings.ShutdownGrace-balancerNoticeTime-exitTimeReserve), kratos.BeforeStop(d.startLeaving),
-	)
-	stopOnDone := context.AfterFunc(ctx, func() { _ = app.Stop() })
-	defer stopOnDone()
-	if err := app.Run(); err != nil {
-		return fmt.Errorf("run servers: %w", err)
+	servers := &daemon.Servers{
+		Host: d.Settings.Host, Servers: d.newServers(), Leave: d.startLeaving,
+		StopTimeout: d.Settings.ShutdownGrace - balancerNoticeTime - exitTimeReserve, Logger: d.Logger,
+	}
+	if err := servers.Run(ctx); err != nil {
+		return err
 	}
 	d.duties.flush(taskCtx)
 	d.Logger.Info("stopped", "host", d.Settings.Host)
--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -164,24 +164,33 @@
 
 // startDaemon starts a daemon and adds it to the host list under the address of its peer
 // proxy. The process is killed when the test ends.
-func (env *testEnv) startDaemon(id gypsum.HostID, location gypsum.Location) *daemonProcess {
+func (env *testEnv) startDaemon(id gypsum.HostID, location gypsum.Location) {
 	env.t.Helper()
-	p := &daemonProcess{id: id, location: location, callerAddress: env.freeAddress(), operatorAddress: env.freeAddress()}
+	p, settings := env.addDaemon(id, location)
+	if err := os.WriteFile(p.settingsPath, settings, 0o600); err != nil {
+		env.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		env.t.Fatal(err)
+	}
+}
+
+// addDaemon adds a daemon to the host list, under the address of its peer proxy, and returns it with
+// its settings. Its process is not started yet.
+func (env *testEnv) addDaemon(id gypsum.HostID, location gypsum.Location) (p *daemonProcess, settings []byte) {
+	env.t.Helper()
+	p = &daemonProcess{id: id, location: location, callerAddress: env.freeAddress(), operatorAddress: env.freeAddress()}
 	peerAddress := env.freeAddress()
 	p.peerProxy = newProxy(env.t, peerAddress)
 	p.settingsPath = filepath.Join(env.t.TempDir(), "daemon.ini")
-	content := fmt.Sprintf(settingsTemplate, id, location.DataCentre, location.Region, p.callerAddress, peerAddress, p.operatorAddress, p.peerProxy.address, env.urls.log, env.urls.hosts, env.urls.store)
-	if err := os.WriteFile(p.settingsPath, []byte(content), 0o600); err != nil {
-		env.t.Fatal(err)
-	}
 	env.listedHosts = append(env.listedHosts, gypsum.Host{ID: string(id), Kind: gypsum.HostKindDaemon, Location: location, Address: p.peerProxy.address})
 	env.hostList.SetHostsWithoutLag(env.listedHosts)
 	p.cmd = exec.Command(daemonBinary, "serve", "--config", p.settingsPath)
 	p.cmd.Stderr = &logWriter{t: env.t, id: id}
-	if err := p.cmd.Start(); err != nil {
-		env.t.Fatal(err)
-	}
 	env.t.Cleanup(func() {
+		if p.cmd.Process == nil {
+			return
+		}
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
@@ -189,7 +198,8 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.daemons[id] = p
-	return p
+	content := fmt.Sprintf(settingsTemplate, id, location.DataCentre, location.Region, p.callerAddress, peerAddress, p.operatorAddress, p.peerProxy.address, env.urls.log, env.urls.hosts, env.urls.store)
+	return p, []byte(content)
 }
 
 // logWriter copies a daemon's log to that of the test if DAEMON_LOGS is set.
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -348,3 +348,19 @@
 	is.True(caller.RequestCompletion(t.Context(), "genova-1", "launch the ship", gypsum.RecoveryRestart).Refusal == nil)
 	t.Logf("backend server crashes: %d", crashes())
 }
+
+// A daemon that gets SIGTERM before its servers run must exit like any other. It would otherwise
+// take calls until SIGKILL cuts them off.
+func TestTermDuringStart(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	p, settings := env.addDaemon("genova-1", newLocation("genova", "liguria"))
+	writeSettings, err := check.StartBeforeRead(p.settingsPath, settings, p.cmd.Start)
+	is.NoErr(err)
+	env.signalDaemon(p.id, syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(writeSettings())
+	kill := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
+	defer kill.Stop()
+	is.NoErr(p.cmd.Wait())
+}
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -176,21 +176,9 @@
 		env.registerReplicas(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	for i := range daemons {
-		daemon := &daemonProcess{
-			name: fmt.Sprint("host-", i+1), dataCentre: "genova", region: "liguria", frontPort: freePort(t), readyPort: freePort(t), innerPort: freePort(t),
-			links: make(map[string]*replicaLink), binary: env.binary,
-		}
-		for _, replica := range env.replicas {
-			daemon.links[string(replica.ID)] = newReplicaLink(t, replica.address)
-		}
-		daemon.storeProxy = newProxy(t, startServer(t, mimic.StoreHandler(&linkedStore{KeyedStore: env.limited, links: daemon.links})))
-		if i%3 == 2 {
-			daemon.dataCentre, daemon.region = "chioggia", "adriatico"
-		}
-		env.daemons = append(env.daemons, daemon)
+	for range daemons {
+		daemon := env.addDaemon()
 		env.startDaemon(daemon)
-		t.Cleanup(func() { daemon.kill() })
 	}
 	for _, daemon := range env.daemons {
 		env.waitReady(daemon)
@@ -198,6 +186,25 @@
 	return env
 }
 
+// addDaemon adds a daemon, which is not started yet. It is killed at the end of the test.
+func (env *testEnv) addDaemon() *daemonProcess {
+	i := len(env.daemons)
+	daemon := &daemonProcess{
+		name: fmt.Sprint("host-", i+1), dataCentre: "genova", region: "liguria", frontPort: freePort(env.t), readyPort: freePort(env.t), innerPort: freePort(env.t),
+		links: make(map[string]*replicaLink), binary: env.binary,
+	}
+	for _, replica := range env.replicas {
+		daemon.links[string(replica.ID)] = newReplicaLink(env.t, replica.address)
+	}
+	daemon.storeProxy = newProxy(env.t, startServer(env.t, mimic.StoreHandler(&linkedStore{KeyedStore: env.limited, links: daemon.links})))
+	if i%3 == 2 {
+		daemon.dataCentre, daemon.region = "chioggia", "adriatico"
+	}
+	env.daemons = append(env.daemons, daemon)
+	env.t.Cleanup(daemon.kill)
+	return daemon
+}
+
 // softwareOf returns the software version of the replica with an index in its service.
 func softwareOf(i int) gypsum.SoftwareVersion { return gypsum.SoftwareVersion(fmt.Sprint("v", 1+i%2)) }
 
@@ -314,20 +321,34 @@
 	return config
 }
 
-// startDaemon writes a daemon's settings file and starts its process.
-func (env *testEnv) startDaemon(daemon *daemonProcess) {
-	path := filepath.Join(env.settingsDir, daemon.name+".toml")
+// settings returns the content of a daemon's settings file.
+func (env *testEnv) settings(daemon *daemonProcess) []byte {
 	bounds := ""
 	if env.accounts != nil {
 		bounds = fmt.Sprintf("strict_revoke = true\nrevoke_ms = %d\n", env.revokeTime.Milliseconds())
 	}
 	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address(), env.limited.ReadsPerSecond, env.limited.WritesPerSecond) + env.dutySettings
-	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+	return []byte(content)
+}
+
+// settingsPath returns the path of a daemon's settings file.
+func (env *testEnv) settingsPath(daemon *daemonProcess) string {
+	return filepath.Join(env.settingsDir, daemon.name+".toml")
+}
+
+// startDaemon writes a daemon's settings file and starts its process.
+func (env *testEnv) startDaemon(daemon *daemonProcess) {
+	if err := os.WriteFile(env.settingsPath(daemon), env.settings(daemon), 0o600); err != nil {
 		env.t.Error(err)
 		return
 	}
+	env.startProcess(daemon)
+}
+
+// startProcess starts a daemon's process, whose settings file must exist.
+func (env *testEnv) startProcess(daemon *daemonProcess) {
 	cmd := exec.Command(daemon.binary, "edge")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+env.settingsPath(daemon))
 	logFile, err := os.OpenFile(env.logPath(daemon), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		env.t.Error(err)
