origin: streams outlive the loss of all daemons only at their software version

Cause: a daemon without a record of the stream's origin took the version of all registered replicas for its own, if it had observed no other one for 30 s or none of these replicas had started within 30 s. The second says nothing of replicas that have left. It was wrong on live daemons too.

The registry remembers the versions that replicas have had and since when it has observed all of them. Records of the batch state tell daemons that start later: the versions of each service with resumable streams, and whether they have settled.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -15,12 +15,8 @@
 // topic. RecordClaim therefore waits until the State has applied the appended record, after
 // which State.Holder returns the winner.
 func (m *Manager) RecordClaim(ctx context.Context, service gypsum.ServiceName, term int64, released bool) error {
-	offset, err := m.appendRecord(ctx, Claim{Service: service, Host: m.Host, Incarnation: m.Incarnation, Term: term, Released: released, MakesRewardCalls: true, NamesAccounts: true},
-		kindClaim, string(service), m.uniqueKey())
-	if err != nil {
-		return err
-	}
-	return m.Follower.WaitForOffset(ctx, offset+1)
+	claim := Claim{Service: service, Host: m.Host, Incarnation: m.Incarnation, Term: term, Released: released, MakesRewardCalls: true, NamesAccounts: true}
+	return m.appendAndApply(ctx, claim, kindClaim, string(service), m.uniqueKey())
 }
 
 // OwnHeartbeat is a heartbeat that this daemon has stored. SentAt is when its first call was made.
--- a/batch/record.go
+++ b/batch/record.go
@@ -27,6 +27,8 @@
 	kindDaemon     = "n"
 	kindCrash      = "x"
 	kindRateLimit  = "l"
+	kindSoftware   = "s"
+	kindSettled    = "t"
 )
 
 // Header is the record of an accepted batch. The times are Unix times in milliseconds.
--- a/batch/state.go
+++ b/batch/state.go
@@ -28,6 +28,7 @@
 	claims        map[gypsum.ServiceName][]claimRecord
 	crashes       map[gypsum.Fingerprint][]crashRecord
 	rateLimits    map[gypsum.BackendID]rateLimitRecord
+	software      map[gypsum.ServiceName]*softwareEntry
 	changed       chan struct{}
 }
 
@@ -112,7 +113,8 @@
 		Logger: logger, appliedOffset: -1, batches: make(map[gypsum.BatchID]*batchEntry),
 		holders: make(map[gypsum.ServiceName]*Holder), heartbeats: make(map[gypsum.HostID]heartbeat),
 		daemons: make(map[gypsum.HostID]DaemonRecord), claims: make(map[gypsum.ServiceName][]claimRecord),
-		crashes: make(map[gypsum.Fingerprint][]crashRecord), rateLimits: make(map[gypsum.BackendID]rateLimitRecord), changed: make(chan struct{}, 1),
+		crashes: make(map[gypsum.Fingerprint][]crashRecord), rateLimits: make(map[gypsum.BackendID]rateLimitRecord),
+		software: make(map[gypsum.ServiceName]*softwareEntry), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -171,6 +173,10 @@
 		return decodeAndApply(record, func(limit gypsum.RateLimit) {
 			s.rateLimits[limit.Replica] = rateLimitRecord{RateLimit: limit, key: record.Key, appliedAt: now}
 		})
+	case kindSoftware:
+		return decodeAndApply(record, func(software Software) { s.applySoftware(software, record.Offset) })
+	case kindSettled:
+		return decodeAndApply(record, func(settled SettledSoftware) { s.softwareEntry(settled.Service).settledOffset = settled.Record })
 	case kindHeartbeat:
 		return decodeAndApply(record, func(received Heartbeat) {
 			s.heartbeats[received.Host] = heartbeat{incarnation: received.Incarnation, receivedAt: now}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -98,6 +98,7 @@
 	registry    *state.Registry
 	limiter     *limit.Limiter
 	origins     *origin.Tracker
+	recorder    *origin.Recorder
 	reach       *reach.Tracker
 	// registrations is used only by the goroutine that follows the registrations.
 	registrations *platform.RegistrationDecoder
@@ -245,6 +246,10 @@
 		return nil, err
 	}
 	d.origins.Self, d.origins.Registry, d.origins.ListPeers, d.origins.Peers, d.origins.Logger = d.Settings.Host, d.registry, d.peers, peers, d.Logger
+	d.origins.Records = d.batches
+	d.recorder = &origin.Recorder{
+		Self: d.Settings.Host, Registry: d.registry, Records: d.batches, CatchUp: d.catchUp, ListPeers: d.peers, Logger: d.Logger,
+	}
 	d.reach = reach.NewTracker()
 	d.reach.Self, d.reach.Location, d.reach.Registry, d.reach.Logger = d.Settings.Host, d.Settings.Location, d.registry, d.Logger
 	d.reach.Prober, d.reach.Forwarder, d.reach.ListPeers, d.reach.Peers = backends, backends, d.peers, peers
@@ -310,6 +315,7 @@
 	d.tasks.start(ctx, d.relay.Run)
 	d.tasks.start(ctx, d.limiter.Table.Run)
 	d.tasks.start(ctx, d.origins.Run)
+	d.tasks.start(ctx, d.recorder.Run)
 	d.tasks.start(ctx, d.reach.Run)
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
--- a/edge/records.go
+++ b/edge/records.go
@@ -90,6 +90,33 @@
 	return longest
 }
 
+// errStoreUnavailable means that the store does not respond.
+var errStoreUnavailable = errors.New("the store does not respond")
+
+// catchUp returns once all registrations and records of the batch state have been applied that the
+// store contained at some moment after the call.
+func (d *Daemon) catchUp(ctx context.Context) error {
+	if d.storeDowntime() > 0 {
+		return errStoreUnavailable
+	}
+	errs := make(chan error, len(d.followers))
+	count := 0
+	for _, follower := range d.followers {
+		if follower.Topic == platform.TopicOperator {
+			continue
+		}
+		count++
+		go func() { errs <- follower.CatchUp(ctx) }()
+	}
+	var firstErr error
+	for range count {
+		if err := <-errs; err != nil && firstErr == nil {
+			firstErr = err
+		}
+	}
+	return firstErr
+}
+
 // configAge returns how long the configuration may be outdated because reads of its topic fail, are
 // refused for their rate or are made by other daemons, zero if this daemon reads it successfully.
 func (d *Daemon) configAge() time.Duration {
--- a/fake/origins.go
+++ b/fake/origins.go
@@ -80,3 +80,49 @@
 	}
 	return store.FindOrigin(ctx, first)
 }
+
+// SoftwareRecords are stored software versions in memory. It implements gypsum.SoftwareRecords.
+type SoftwareRecords struct {
+	mu      sync.Mutex
+	next    gypsum.Offset
+	records map[gypsum.ServiceName]gypsum.SoftwareRecord
+}
+
+// RecordedSoftware implements gypsum.SoftwareRecords.
+func (r *SoftwareRecords) RecordedSoftware(service gypsum.ServiceName) (record gypsum.SoftwareRecord, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok = r.records[service]
+	return record, ok
+}
+
+// RecordSoftware implements gypsum.SoftwareRecords.
+func (r *SoftwareRecords) RecordSoftware(_ context.Context, service gypsum.ServiceName, versions []gypsum.SoftwareVersion) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.records == nil {
+		r.records = make(map[gypsum.ServiceName]gypsum.SoftwareRecord)
+	}
+	r.next++
+	r.records[service] = gypsum.SoftwareRecord{Versions: versions, Offset: r.next}
+	return nil
+}
+
+// SettleSoftware implements gypsum.SoftwareRecords.
+func (r *SoftwareRecords) SettleSoftware(_ context.Context, service gypsum.ServiceName, record gypsum.Offset) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.records[service]; ok && known.Offset == record {
+		known.Settled = true
+		r.records[service] = known
+	}
+	return nil
+}
+
+// Settle stores settled versions of a service.
+func (r *SoftwareRecords) Settle(service gypsum.ServiceName, versions ...gypsum.SoftwareVersion) {
+	ctx := context.Background()
+	_ = r.RecordSoftware(ctx, service, versions)
+	record, _ := r.RecordedSoftware(service)
+	_ = r.SettleSoftware(ctx, service, record.Offset)
+}
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -45,8 +44,10 @@
 // one version for longer than a stream lasts needs no record. Set the exported fields before
 // use. A Tracker is safe for concurrent use.
 type Tracker struct {
-	Self      gypsum.HostID
-	Registry  *state.Registry
+	Self     gypsum.HostID
+	Registry *state.Registry
+	// Records are the stored software versions of services.
+	Records   gypsum.SoftwareRecords
 	ListPeers func() []gypsum.Peer
 	Peers     gypsum.PeerOrigins
 	Logger    *slog.Logger
@@ -55,14 +56,12 @@
 
 	origins *lru.Cache[gypsum.RequestID, knownOrigin]
 
-	mu       sync.Mutex
-	services map[gypsum.ServiceName]serviceVersions
-	// summaries are those of the services in the snapshot summarized, since a snapshot may have
-	// thousands of replicas.
-	summarized *state.Snapshot
-	summaries  map[gypsum.ServiceName]VersionSummary
-	pending    []gypsum.StreamOrigin
-	wake       chan struct{}
+	// versions are the software versions of the services at the last Update.
+	versions map[gypsum.ServiceName][]gypsum.SoftwareVersion
+
+	mu      sync.Mutex
+	pending []gypsum.StreamOrigin
+	wake    chan struct{}
 }
 
 // Stats counts the origins sent to other daemons, and those that were and were not found for a
@@ -73,13 +72,6 @@
 	Unknown atomic.Int64
 }
 
-// serviceVersions are the software versions of a service's replicas, in order, and since when
-// this daemon has observed them.
-type serviceVersions struct {
-	versions []gypsum.SoftwareVersion
-	since    time.Time
-}
-
 // knownOrigin is an origin and when this daemon learned of it.
 type knownOrigin struct {
 	gypsum.StreamOrigin
@@ -92,7 +84,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create cache of stream origins: %w", err)
 	}
-	return &Tracker{origins: origins, services: make(map[gypsum.ServiceName]serviceVersions), summaries: make(map[gypsum.ServiceName]VersionSummary), wake: make(chan struct{}, 1)}, nil
+	return &Tracker{origins: origins, versions: make(map[gypsum.ServiceName][]gypsum.SoftwareVersion), wake: make(chan struct{}, 1)}, nil
 }
 
 // add adds an origin.
@@ -109,80 +101,42 @@
 	return &found.StreamOrigin
 }
 
-// VersionSummary is what the replicas of a service say about the versions of its software.
-type VersionSummary struct {
-	// Versions are the software versions, in order.
-	Versions []gypsum.SoftwareVersion
-	// LastStart is when the youngest replica started.
-	LastStart time.Time
-}
-
-// Summarize returns the summary of a service's replicas.
-func Summarize(replicas []*gypsum.Replica) VersionSummary {
-	versions, youngest := make(map[gypsum.SoftwareVersion]bool), gypsum.Incarnation(0)
-	for _, replica := range replicas {
-		versions[replica.Software] = true
-		youngest = max(youngest, replica.Incarnation)
-	}
-	return VersionSummary{Versions: slices.Sorted(maps.Keys(versions)), LastStart: time.UnixMilli(int64(youngest))}
-}
-
-// SoleVersion returns the software version of all streams of a service that may still be taken
-// up: that of all replicas, if they were observed to have no other for maxStreamAge, or none of
-// them has started since then. ok is false if there may be streams of several versions.
-func (s *VersionSummary) SoleVersion(observedSince, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
-	if len(s.Versions) != 1 {
+// soleVersion returns the software version of all streams of a service that may still be taken up.
+// ok is false if there may be streams of several versions. The registrations may be outdated.
+func (t *Tracker) soleVersion(service gypsum.ServiceName, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
+	versions, observed := t.Registry.SoftwareSince(service, now.Add(-maxStreamAge))
+	if len(versions) != 1 {
 		return "", false
 	}
-	settled := !observedSince.IsZero() && now.Sub(observedSince) >= maxStreamAge
-	return s.Versions[0], settled || now.Sub(s.LastStart) >= maxStreamAge
-}
-
-// summary returns the summary of a service. The caller holds mu.
-func (t *Tracker) summary(service gypsum.ServiceName) VersionSummary {
-	if snapshot := t.Registry.Current(); snapshot != t.summarized {
-		t.summarized = snapshot
-		clear(t.summaries)
-	}
-	summary, ok := t.summaries[service]
-	if !ok {
-		summary = Summarize(t.summarized.Services[service])
-		t.summaries[service] = summary
+	if !observed {
+		// Other daemons may have observed for longer before this one started.
+		record, recorded := t.Records.RecordedSoftware(service)
+		observed = recorded && record.Settled && slices.Equal(record.Versions, versions)
 	}
-	return summary
+	return versions[0], observed
 }
 
-// soleVersion returns the only software version of a service, see VersionSummary.
-func (t *Tracker) soleVersion(service gypsum.ServiceName, now time.Time) (version gypsum.SoftwareVersion, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	summary, observed := t.summary(service), t.services[service]
-	if !slices.Equal(observed.versions, summary.Versions) {
-		observed.since = time.Time{}
-	}
-	return summary.SoleVersion(observed.since, now)
-}
-
-// Update observes the software versions of the services. It shares the origins of a service
-// whose replicas are no longer of one version.
+// Update observes the software versions of the services. It shares the origins of the streams of a
+// service whose versions have changed.
 func (t *Tracker) Update(now time.Time) {
-	for service := range t.Registry.Current().Services {
-		t.mu.Lock()
-		versions := t.summary(service).Versions
-		known := t.services[service]
-		changed := !slices.Equal(known.versions, versions)
-		if changed {
-			t.services[service] = serviceVersions{versions: versions, since: now}
+	for service, versions := range t.Registry.Current().Software {
+		previous := t.versions[service]
+		changed := !slices.Equal(previous, versions)
+		t.versions[service] = versions
+		if changed && len(previous)+len(versions) > 1 {
+			t.Logger.Info("software versions of service", "service", service, "versions", versions, "previous", previous)
 		}
-		t.mu.Unlock()
-		if !changed || len(versions) < 2 {
-			continue
+		if changed {
+			t.shareKnown(service, now)
 		}
-		t.Logger.Info("software versions of service", "service", service, "versions", versions)
-		for _, known := range t.origins.Values() {
-			if known.Service == service && now.Sub(known.learnedAt) <= maxStreamAge {
-				t.share(known.StreamOrigin)
-			}
+	}
+}
+
+// shareKnown shares the known origins of the streams of a service.
+func (t *Tracker) shareKnown(service gypsum.ServiceName, now time.Time) {
+	for _, known := range t.origins.Values() {
+		if known.Service == service && now.Sub(known.learnedAt) <= maxStreamAge {
+			t.share(known.StreamOrigin)
 		}
 	}
 }
@@ -260,12 +214,13 @@
 // Find returns the origin of a stream by the request that brought its first event. services are
 // those that the request may go to. ok is false if the origin is not known.
 func (t *Tracker) Find(ctx context.Context, first gypsum.RequestID, services []gypsum.WeightedService) (found gypsum.StreamOrigin, ok bool) {
-	if len(services) == 1 {
-		if version, sole := t.soleVersion(services[0].Service, time.Now()); sole {
-			return gypsum.StreamOrigin{Request: first, Service: services[0].Service, Software: version}, true
+	origin := t.known(first)
+	if origin == nil && len(services) == 1 {
+		service := services[0].Service
+		if version, sole := t.soleVersion(service, time.Now()); sole {
+			origin = &gypsum.StreamOrigin{Request: first, Service: service, Software: version}
 		}
 	}
-	origin := t.known(first)
 	if origin == nil && first != "" {
 		origin = t.findAtPeers(ctx, first)
 	}
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +143,8 @@
 type linkedStore struct {
 	gypsum.KeyedStore
 	links map[string]*replicaLink
+	// holdsRegistrations makes reads of new registrations wait until their callers give up.
+	holdsRegistrations atomic.Bool
 }
 
 // rewrite replaces the address in a registration.
@@ -165,6 +168,10 @@
 // Read implements gypsum.KeyedStore.
 func (s *linkedStore) Read(ctx context.Context, req gypsum.KeyedRead) (*gypsum.KeyedPage, error) {
 	page, err := s.KeyedStore.Read(ctx, req)
+	if req.Topic == "keyed.servers" && s.holdsRegistrations.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if page != nil {
 		copied := *page
 		copied.Records = s.rewrite(req.Topic, page.Records)
--- a/state/state.go
+++ b/state/state.go
@@ -34,6 +34,8 @@
 	Config   *gypsum.RoutingConfig
 	Replicas map[gypsum.BackendID]*gypsum.Replica
 	Services map[gypsum.ServiceName][]*gypsum.Replica
+	// Software holds the software versions of the replicas of each service, in order.
+	Software map[gypsum.ServiceName][]gypsum.SoftwareVersion
 	Versions map[gypsum.EngineModel]gypsum.WeightVersion
 }
 
@@ -51,6 +53,10 @@
 	lapsedReplicas   map[gypsum.BackendID]bool
 	storeRecoveredAt time.Time
 	storeUnavailable bool
+	// software are the versions of replicas that are no longer registered. observedSince is when all
+	// registrations were read last; every later one has been applied.
+	software      softwareHistory
+	observedSince time.Time
 	// leavingReplicas are the starts of replicas that announced in a response that they are
 	// leaving.
 	leavingReplicas map[gypsum.BackendID]leave
@@ -65,7 +71,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry(logger *slog.Logger) *Registry {
-	registry := &Registry{Logger: logger, OnChange: func() {}, lapsedReplicas: make(map[gypsum.BackendID]bool), leavingReplicas: make(map[gypsum.BackendID]leave)}
+	registry := &Registry{Logger: logger, OnChange: func() {}, lapsedReplicas: make(map[gypsum.BackendID]bool), leavingReplicas: make(map[gypsum.BackendID]leave), software: make(softwareHistory)}
 	registry.snapshot.Store(&Snapshot{})
 	return registry
 }
@@ -154,6 +160,7 @@
 	}
 	r.mu.Unlock()
 	changed := make(map[gypsum.BackendID]*gypsum.Replica)
+	var replaced []*gypsum.Replica
 	current := r.Current().Replicas
 	for _, replica := range replicas {
 		known, ok := changed[replica.ID]
@@ -162,11 +169,15 @@
 		}
 		if known == nil || (known.Incarnation <= replica.Incarnation && !known.Equal(replica)) {
 			changed[replica.ID] = replica
+			if known != nil && (known.Software != replica.Software || known.Service != replica.Service) {
+				replaced = append(replaced, known)
+			}
 		}
 	}
 	if len(changed) == 0 {
 		return
 	}
+	r.markReplaced(replaced...)
 	r.updateSnapshot(func(s *Snapshot) { s.updateReplicas(changed) })
 	for id, replica := range changed {
 		previous := current[id]
@@ -246,8 +257,10 @@
 		return
 	}
 	removed := make(map[gypsum.BackendID]*gypsum.Replica, len(ids))
+	current := r.Current().Replicas
 	for _, id := range ids {
 		removed[id] = nil
+		r.markReplaced(current[id])
 	}
 	r.updateSnapshot(func(s *Snapshot) { s.updateReplicas(removed) })
 	for _, id := range ids {
@@ -255,7 +268,8 @@
 	}
 }
 
-// RetainReplicas removes the replicas that are not in keep, as RemoveReplica does.
+// RetainReplicas removes the replicas that are not in keep, as RemoveReplica does. It is called when
+// all registrations have been read and applied.
 func (r *Registry) RetainReplicas(keep map[gypsum.BackendID]bool) {
 	var dropped []gypsum.BackendID
 	for id := range r.Current().Replicas {
@@ -264,6 +278,9 @@
 		}
 	}
 	r.endRegistrations(dropped)
+	r.mu.Lock()
+	r.observedSince = time.Now()
+	r.mu.Unlock()
 }
 
 // ExpireRegistrations records whether the store is unavailable, and deletes the
@@ -307,7 +324,8 @@
 	s.rebuildServices(affected)
 }
 
-// rebuildServices rebuilds the replica lists of the affected services, sorted by ID.
+// rebuildServices rebuilds the replica lists of the affected services, sorted by ID, and their
+// software versions.
 func (s *Snapshot) rebuildServices(affected map[gypsum.ServiceName]bool) {
 	s.Services = maps.Clone(s.Services)
 	if s.Services == nil {
@@ -321,7 +339,12 @@
 			s.Services[replica.Service] = append(s.Services[replica.Service], replica)
 		}
 	}
+	s.Software = maps.Clone(s.Software)
+	if s.Software == nil {
+		s.Software = make(map[gypsum.ServiceName][]gypsum.SoftwareVersion, len(affected))
+	}
 	for service := range affected {
+		s.Software[service] = softwareOf(s.Services[service])
 		slices.SortFunc(s.Services[service], func(a, b *gypsum.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
