origin: a service's only software version is confirmed by a read of the store

Cause: that all replicas are of one version was decided by this daemon's copy of the registrations, however old. Other daemons had begun streams at replicas that it did not know yet.

The only version counts after the registrations and the records of versions have been read to an end that was current after the request had come. If that fails, only a known origin counts. Origins are therefore shared while the store does not respond (origin.TestStreamsBegunBeforeStoreIsLost).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -246,7 +246,8 @@
 		return nil, err
 	}
 	d.origins.Self, d.origins.Registry, d.origins.ListPeers, d.origins.Peers, d.origins.Logger = d.Settings.Host, d.registry, d.peers, peers, d.Logger
-	d.origins.Records = d.batches
+	d.origins.Records, d.origins.CatchUp = d.batches, d.catchUp
+	d.origins.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.recorder = &origin.Recorder{
 		Self: d.Settings.Host, Registry: d.registry, Records: d.batches, CatchUp: d.catchUp, ListPeers: d.peers, Logger: d.Logger,
 	}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -133,7 +133,7 @@
 		t.Fatal(err)
 	}
 	s.origins.Self, s.origins.Registry, s.origins.Peers, s.origins.Logger = name, s.registry, peerOrigins, logger
-	s.origins.ListPeers, s.origins.Records = peerOrigins.List, manager
+	s.origins.ListPeers, s.origins.Records, s.origins.CatchUp = peerOrigins.List, manager, follower.CatchUp
 	peerOrigins.Add(name, s.origins)
 	start(s.origins.Run)
 	liveRelay := relay.New()
--- a/origin/recorder.go
+++ b/origin/recorder.go
@@ -30,8 +30,7 @@
 	Self     gypsum.HostID
 	Registry *state.Registry
 	Records  gypsum.SoftwareRecords
-	// CatchUp returns once the Registry and the Records contain all that the store contained at some
-	// moment after the call.
+	// CatchUp is as that of a Tracker.
 	CatchUp   func(ctx context.Context) error
 	ListPeers func() []gypsum.Peer
 	Logger    *slog.Logger
--- a/origin/recorder_test.go
+++ b/origin/recorder_test.go
@@ -1,7 +1,6 @@
 package origin_test
 
 import (
-	"context"
 	"log/slog"
 	"slices"
 	"testing"
@@ -54,7 +53,7 @@
 			plain := gypsum.Route{Kind: gypsum.RouteIdempotent, Services: []gypsum.WeightedService{{Service: "desk", Weight: 1}}}
 			tracker.Registry.ApplyConfig(&gypsum.RoutingConfig{Revision: 1, Routes: []gypsum.Route{route, plain}})
 			recorder := &origin.Recorder{
-				Self: tracker.Self, Registry: tracker.Registry, Records: &d.records, CatchUp: func(context.Context) error { return nil }, ListPeers: tracker.ListPeers,
+				Self: tracker.Self, Registry: tracker.Registry, Records: &d.records, CatchUp: tracker.CatchUp, ListPeers: tracker.ListPeers,
 				Logger: slog.New(slog.DiscardHandler),
 			}
 			if i == 0 {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -37,6 +37,8 @@
 	// between regions and a busy host.
 	recordTimeout = 300 * time.Millisecond
 	findTimeout   = 300 * time.Millisecond
+	// catchUpTimeout bounds a CatchUp. It allows for the time between two reads of the registrations.
+	catchUpTimeout = time.Second
 )
 
 // Tracker remembers the origins of the streams of one daemon, and shares them with others while
@@ -47,17 +49,24 @@
 	Self     gypsum.HostID
 	Registry *state.Registry
 	// Records are the stored software versions of services.
-	Records   gypsum.SoftwareRecords
-	ListPeers func() []gypsum.Peer
-	Peers     gypsum.PeerOrigins
-	Logger    *slog.Logger
+	Records gypsum.SoftwareRecords
+	// CatchUp returns once the Registry and the Records contain all that the store contained at some
+	// moment after the call.
+	CatchUp func(ctx context.Context) error
+	// StoreUnavailable reports whether the store does not respond.
+	StoreUnavailable func() bool
+	ListPeers        func() []gypsum.Peer
+	Peers            gypsum.PeerOrigins
+	Logger           *slog.Logger
 	// Stats counts since the start of the daemon.
 	Stats Stats
 
 	origins *lru.Cache[gypsum.RequestID, knownOrigin]
 
-	// versions are the software versions of the services at the last Update.
-	versions map[gypsum.ServiceName][]gypsum.SoftwareVersion
+	// versions are the software versions of the services at the last Update, unconfirmed is whether
+	// the store did not respond then.
+	versions    map[gypsum.ServiceName][]gypsum.SoftwareVersion
+	unconfirmed atomic.Bool
 
 	mu      sync.Mutex
 	pending []gypsum.StreamOrigin
@@ -116,9 +125,27 @@
 	return versions[0], observed
 }
 
+// confirmedSoleVersion returns what soleVersion returns by registrations that are read after the call.
+// A daemon that has observed one version may be behind those that have begun streams at another.
+func (t *Tracker) confirmedSoleVersion(ctx context.Context, service gypsum.ServiceName) (version gypsum.SoftwareVersion, ok bool) {
+	if _, sole := t.soleVersion(service, time.Now()); !sole {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := t.CatchUp(ctx); err != nil {
+		t.Logger.Warn("failed to confirm the software version of a service", "service", service, "error", err)
+		return "", false
+	}
+	return t.soleVersion(service, time.Now())
+}
+
 // Update observes the software versions of the services. It shares the origins of the streams of a
-// service whose versions have changed.
+// service whose versions have changed, and all origins once the store does not respond, since other
+// daemons then cannot confirm a version.
 func (t *Tracker) Update(now time.Time) {
+	unconfirmed := t.StoreUnavailable()
+	storeLost := !t.unconfirmed.Swap(unconfirmed) && unconfirmed
 	for service, versions := range t.Registry.Current().Software {
 		previous := t.versions[service]
 		changed := !slices.Equal(previous, versions)
@@ -126,7 +153,7 @@
 		if changed && len(previous)+len(versions) > 1 {
 			t.Logger.Info("software versions of service", "service", service, "versions", versions, "previous", previous)
 		}
-		if changed {
+		if changed || storeLost {
 			t.shareKnown(service, now)
 		}
 	}
@@ -144,7 +171,7 @@
 // Record remembers the origin of a stream. It is called before the first event is passed on.
 func (t *Tracker) Record(stream gypsum.StreamOrigin) {
 	t.add(stream)
-	if _, ok := t.soleVersion(stream.Service, time.Now()); !ok {
+	if _, ok := t.soleVersion(stream.Service, time.Now()); !ok || t.unconfirmed.Load() {
 		t.share(stream)
 	}
 }
@@ -217,7 +244,7 @@
 	origin := t.known(first)
 	if origin == nil && len(services) == 1 {
 		service := services[0].Service
-		if version, sole := t.soleVersion(service, time.Now()); sole {
+		if version, sole := t.confirmedSoleVersion(ctx, service); sole {
 			origin = &gypsum.StreamOrigin{Request: first, Service: service, Software: version}
 		}
 	}
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/fake"
@@ -100,6 +101,64 @@
 	}
 }
 
+// TestDaemonBehind guards against a daemon that has not read the registrations of a new version, by
+// which other daemons have begun streams already, and continues them at the old version.
+func TestDaemonBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, 3)
+		d.register("r-1", "1")
+		time.Sleep(time.Minute)
+		behind := d.trackers[2]
+		is.Equal(d.find(t, 2, "q"), gypsum.SoftwareVersion("1"))
+		for _, tracker := range d.trackers[:2] {
+			tracker.Registry.ApplyReplica(newReplica("r-2", "2"))
+			tracker.Update(time.Now())
+		}
+		// Cut off from the other daemons and the store.
+		d.peers.Kill("host-3")
+		d.trackers[0].Record(gypsum.StreamOrigin{Request: "q", Service: chatService, Software: "2"})
+		behind.CatchUp = func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		d.peers.Kill("host-1")
+		d.peers.Kill("host-2")
+		is.Equal(d.find(t, 2, "q"), gypsum.SoftwareVersion(""))
+		// In touch with the store.
+		behind.CatchUp = func(context.Context) error {
+			behind.Registry.ApplyReplica(newReplica("r-2", "2"))
+			return nil
+		}
+		is.Equal(d.find(t, 2, "q"), gypsum.SoftwareVersion(""))
+	})
+}
+
+// TestStreamsBegunBeforeStoreIsLost checks that streams of a service with one version can be taken up
+// at other daemons while the store does not respond.
+func TestStreamsBegunBeforeStoreIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, 4)
+		d.register("r-1", "1")
+		time.Sleep(time.Minute)
+		first := d.trackers[0]
+		first.Record(gypsum.StreamOrigin{Request: "before", Service: chatService, Software: "1"})
+		for _, tracker := range d.trackers {
+			tracker.CatchUp = func(context.Context) error { return errors.New("no store") }
+			tracker.StoreUnavailable = func() bool { return true }
+			tracker.Update(time.Now())
+		}
+		first.Record(gypsum.StreamOrigin{Request: "since", Service: chatService, Software: "1"})
+		time.Sleep(100 * time.Millisecond)
+		d.peers.Kill("host-1")
+		for _, request := range []gypsum.RequestID{"before", "since"} {
+			is.Equal(d.find(t, 2, request), gypsum.SoftwareVersion("1"))
+		}
+		is.Equal(d.find(t, 2, "other"), gypsum.SoftwareVersion(""))
+	})
+}
+
 // deployment is a number of daemons that know the same replicas.
 type deployment struct {
 	peers    fake.PeerOrigins
@@ -117,6 +176,7 @@
 		}
 		tracker.Self, tracker.Registry, tracker.Logger = gypsum.HostID(fmt.Sprint("host-", i+1)), state.NewRegistry(logger), logger
 		tracker.ListPeers, tracker.Peers, tracker.Records = d.peers.List, &d.peers, &d.records
+		tracker.CatchUp, tracker.StoreUnavailable = func(context.Context) error { return nil }, func() bool { return false }
 		d.peers.Add(tracker.Self, tracker)
 		done := make(chan error)
 		go func() { done <- tracker.Run(t.Context()) }()
--- a/soak/rejoin_test.go
+++ b/soak/rejoin_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,3 +123,62 @@
 		}
 	}
 }
+
+// Streams that were begun at replicas of a new software version must not go on at replicas of the
+// older one at a daemon that is out of step and does not know the new ones yet.
+func TestStreamsTakenUpAtHostOutOfStep(t *testing.T) {
+	faults := []struct {
+		name         string
+		begin, clear func(daemon *daemonProcess)
+	}{
+		{
+			"frozen", func(daemon *daemonProcess) { daemon.signal(syscall.SIGSTOP) },
+			func(daemon *daemonProcess) { daemon.signal(syscall.SIGCONT) },
+		},
+		{
+			"no registrations", func(daemon *daemonProcess) { daemon.store.holdsRegistrations.Store(true) },
+			func(*daemonProcess) {},
+		},
+		{
+			"no store", func(daemon *daemonProcess) { daemon.storeProxy.setFault(proxyHoldAll) },
+			func(*daemonProcess) {},
+		},
+	}
+	for _, fault := range faults {
+		t.Run(strings.ReplaceAll(fault.name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, 3)
+			for _, replica := range env.plainReplicas("v2") {
+				env.unregister(replica)
+			}
+			env.setAge(olderThanStreams)
+			load := newWorkload(env)
+			time.Sleep(olderThanStreams)
+			late, others := env.daemons[0], env.daemons[1:]
+			settled := beginStreams(load, "old", 8, others...)
+			if resumed := takeUpAll(load, settled, late); resumed < len(settled) {
+				t.Errorf("%d of %d streams taken up while all replicas are of one version", resumed, len(settled))
+			}
+			fault.begin(late)
+			for _, replica := range env.plainReplicas("v2") {
+				replica.unregistered.Store(false)
+			}
+			time.Sleep(2 * registrationInterval)
+			for _, replica := range env.plainReplicas("v1") {
+				replica.down.Store(true)
+			}
+			streams := beginStreams(load, "new", 24, others...)
+			for _, replica := range env.plainReplicas("v1") {
+				replica.down.Store(false)
+			}
+			for _, stream := range streams {
+				if stream.events[0].software != "v2" {
+					t.Fatalf("stream %s was begun at software %s", stream.id, stream.events[0].software)
+				}
+			}
+			time.AfterFunc(100*time.Millisecond, func() { fault.clear(late) })
+			t.Logf("%d of %d streams taken up at %s", takeUpAll(load, streams, late), len(streams), late.name)
+			t.Logf("%d of %d streams taken up at %s", takeUpAll(load, streams, others[0]), len(streams), others[0].name)
+		})
+	}
+}
