edge: a daemon is ready only once it has read the registrations

Callers of a daemon that had just become ready got 503, no_backend_server: readiness waited for the configuration and the batches, and not for the registrations of replicas, which are read beside them.

soak.TestNotReadyWithoutRegistrations was red before: ready while no read of the registrations had been answered. It was found by a test on odd registrations that restarts a daemon: 12 of 672 requests refused.

Readiness now waits for every topic that the daemon follows.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -20,7 +20,7 @@
 var (
 	errStopping         = errors.New("daemon is stopping")
 	errNoConfiguration  = errors.New("no configuration received yet")
-	errBatchesNotLoaded = errors.New("batches have not been read from the store yet")
+	errTopicNotLoaded   = errors.New("not read from the store yet")
 	errKeysNotConfirmed = errors.New("configuration with API keys is not known to be current yet")
 )
 
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,8 +26,11 @@
 		return errNoConfiguration
 	case config.Accounts != nil && d.Settings.StrictRevocation && !confirmed:
 		return errKeysNotConfirmed
-	case !d.batches.Follower.Loaded():
-		return errBatchesNotLoaded
+	}
+	for _, follower := range d.followers {
+		if !follower.Loaded() {
+			return fmt.Errorf("topic %s: %w", follower.Topic, errTopicNotLoaded)
+		}
 	}
 	return nil
 }
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -143,7 +143,7 @@
 type linkedStore struct {
 	gypsum.KeyedStore
 	links map[string]*replicaLink
-	// holdsRegistrations makes reads of new registrations wait until their callers give up.
+	// holdsRegistrations makes reads of registrations wait until their callers give up.
 	holdsRegistrations atomic.Bool
 }
 
@@ -182,6 +182,10 @@
 
 // LatestRecords implements gypsum.KeyedStore.
 func (s *linkedStore) LatestRecords(ctx context.Context, topic gypsum.Topic, partition gypsum.Partition, after string) (*gypsum.LatestPage, error) {
+	if topic == "keyed.servers" && s.holdsRegistrations.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	page, err := s.KeyedStore.LatestRecords(ctx, topic, partition, after)
 	if page != nil {
 		copied := *page
--- a/soak/start_test.go
+++ b/soak/start_test.go
@@ -93,3 +93,21 @@
 	writeSettings()
 	env.waitReady(daemon)
 }
+
+// A daemon that does not know the replicas yet must not be ready: it would refuse all requests.
+func TestNotReadyWithoutRegistrations(t *testing.T) {
+	env := newTestEnv(t, 1)
+	daemon := env.addDaemon()
+	daemon.store.holdsRegistrations.Store(true)
+	env.startDaemon(daemon)
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
+		if daemon.isReady() {
+			t.Fatal("ready before it has read the registrations")
+		}
+	}
+	daemon.store.holdsRegistrations.Store(false)
+	env.waitReady(daemon)
+	if !newWorkload(env).tryRequest(t.Context(), daemon, "first", false) {
+		t.Error("the first request was not served")
+	}
+}
