--- a/relay/waiting_test.go
+++ b/relay/waiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -339,3 +340,35 @@
 		wg.Wait()
 	})
 }
+
+// unreachableReplicas are replicas that cannot be connected to, beside others.
+type unreachableReplicas struct {
+	gypsum.ReplicaTransport
+	ids map[gypsum.BackendID]bool
+}
+
+// RoundTrip implements gypsum.ReplicaTransport.
+func (u *unreachableReplicas) RoundTrip(ctx context.Context, replica *gypsum.Replica, request *gypsum.LiveRequest, timeout time.Duration) (*gypsum.LiveResponse, error) {
+	if u.ids[replica.ID] {
+		return nil, gypsum.ErrNotSent
+	}
+	return u.ReplicaTransport.RoundTrip(ctx, replica, request, timeout)
+}
+
+// TestReplicaWithManySlots guards against a daemon that ends, or refuses requests, since a registration
+// states more slots than any replica has.
+func TestReplicaWithManySlots(t *testing.T) {
+	for _, slots := range []int{1 << 40, math.MaxInt} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newFullDeployment(t, 1)
+			d.relays[0].Transport = &unreachableReplicas{d.replicas, map[gypsum.BackendID]bool{"odd-1": true, "odd-2": true}}
+			for _, id := range []gypsum.BackendID{"odd-1", "odd-2"} {
+				d.relays[0].Registry.ApplyReplica(&gypsum.Replica{ID: id, Service: deskService, State: gypsum.ReplicaReady, Slots: slots})
+			}
+			for _, a := range d.burst(30, 2500*time.Millisecond) {
+				is.True(a.refusal == nil)
+			}
+		})
+	}
+}
--- a/shed/policy.go
+++ b/shed/policy.go
@@ -122,9 +122,10 @@
 	at int
 }
 
-// newSlotTimes returns the times of the free slots, and of the others one after the other.
+// newSlotTimes returns the times of the free slots, and of the others one after the other. Slots beyond
+// the number of waiting work are left out, since the earlier ones are taken first.
 func newSlotTimes(state *gypsum.ShedState) *slotTimes {
-	slots := &slotTimes{free: make([]time.Time, max(1, state.Slots, state.Free))}
+	slots := &slotTimes{free: make([]time.Time, max(1, min(max(state.Slots, state.Free), len(state.Waiting))))}
 	for i := range slots.free {
 		if i >= state.Free {
 			slots.free[i] = state.Now.Add(max(minExpected, state.Interval) * time.Duration(i-state.Free+1))
--- a/shed/policy_test.go
+++ b/shed/policy_test.go
@@ -1,6 +1,7 @@
 package shed_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -181,3 +182,16 @@
 	is.True(slices.Index(order, 0) <= 6)
 	is.True(slices.Index(order, 11) > 6)
 }
+
+// TestManySlots guards against decisions whose memory and time grow with the number of slots. Only as
+// many slots matter as there is work.
+func TestManySlots(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		state := randomState(seed)
+		state.Slots, state.Free = 2*len(state.Waiting)+1, len(state.Waiting)
+		expected := shed.NewCostPolicy().Decide(state)
+		state.Slots = math.MaxInt
+		is.Equal(len(shed.NewCostPolicy().Decide(state).Order), len(expected.Order))
+	}
+}
