--- a/front/server.go
+++ b/front/server.go
@@ -195,8 +195,9 @@
 // most the timeout of the route.
 func requestTimeout(r *http.Request, route *gypsum.Route) time.Duration {
 	timeout := route.Timeout
-	if millis, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64); err == nil && millis >= 0 {
-		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
+	// The comparison is made in milliseconds: a large deadline does not fit into a duration.
+	if millis, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64); err == nil && millis >= 0 && millis < timeout.Milliseconds() {
+		timeout = time.Duration(millis) * time.Millisecond
 	}
 	return timeout
 }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -565,3 +565,20 @@
 	is.True(header.Get("Retry-After") != "")
 	is.Equal(s.executionCount("refused"), 0)
 }
+
+// TestLargeDeadline guards against a request that fails at once since its deadline does not fit into a
+// duration: the timeout of the route applies.
+func TestLargeDeadline(t *testing.T) {
+	s := newTestServer(t, 1)
+	s.applyConfig()
+	for _, deadline := range []string{"9223372036855", "9223372036854775807", "1000000000000000"} {
+		is := is.New(t)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+"/i/x", strings.NewReader("x"))
+		is.NoErr(err)
+		request.Host = "a.example"
+		mimic.SetRequestHeaders(request.Header, "r"+deadline, time.Second, 0)
+		request.Header.Set(platform.HeaderDeadline, deadline)
+		status, _, _ := exchange(request)
+		is.Equal(status, http.StatusOK)
+	}
+}
