runner: a text whose software version is not known is not continued

A checkpoint that does not name the software version of its text was continued at the engines' version if there was only one, although engines of another one may have generated it and left: the text was joined from both.

runner.TestTextOfUnknownSoftwareVersion was red before: events of v2 behind a text of v1. Complete texts are still used.

--- a/runner/activeitem.go
+++ b/runner/activeitem.go
@@ -159,13 +159,12 @@
 	p.lastEvent, p.events, p.size, p.versions, p.gotEvent = 0, nil, 0, nil, false
 }
 
-// restore replaces the events by those of an earlier attempt, joined to one text, that engines
-// of a software version have generated.
-func (p *progress) restore(saved *savedText, software gypsum.SoftwareVersion) {
+// restore replaces the events by those of an earlier attempt, joined to one text.
+func (p *progress) restore(saved *savedText) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastEvent, p.events, p.size, p.versions, p.gotEvent = saved.lastEvent, []string{saved.text}, len(saved.text), saved.versions, false
-	p.software = software
+	p.software = saved.softwareName()
 }
 
 // beginAttempt records the start of an attempt and returns the number of the last event.
@@ -243,10 +242,18 @@
 	text      string
 	versions  []gypsum.WeightVersion
 	// software is the version of the engines' software that generated the text, nil if it is
-	// not known.
+	// not known. Only a complete text is of use then.
 	software  *gypsum.SoftwareVersion
 	completed bool
 	// ref refers to the text in the topic of its batch, nil if it is not stored whole.
 	ref     *batch.ValueRef
 	savedAt time.Time
 }
+
+// softwareName returns the version of the engines' software, empty if it is not known.
+func (t *savedText) softwareName() gypsum.SoftwareVersion {
+	if t.software == nil {
+		return ""
+	}
+	return *t.software
+}
--- a/runner/batches.go
+++ b/runner/batches.go
@@ -138,46 +138,29 @@
 // rule allows: a complete one, otherwise the longest that a registered engine can continue.
 func (s *heldService) resumeFromText(a *activeItem, texts ...*savedText) {
 	var best *savedText
-	var bestSoftware gypsum.SoftwareVersion
 	for _, text := range texts {
 		if text == nil || text.lastEvent == 0 || !a.batch.versions.allowsAll(text.versions) {
 			continue
 		}
-		software, known := s.softwareOf(text)
-		if !text.completed && (!known || !s.hasEngineOf(software)) {
+		if !text.completed && (text.software == nil || !s.hasEngineOf(*text.software)) {
 			continue
 		}
 		if best == nil || (text.completed && !best.completed) || (text.completed == best.completed && text.lastEvent > best.lastEvent) {
-			best, bestSoftware = text, software
+			best = text
 		}
 	}
 	if best == nil {
 		return
 	}
-	a.progress.restore(best, bestSoftware)
+	a.progress.restore(best)
 	a.checkpointedEvent = best.lastEvent
 	s.runner.Stats.ItemsResumed.Add(1)
-	s.runner.Logger.Info("item resumed", "batch", a.batch.header.ID, "item", a.request.ID, "after", best.lastEvent, "software", bestSoftware, "complete", best.completed)
+	s.runner.Logger.Info("item resumed", "batch", a.batch.header.ID, "item", a.request.ID, "after", best.lastEvent, "software", best.softwareName(), "complete", best.completed)
 	if best.completed {
 		s.completeText(a, best.ref, time.Now())
 	}
 }
 
-// softwareOf returns the software version that generated a text. If the text does not say so, it
-// is known only while all engines have the same version.
-func (s *heldService) softwareOf(text *savedText) (version gypsum.SoftwareVersion, known bool) {
-	if text.software != nil {
-		return *text.software, true
-	}
-	for _, e := range s.engines {
-		if known && e.replica.Software != version {
-			return "", false
-		}
-		version, known = e.replica.Software, true
-	}
-	return version, known
-}
-
 // hasEngineOf reports whether an engine of a software version is registered and not leaving.
 func (s *heldService) hasEngineOf(software gypsum.SoftwareVersion) bool {
 	for _, e := range s.engines {
--- a/runner/software_test.go
+++ b/runner/software_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/batch"
 )
 
 // TestTextsMixSoftwareVersions guards against texts with events of two versions of the engines'
@@ -96,3 +97,26 @@
 		})
 	})
 }
+
+// TestTextOfUnknownSoftwareVersion guards against a checkpoint that does not name the software version
+// of its text and is continued at engines of the only version there is now: those of the version that
+// generated it may have just left.
+func TestTextOfUnknownSoftwareVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := newEngines(2)
+		engines.SetSoftware("engine-1", "v2")
+		engines.SetSoftware("engine-2", "v2")
+		d := newDeployment(t, engines, 0.8, 0.8)
+		submitted := newBatch("bat", 1, itemLengths(0, 1)...)
+		d.submitBatch(0, submitted)
+		time.Sleep(100 * time.Millisecond)
+		d.daemons[0].killAndWait()
+		checkpoint := &batch.Checkpoint{Batch: submitted.ID, Item: submitted.Items[0].ID, LastEvent: 20, Versions: []gypsum.WeightVersion{1}}
+		is.NoErr(d.daemons[1].batches.StoreCheckpoint(t.Context(), checkpoint, "by v1"))
+		d.awaitResults(1, submitted, 30*time.Second) // checks the text
+		for _, attempt := range d.engines.Attempts() {
+			is.Equal(attempt.AfterEvent, int64(0))
+		}
+	})
+}
