queue: equal calls in flight count a crash of a backend server once

In `serve`, one crash of a backend server counted once for each equal call that it ran, so that three calls in flight made crash_limit and the request was refused everywhere.

A crash is counted once for all calls that had started before it was counted. queue.TestCrashWithEqualCallsInFlight was red before: 4 counted for 1 crash.

--- a/queue/crash.go
+++ b/queue/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -15,6 +16,10 @@
 // attributed to that call alone.
 const suspectCrashWindow = time.Second
 
+// crashCountedRetention is how long it is remembered that a crash was counted. It is far above the
+// time in which all calls that a crash has ended are counted.
+const crashCountedRetention = time.Minute
+
 // acquireSuspect admits one call at a time that is suspected of crashing backend
 // servers, so that a further crash can be attributed to it alone.
 func (q *Queue) acquireSuspect(ctx context.Context) (release func(), err error) {
@@ -77,8 +82,22 @@
 	q.mu.Lock()
 	suspectRan := len(q.suspectSlot) > 0 || time.Since(q.lastSuspectEnd) < suspectCrashWindow
 	q.mu.Unlock()
-	if len(call.CrashCounts) == 0 && suspectRan {
+	if (len(call.CrashCounts) == 0 && suspectRan) || !q.isNewCrash(call.Fingerprint, startedAt) {
 		return nil
 	}
 	return q.OnCrash(call.Fingerprint)
 }
+
+// isNewCrash reports whether the crash that ended a call was not counted yet for an equal call that
+// ran at the same time.
+func (q *Queue) isNewCrash(fingerprint gypsum.Fingerprint, startedAt time.Time) bool {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if counted, ok := q.crashesCounted[fingerprint]; ok && startedAt.Before(counted) {
+		return false
+	}
+	maps.DeleteFunc(q.crashesCounted, func(_ gypsum.Fingerprint, counted time.Time) bool { return now.Sub(counted) > crashCountedRetention })
+	q.crashesCounted[fingerprint] = now
+	return true
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -47,6 +47,8 @@
 	preempted      map[*gypsum.QueuedCall]bool
 	suspectSlot    chan struct{}
 	lastSuspectEnd time.Time
+	// crashesCounted is when a crash was last counted for a request.
+	crashesCounted map[gypsum.Fingerprint]time.Time
 	initOnce       sync.Once
 }
 
@@ -65,6 +67,7 @@
 func (q *Queue) lazyInit() {
 	q.initOnce.Do(func() {
 		q.suspectSlot = make(chan struct{}, 1)
+		q.crashesCounted = make(map[gypsum.Fingerprint]time.Time)
 		q.cancels = make(map[*gypsum.QueuedCall]context.CancelCauseFunc)
 		q.preempted = make(map[*gypsum.QueuedCall]bool)
 		q.estimators = map[gypsum.Class]*estimator{gypsum.ClassLive: {}, gypsum.ClassTrainer: {}}
