batch, relay: crashes of a request are counted by starts of replicas

Cause: each of the requests recorded the crash, and the records were counted and not the replicas. Beyond that nothing a request did could clear it.

A record names the start of the replica, and crashes are counted by it. When a replica has served a request with counted crashes, the records are removed for all hosts. A request that crashes replicas is never served, so it still reaches three at most (front.TestCrashingRequest). The runner's test of reward calls records crashes of three replicas now, where it recorded three of one.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -46,12 +46,20 @@
 func (m *Manager) LastHeartbeat() *OwnHeartbeat { return m.lastHeartbeat.Load() }
 
 // RecordCrash implements gypsum.CrashCounter. It stores that a replica crashed.
-func (m *Manager) RecordCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica gypsum.BackendID) error {
-	_, err := m.appendRecord(ctx, Crash{Fingerprint: fingerprint, Replica: replica, AtMS: time.Now().UnixMilli()},
+func (m *Manager) RecordCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica *gypsum.Replica) error {
+	_, err := m.appendRecord(ctx, Crash{Fingerprint: fingerprint, Replica: replica.ID, AtMS: time.Now().UnixMilli(), Incarnation: replica.Incarnation},
 		kindCrash, strconv.FormatUint(uint64(fingerprint), 16), m.uniqueKey())
 	return err
 }
 
+// ClearCrashes implements gypsum.CrashCounter. It removes the records that this daemon knows.
+func (m *Manager) ClearCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) error {
+	if err := removeKeys(ctx, m.StateWriter, m.State.crashKeys(fingerprint)); err != nil {
+		return fmt.Errorf("remove crashes: %w", err)
+	}
+	return nil
+}
+
 // CrashCount implements gypsum.CrashCounter.
 func (m *Manager) CrashCount(fingerprint gypsum.Fingerprint) int {
 	return m.State.CrashCount(fingerprint)
--- a/batch/record.go
+++ b/batch/record.go
@@ -148,6 +148,8 @@
 	Fingerprint gypsum.Fingerprint `cbor:"1,keyasint"`
 	Replica     gypsum.BackendID   `cbor:"2,keyasint"`
 	AtMS        int64              `cbor:"3,keyasint"`
+	// Incarnation is the start of the replica that crashed. Daemons of older builds leave it out.
+	Incarnation gypsum.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
 var errMalformedRecord = errors.New("malformed batch record")
--- a/batch/state.go
+++ b/batch/state.go
@@ -77,10 +77,18 @@
 	offset gypsum.Offset
 }
 
-// crashRecord is the key of the record of a crash, and the time of the crash.
+// crashRecord is the key of the record of a crash, the time of the crash and the start of the replica
+// that crashed.
 type crashRecord struct {
-	key string
-	at  time.Time
+	key   string
+	at    time.Time
+	start replicaStart
+}
+
+// replicaStart identifies a start of a replica.
+type replicaStart struct {
+	replica     gypsum.BackendID
+	incarnation gypsum.Incarnation
 }
 
 // rateLimitRecord is the limit that was recorded last for a replica, its key and when this
@@ -166,7 +174,7 @@
 		return decodeAndApply(record, func(claim Claim) { s.applyClaim(claim, record, now) })
 	case kindCrash:
 		return decodeAndApply(record, func(crash Crash) {
-			crashed := crashRecord{key: record.Key, at: time.UnixMilli(crash.AtMS)}
+			crashed := crashRecord{key: record.Key, at: time.UnixMilli(crash.AtMS), start: replicaStart{crash.Replica, crash.Incarnation}}
 			s.crashes[crash.Fingerprint] = append(s.crashes[crash.Fingerprint], crashed)
 		})
 	case kindRateLimit:
@@ -351,18 +359,33 @@
 	return s.appliedOffset
 }
 
-// CrashCount returns how many replicas have crashed within crashRetention while they ran a
-// request.
+// CrashCount returns how many starts of replicas have crashed within crashRetention while they ran a
+// request. A crash is recorded by each of the equal requests that the replica ran.
 func (s *State) CrashCount(fingerprint gypsum.Fingerprint) int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	count := 0
-	for _, crash := range s.crashes[fingerprint] {
+	crashes := s.crashes[fingerprint]
+	if len(crashes) == 0 {
+		return 0
+	}
+	crashed := make(map[replicaStart]bool, len(crashes))
+	for _, crash := range crashes {
 		if time.Since(crash.at) < crashRetention {
-			count++
+			crashed[crash.start] = true
 		}
 	}
-	return count
+	return len(crashed)
+}
+
+// crashKeys returns the keys of the crashes that are recorded for a request.
+func (s *State) crashKeys(fingerprint gypsum.Fingerprint) []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	keys := make([]string, 0, len(s.crashes[fingerprint]))
+	for _, crash := range s.crashes[fingerprint] {
+		keys = append(keys, crash.key)
+	}
+	return keys
 }
 
 // RateLimit returns the limit that was recorded last for a replica and when this daemon
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -198,7 +198,7 @@
 		}
 		time.Sleep(time.Millisecond)
 		is.NoErr(a.EndBatch(t.Context(), "ended"))
-		is.NoErr(a.RecordCrash(t.Context(), 7, "r"))
+		is.NoErr(a.RecordCrash(t.Context(), 7, &gypsum.Replica{ID: "r"}))
 		time.Sleep(time.Millisecond)
 		is.Equal(b.State.CrashCount(7), 1)
 		const retention = 2 * time.Minute
@@ -229,9 +229,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		manager := startManager(t, fake.NewKeyedStore(), "a")
-		is.NoErr(manager.RecordCrash(t.Context(), 7, "old"))
+		is.NoErr(manager.RecordCrash(t.Context(), 7, &gypsum.Replica{ID: "old"}))
 		time.Sleep(10 * time.Minute)
-		is.NoErr(manager.RecordCrash(t.Context(), 7, "new"))
+		is.NoErr(manager.RecordCrash(t.Context(), 7, &gypsum.Replica{ID: "new"}))
 		is.NoErr(manager.RemoveObsolete(t.Context(), time.Minute))
 		time.Sleep(time.Millisecond)
 		is.Equal(manager.State.CrashCount(7), 1)
@@ -361,3 +361,33 @@
 		is.True(!ok)
 	}
 }
+
+// TestCrashesOfOneStart checks that the crashes of a request are counted by the starts of replicas that
+// crashed, and that they are forgotten at all daemons once a replica has served the request.
+func TestCrashesOfOneStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		a, b := startManager(t, backing, "a"), startManager(t, backing, "b")
+		record := func(manager *batch.Manager, id gypsum.BackendID, incarnation gypsum.Incarnation) {
+			is.NoErr(manager.RecordCrash(t.Context(), 7, &gypsum.Replica{ID: id, Incarnation: incarnation}))
+			time.Sleep(time.Millisecond)
+		}
+		for range 3 {
+			record(a, "r", 1)
+			record(b, "r", 1)
+		}
+		is.Equal(b.CrashCount(7), 1)
+		record(a, "r", 2) // it has started again
+		record(a, "s", 2)
+		is.Equal(b.CrashCount(7), 3)
+		is.NoErr(b.ClearCrashes(t.Context(), 7))
+		time.Sleep(time.Millisecond)
+		record(b, "s", 3)
+		c := startManager(t, backing, "c")
+		time.Sleep(time.Second)
+		for _, manager := range []*batch.Manager{a, b, c} {
+			is.Equal(manager.CrashCount(7), 1)
+		}
+	})
+}
--- /dev/null
+++ b/front/crash_test.go
@@ -0,0 +1,90 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/platform/mimic"
+)
+
+// TestCrashWithEqualRequestsInFlight guards against one crash of one replica that counts once for each
+// request that it ran: callers of a page that many ask for would be refused at all hosts, though the
+// page crashes nothing.
+func TestCrashWithEqualRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 3)
+	s.applyConfig()
+	const inFlight = 4
+	var waiting atomic.Int64
+	crashed := make(chan struct{})
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if waiting.Add(1) == inFlight {
+			_ = server.Listener.Close()
+			close(crashed)
+		}
+		<-crashed
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	s.registry.ApplyReplica(&gypsum.Replica{ID: "r-crashing", Service: "desk", Address: address, State: gypsum.ReplicaReady, Slots: inFlight, Incarnation: 5})
+	s.moveFar(func(id gypsum.BackendID) bool { return id != "r-crashing" })
+	var requests sync.WaitGroup
+	for i := range inFlight {
+		requests.Go(func() { s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("first", i), "") })
+	}
+	requests.Wait()
+	is.Equal(waiting.Load(), int64(inFlight))
+	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(5 * time.Millisecond) {
+		is.True(s.frontend.Batches.CrashCount(fingerprint) <= 1)
+	}
+	for i := range 5 {
+		status, _, _ := s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("again", i), "")
+		is.Equal(status, http.StatusOK)
+	}
+}
+
+// TestServedRequestCrashesNothing guards against a request that is refused after unrelated crashes of
+// replicas that ran it, although replicas have served it in between, also by a daemon that starts
+// afterwards.
+func TestServedRequestCrashesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 2)
+	s.applyConfig()
+	other := s.startPeer("host-2")
+	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	for i := range 5 {
+		crashed := &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("gone-", i)), Incarnation: 1}
+		is.NoErr(s.frontend.Batches.RecordCrash(t.Context(), fingerprint, crashed))
+		time.Sleep(50 * time.Millisecond)
+		status, _, _ := s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("p", i), "")
+		is.Equal(status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(other.frontend.Batches.CrashCount(fingerprint), 0)
+	// A response that is no success proves nothing.
+	for i := range 3 {
+		crashed := &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("gone-", i)), Incarnation: 1}
+		is.NoErr(s.frontend.Batches.RecordCrash(t.Context(), fingerprint, crashed))
+		time.Sleep(50 * time.Millisecond)
+		for _, replica := range s.replicas {
+			replica.SetFault(mimic.FaultError)
+		}
+		s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("e", i), "")
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(other.frontend.Batches.CrashCount(fingerprint), 3)
+	status, _, _ := other.sendRequest(http.MethodGet, "/i/page", "last", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+}
--- a/live.go
+++ b/live.go
@@ -71,9 +71,13 @@
 	AcceptsConnections(ctx context.Context, replica *Replica) bool
 }
 
-// CrashCounter counts, for all daemons together, the replicas that crashed while running
-// a request.
+// CrashCounter counts, for all daemons together, the starts of replicas that crashed while running
+// a request and have not served it since.
 type CrashCounter interface {
-	RecordCrash(ctx context.Context, fingerprint Fingerprint, replica BackendID) error
+	// RecordCrash counts a crash of a start of a replica, which may be recorded several times: by each
+	// of the requests that it ran.
+	RecordCrash(ctx context.Context, fingerprint Fingerprint, replica *Replica) error
 	CrashCount(fingerprint Fingerprint) int
+	// ClearCrashes forgets the crashes counted so far, since a replica has served the request.
+	ClearCrashes(ctx context.Context, fingerprint Fingerprint) error
 }
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -99,11 +99,14 @@
 type noCrashes struct{}
 
 // RecordCrash implements gypsum.CrashCounter.
-func (noCrashes) RecordCrash(context.Context, gypsum.Fingerprint, gypsum.BackendID) error { return nil }
+func (noCrashes) RecordCrash(context.Context, gypsum.Fingerprint, *gypsum.Replica) error { return nil }
 
 // CrashCount implements gypsum.CrashCounter.
 func (noCrashes) CrashCount(gypsum.Fingerprint) int { return 0 }
 
+// ClearCrashes implements gypsum.CrashCounter.
+func (noCrashes) ClearCrashes(context.Context, gypsum.Fingerprint) error { return nil }
+
 // TestDaemonsTogetherExceedRateLimit guards against live requests of many daemons that each
 // keep a replica's rate limit and exceed it together. Requests beyond the limit are refused as
 // not run, at once and with a retry delay; most of what the limit allows is used.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,7 +56,9 @@
 	replicaStates map[gypsum.BackendID]*replicaState
 	queues        map[gypsum.ServiceName]*waitQueue
 	probes        chan crashProbe
-	transits      TransitEstimator
+	// served are requests with counted crashes that a replica has served.
+	served   chan gypsum.Fingerprint
+	transits TransitEstimator
 }
 
 // Stats counts the requests, responses and attempts of a Relay since its start.
@@ -84,7 +86,7 @@
 	return &Relay{
 		HostCount: func() int { return 1 },
 		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), queues: make(map[gypsum.ServiceName]*waitQueue),
-		probes: make(chan crashProbe, maxQueuedProbes),
+		probes: make(chan crashProbe, maxQueuedProbes), served: make(chan gypsum.Fingerprint, maxQueuedProbes),
 	}
 }
 
@@ -378,6 +380,8 @@
 		case response.Status >= http.StatusInternalServerError && request.Route.Retryable():
 			failed = response
 			continue
+		case response.Status/100 == 2:
+			r.recordServed(request)
 		}
 		r.Stats.Responses.Add(1)
 		return response, nil
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// Run probes replicas whose connection broke, and records those that crashed for all
-// daemons, until ctx ends.
+// Run probes replicas whose connection broke, records those that crashed for all daemons, and
+// forgets the crashes of requests that were served, until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
 	for {
 		select {
@@ -227,10 +227,38 @@
 			return ctx.Err()
 		case probe := <-r.probes:
 			r.checkCrash(ctx, probe)
+		case fingerprint := <-r.served:
+			r.clearCrashes(ctx, fingerprint)
 		}
 	}
 }
 
+// clearTimeout bounds the removal of the crashes of a request.
+const clearTimeout = 1500 * time.Millisecond
+
+// recordServed forgets the crashes counted for a request that a replica has served: what crashes
+// replicas does not get a response. Reward calls are not counted.
+func (r *Relay) recordServed(request *Request) {
+	if request.isReward || r.Crashes.CrashCount(request.fingerprint) == 0 {
+		return
+	}
+	select {
+	case r.served <- request.fingerprint:
+	default: // a later response of the request does the same
+	}
+}
+
+// clearCrashes forgets the crashes counted for a request, unless that was done meanwhile.
+func (r *Relay) clearCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) {
+	if r.Crashes.CrashCount(fingerprint) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	defer cancel()
+	err := r.Crashes.ClearCrashes(ctx, fingerprint)
+	r.Logger.Info("crashes of a request forgotten, as a replica has served it", "fingerprint", fingerprint, "error", err)
+}
+
 // checkCrash records a crash if the replica no longer accepts connections.
 func (r *Relay) checkCrash(ctx context.Context, probe crashProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -239,7 +267,7 @@
 	if (!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
 		return
 	}
-	err := r.Crashes.RecordCrash(ctx, probe.fingerprint, probe.replica.ID)
+	err := r.Crashes.RecordCrash(ctx, probe.fingerprint, probe.replica)
 	r.Logger.Warn("replica crashed while running a request", "request", probe.request, "fingerprint", probe.fingerprint,
 		"replica", probe.replica.ID, "error", err)
 }
--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -55,8 +55,8 @@
 		d.rewards.SetCrashing(submitted.Items[0].Scorer.ID, 5)
 		// A live request with the same target and body may have crashed replicas before.
 		scorer := submitted.Items[1].Scorer
-		for range 3 {
-			is.NoErr(d.daemons[0].batches.RecordCrash(t.Context(), gypsum.FingerprintOf(rewardService, scorer.Path, scorer.Body), "reward-1"))
+		for _, replica := range d.rewards.Replicas() {
+			is.NoErr(d.daemons[0].batches.RecordCrash(t.Context(), gypsum.FingerprintOf(rewardService, scorer.Path, scorer.Body), replica))
 		}
 		d.submitBatch(0, submitted)
 		results, took := d.awaitResults(1, submitted, 30*time.Second)
