--- a/batch/claim.go
+++ b/batch/claim.go
@@ -52,8 +52,8 @@
 	return err
 }
 
-// ClearCrashes implements gypsum.CrashCounter. It removes the records that this daemon knows.
-func (m *Manager) ClearCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) error {
+// ForgetCrashes implements gypsum.CrashCounter. It removes the records that this daemon knows.
+func (m *Manager) ForgetCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) error {
 	if err := removeKeys(ctx, m.StateWriter, m.State.crashKeys(fingerprint)); err != nil {
 		return fmt.Errorf("remove crashes: %w", err)
 	}
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -381,7 +381,7 @@
 		record(a, "r", 2) // it has started again
 		record(a, "s", 2)
 		is.Equal(b.CrashCount(7), 3)
-		is.NoErr(b.ClearCrashes(t.Context(), 7))
+		is.NoErr(b.ForgetCrashes(t.Context(), 7))
 		time.Sleep(time.Millisecond)
 		record(b, "s", 3)
 		c := startManager(t, backing, "c")
--- a/live.go
+++ b/live.go
@@ -78,6 +78,6 @@
 	// of the requests that it ran.
 	RecordCrash(ctx context.Context, fingerprint Fingerprint, replica *Replica) error
 	CrashCount(fingerprint Fingerprint) int
-	// ClearCrashes forgets the crashes counted so far, since a replica has served the request.
-	ClearCrashes(ctx context.Context, fingerprint Fingerprint) error
+	// ForgetCrashes forgets the crashes counted so far, since a replica has served the request.
+	ForgetCrashes(ctx context.Context, fingerprint Fingerprint) error
 }
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -104,8 +104,8 @@
 // CrashCount implements gypsum.CrashCounter.
 func (noCrashes) CrashCount(gypsum.Fingerprint) int { return 0 }
 
-// ClearCrashes implements gypsum.CrashCounter.
-func (noCrashes) ClearCrashes(context.Context, gypsum.Fingerprint) error { return nil }
+// ForgetCrashes implements gypsum.CrashCounter.
+func (noCrashes) ForgetCrashes(context.Context, gypsum.Fingerprint) error { return nil }
 
 // TestDaemonsTogetherExceedRateLimit guards against live requests of many daemons that each
 // keep a replica's rate limit and exceed it together. Requests beyond the limit are refused as
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -228,13 +228,13 @@
 		case probe := <-r.probes:
 			r.checkCrash(ctx, probe)
 		case fingerprint := <-r.served:
-			r.clearCrashes(ctx, fingerprint)
+			r.forgetCrashes(ctx, fingerprint)
 		}
 	}
 }
 
-// clearTimeout bounds the removal of the crashes of a request.
-const clearTimeout = 1500 * time.Millisecond
+// forgetTimeout bounds the removal of the crashes of a request.
+const forgetTimeout = 1500 * time.Millisecond
 
 // recordServed forgets the crashes counted for a request that a replica has served: what crashes
 // replicas does not get a response. Reward calls are not counted.
@@ -248,14 +248,14 @@
 	}
 }
 
-// clearCrashes forgets the crashes counted for a request, unless that was done meanwhile.
-func (r *Relay) clearCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) {
+// forgetCrashes forgets the crashes counted for a request, unless that was done meanwhile.
+func (r *Relay) forgetCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) {
 	if r.Crashes.CrashCount(fingerprint) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
 	defer cancel()
-	err := r.Crashes.ClearCrashes(ctx, fingerprint)
+	err := r.Crashes.ForgetCrashes(ctx, fingerprint)
 	r.Logger.Info("crashes of a request forgotten, as a replica has served it", "fingerprint", fingerprint, "error", err)
 }
 
