batch, relay: a success forgets only the crashes of its software version

Records of crashes name the software version of the replica, and a success forgets those of its own. front.TestRequestCrashesOneSoftwareVersion was red before: 200 after three crashes at v2.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -47,17 +47,18 @@
 
 // RecordCrash implements gypsum.CrashCounter. It stores that a replica crashed.
 func (m *Manager) RecordCrash(ctx context.Context, fingerprint gypsum.Fingerprint, replica *gypsum.Replica) error {
-	_, err := m.appendRecord(ctx, Crash{Fingerprint: fingerprint, Replica: replica.ID, AtMS: time.Now().UnixMilli(), Incarnation: replica.Incarnation},
+	_, err := m.appendRecord(ctx, Crash{Fingerprint: fingerprint, Replica: replica.ID, AtMS: time.Now().UnixMilli(), Incarnation: replica.Incarnation, Software: replica.Software},
 		kindCrash, strconv.FormatUint(uint64(fingerprint), 16), m.uniqueKey())
 	return err
 }
 
-// ForgetCrashes implements gypsum.CrashCounter. It removes the records that this daemon knows.
-func (m *Manager) ForgetCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) error {
-	if err := removeKeys(ctx, m.StateWriter, m.State.crashKeys(fingerprint)); err != nil {
-		return fmt.Errorf("remove crashes: %w", err)
+// ForgetCrashes implements gypsum.CrashCounter. It removes the records from the store.
+func (m *Manager) ForgetCrashes(ctx context.Context, fingerprint gypsum.Fingerprint, software gypsum.SoftwareVersion) (int, error) {
+	keys := m.State.crashKeys(fingerprint, software)
+	if err := removeKeys(ctx, m.StateWriter, keys); err != nil {
+		return 0, fmt.Errorf("remove crashes: %w", err)
 	}
-	return nil
+	return len(keys), nil
 }
 
 // CrashCount implements gypsum.CrashCounter.
--- a/batch/record.go
+++ b/batch/record.go
@@ -150,6 +150,8 @@
 	AtMS        int64              `cbor:"3,keyasint"`
 	// Incarnation is the start of the replica that crashed. Daemons of older builds leave it out.
 	Incarnation gypsum.Incarnation `cbor:"4,keyasint,omitempty"`
+	// Software is the software version of the replica. Daemons of older builds leave it out.
+	Software gypsum.SoftwareVersion `cbor:"5,keyasint,omitempty"`
 }
 
 var errMalformedRecord = errors.New("malformed batch record")
--- a/batch/state.go
+++ b/batch/state.go
@@ -77,12 +77,13 @@
 	offset gypsum.Offset
 }
 
-// crashRecord is the key of the record of a crash, the time of the crash and the start of the replica
-// that crashed.
+// crashRecord is the key of the record of a crash, the time of the crash, and the start and the
+// software version of the replica that crashed.
 type crashRecord struct {
-	key   string
-	at    time.Time
-	start replicaStart
+	key      string
+	at       time.Time
+	start    replicaStart
+	software gypsum.SoftwareVersion
 }
 
 // replicaStart identifies a start of a replica.
@@ -174,7 +175,7 @@
 		return decodeAndApply(record, func(claim Claim) { s.applyClaim(claim, record, now) })
 	case kindCrash:
 		return decodeAndApply(record, func(crash Crash) {
-			crashed := crashRecord{key: record.Key, at: time.UnixMilli(crash.AtMS), start: replicaStart{crash.Replica, crash.Incarnation}}
+			crashed := crashRecord{key: record.Key, at: time.UnixMilli(crash.AtMS), start: replicaStart{crash.Replica, crash.Incarnation}, software: crash.Software}
 			s.crashes[crash.Fingerprint] = append(s.crashes[crash.Fingerprint], crashed)
 		})
 	case kindRateLimit:
@@ -377,13 +378,16 @@
 	return len(crashed)
 }
 
-// crashKeys returns the keys of the crashes that are recorded for a request.
-func (s *State) crashKeys(fingerprint gypsum.Fingerprint) []string {
+// crashKeys returns the keys of the crashes of replicas of a software version that are recorded for a
+// request.
+func (s *State) crashKeys(fingerprint gypsum.Fingerprint, software gypsum.SoftwareVersion) []string {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	keys := make([]string, 0, len(s.crashes[fingerprint]))
+	var keys []string
 	for _, crash := range s.crashes[fingerprint] {
-		keys = append(keys, crash.key)
+		if crash.software == software {
+			keys = append(keys, crash.key)
+		}
 	}
 	return keys
 }
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -381,7 +381,11 @@
 		record(a, "r", 2) // it has started again
 		record(a, "s", 2)
 		is.Equal(b.CrashCount(7), 3)
-		is.NoErr(b.ForgetCrashes(t.Context(), 7))
+		for software, expected := range map[gypsum.SoftwareVersion]int{"other": 0, "": 8} {
+			forgotten, err := b.ForgetCrashes(t.Context(), 7, software)
+			is.NoErr(err)
+			is.Equal(forgotten, expected)
+		}
 		time.Sleep(time.Millisecond)
 		record(b, "s", 3)
 		c := startManager(t, backing, "c")
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -88,3 +88,20 @@
 	status, _, _ := other.sendRequest(http.MethodGet, "/i/page", "last", "")
 	is.Equal(status, http.StatusServiceUnavailable)
 }
+
+// TestRequestCrashesOneSoftwareVersion guards against a request that crashes replicas of a new software
+// version without end, since those of the older one serve it.
+func TestRequestCrashesOneSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	s := newMixedServer(t, "v1")
+	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	for i := range 3 {
+		crashed := &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("gone-", i)), Incarnation: 1, Software: "v2"}
+		status, _, _ := s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("p", i), "")
+		is.Equal(status, http.StatusOK)
+		is.NoErr(s.frontend.Batches.RecordCrash(t.Context(), fingerprint, crashed))
+		time.Sleep(50 * time.Millisecond)
+	}
+	status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "last", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+}
--- a/live.go
+++ b/live.go
@@ -72,12 +72,13 @@
 }
 
 // CrashCounter counts, for all daemons together, the starts of replicas that crashed while running
-// a request and have not served it since.
+// a request, unless a replica of the same software version has served it since.
 type CrashCounter interface {
 	// RecordCrash counts a crash of a start of a replica, which may be recorded several times: by each
 	// of the requests that it ran.
 	RecordCrash(ctx context.Context, fingerprint Fingerprint, replica *Replica) error
 	CrashCount(fingerprint Fingerprint) int
-	// ForgetCrashes forgets the crashes counted so far, since a replica has served the request.
-	ForgetCrashes(ctx context.Context, fingerprint Fingerprint) error
+	// ForgetCrashes forgets the crashes of replicas of a software version that are known here, since a
+	// replica of that version has served the request. It returns how many were forgotten.
+	ForgetCrashes(ctx context.Context, fingerprint Fingerprint, software SoftwareVersion) (int, error)
 }
--- a/relay/ratelimit_test.go
+++ b/relay/ratelimit_test.go
@@ -105,7 +105,9 @@
 func (noCrashes) CrashCount(gypsum.Fingerprint) int { return 0 }
 
 // ForgetCrashes implements gypsum.CrashCounter.
-func (noCrashes) ForgetCrashes(context.Context, gypsum.Fingerprint) error { return nil }
+func (noCrashes) ForgetCrashes(context.Context, gypsum.Fingerprint, gypsum.SoftwareVersion) (int, error) {
+	return 0, nil
+}
 
 // TestDaemonsTogetherExceedRateLimit guards against live requests of many daemons that each
 // keep a replica's rate limit and exceed it together. Requests beyond the limit are refused as
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,7 +57,7 @@
 	queues        map[gypsum.ServiceName]*waitQueue
 	probes        chan crashProbe
 	// served are requests with counted crashes that a replica has served.
-	served   chan gypsum.Fingerprint
+	served   chan servedRequest
 	transits TransitEstimator
 }
 
@@ -86,7 +86,7 @@
 	return &Relay{
 		HostCount: func() int { return 1 },
 		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), queues: make(map[gypsum.ServiceName]*waitQueue),
-		probes: make(chan crashProbe, maxQueuedProbes), served: make(chan gypsum.Fingerprint, maxQueuedProbes),
+		probes: make(chan crashProbe, maxQueuedProbes), served: make(chan servedRequest, maxQueuedProbes),
 	}
 }
 
@@ -381,7 +381,7 @@
 			failed = response
 			continue
 		case response.Status/100 == 2:
-			r.recordServed(request)
+			r.recordServed(request, candidate.Replica)
 		}
 		r.Stats.Responses.Add(1)
 		return response, nil
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -227,8 +227,8 @@
 			return ctx.Err()
 		case probe := <-r.probes:
 			r.checkCrash(ctx, probe)
-		case fingerprint := <-r.served:
-			r.forgetCrashes(ctx, fingerprint)
+		case served := <-r.served:
+			r.forgetCrashes(ctx, served)
 		}
 	}
 }
@@ -236,27 +236,34 @@
 // forgetTimeout bounds the removal of the crashes of a request.
 const forgetTimeout = 1500 * time.Millisecond
 
-// recordServed forgets the crashes counted for a request that a replica has served: what crashes
-// replicas does not get a response. Reward calls are not counted.
-func (r *Relay) recordServed(request *Request) {
+// servedRequest is a request that a replica of a software version has served.
+type servedRequest struct {
+	fingerprint gypsum.Fingerprint
+	software    gypsum.SoftwareVersion
+}
+
+// recordServed forgets the crashes counted for a request that a replica has served: what crashes the
+// replicas of a version gets no response from them. It may crash those of another version, whose
+// crashes stay. Reward calls are not counted.
+func (r *Relay) recordServed(request *Request, replica *gypsum.Replica) {
 	if request.isReward || r.Crashes.CrashCount(request.fingerprint) == 0 {
 		return
 	}
 	select {
-	case r.served <- request.fingerprint:
+	case r.served <- servedRequest{request.fingerprint, replica.Software}:
 	default: // a later response of the request does the same
 	}
 }
 
-// forgetCrashes forgets the crashes counted for a request, unless that was done meanwhile.
-func (r *Relay) forgetCrashes(ctx context.Context, fingerprint gypsum.Fingerprint) {
-	if r.Crashes.CrashCount(fingerprint) == 0 {
-		return
-	}
+// forgetCrashes forgets the crashes counted for a request that was served.
+func (r *Relay) forgetCrashes(ctx context.Context, served servedRequest) {
 	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
 	defer cancel()
-	err := r.Crashes.ForgetCrashes(ctx, fingerprint)
-	r.Logger.Info("crashes of a request forgotten, as a replica has served it", "fingerprint", fingerprint, "error", err)
+	count, err := r.Crashes.ForgetCrashes(ctx, served.fingerprint, served.software)
+	if count > 0 || err != nil {
+		r.Logger.Info("crashes of a request forgotten, as a replica has served it", "fingerprint", served.fingerprint, "software", served.software,
+			"crashes", count, "error", err)
+	}
 }
 
 // checkCrash records a crash if the replica no longer accepts connections.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -164,7 +164,7 @@
 	r.recordReach(ctx, request, candidate, startedAt, response, err)
 	r.recordAttempt(request, replica, err)
 	if err == nil && response.Status/100 == 2 {
-		r.recordServed(request)
+		r.recordServed(request, replica)
 	}
 	r.Logger.Info("stream attempt", "request", request.ID, "service", request.Service, "replica", replica.ID, "via", candidate.via(),
 		"attempt", request.sentAttempts, "open", candidate.InFlight, "latency_ms", candidate.Latency.Milliseconds(), "failing", candidate.FailureRate,
