--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,6 +57,8 @@
 	modelService         = "motif"
 	plainService         = "desk"
 	readyTimeout         = 10 * time.Second
+	defaultMemoryMB      = 300
+	defaultMaxFiles      = 8200
 	// The range of the daemons' ports is below the ephemeral ports, which the operating
 	// system assigns to connections.
 	firstPort        = 11000
@@ -73,7 +76,8 @@
 ready = "127.0.0.1:%d"
 [limits]
 cpu_share = 0.8
-memory_mb = 300
+memory_mb = %d
+max_fds = %d
 [bounds]
 grace_s = 8
 lease_ms = 1000
@@ -107,6 +111,8 @@
 	reads, writes float64
 	// dutySettings are the settings of the platform's API, empty for a deployment without duties.
 	dutySettings string
+	// memoryMB and maxFiles are the memory and the descriptors of a daemon's host, 0 for the defaults.
+	memoryMB, maxFiles int
 }
 
 // registeredReplica is a replica that renews its registration.
@@ -344,7 +350,8 @@
 	if env.accounts != nil {
 		bounds = fmt.Sprintf("strict_revoke = true\nrevoke_ms = %d\n", env.revokeTime.Milliseconds())
 	}
-	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort, bounds, daemon.storeProxy.address(), env.limited.ReadsPerSecond, env.limited.WritesPerSecond) + env.dutySettings
+	content := fmt.Sprintf(settingsTemplate, daemon.name, daemon.dataCentre, daemon.region, daemon.innerPort, daemon.innerPort, daemon.frontPort, daemon.readyPort,
+		cmp.Or(env.memoryMB, defaultMemoryMB), cmp.Or(env.maxFiles, defaultMaxFiles), bounds, daemon.storeProxy.address(), env.limited.ReadsPerSecond, env.limited.WritesPerSecond) + env.dutySettings
 	return []byte(content)
 }
 
@@ -410,6 +417,16 @@
 	}
 }
 
+// pid returns the ID of a daemon's process, 0 for none.
+func (d *daemonProcess) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
 // kill sends SIGKILL to a daemon's process and waits for its end.
 func (d *daemonProcess) kill() {
 	d.signal(syscall.SIGKILL)
