intake, edge: connections, heads and requests count before a handler runs

What callers saw: a crowd of clients ended a daemon (out of memory or without descriptors), and everybody lost its requests.

Cause: memory was counted from the first byte of a body on. What came before was bounded for each connection alone (64 KiB of a head), and the number of connections not at all. A parsed head costs 7 to 17 times its bytes, by its lines. The shares that were counted added up to more than the memory limit.

Change: package intake bounds what the clients of all ports of a process hold: connections by memory and descriptors, heads by bytes and lines while they arrive, requests at work with the copies made to forward them, and bodies at the internal port. Each port has a part, so none keeps out another. If a part is used up, clients make room that have not sent a whole head, that send requests without reading, that were idle after few requests, or that keep a request waiting for 0.5 s. Large requests get half of a part. What has no room is refused at once (503, not run); a peer daemon sees it as not sent.

--- a/buffer/pool.go
+++ b/buffer/pool.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,9 +24,37 @@
 	ErrFull = errors.New("no memory left")
 )
 
+// Budget bounds what several pools hold together. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of a size.
+func NewBudget(limit gypsum.Bytes) *Budget { return &Budget{limit: int64(limit)} }
+
+// NewPool returns a pool with a bound of its own, which leaves reserve of the budget to the others.
+func (b *Budget) NewPool(limit, reserve gypsum.Bytes) *Pool {
+	pool := NewPool(min(limit, gypsum.Bytes(b.limit)-reserve))
+	pool.budget, pool.reserve = b, int64(reserve)
+	return pool
+}
+
+// take counts bytes of a pool, unless less than reserve would be left.
+func (b *Budget) take(size, reserve int64) bool {
+	if b.used.Add(size) > b.limit-reserve && size > 0 {
+		b.used.Add(-size)
+		return false
+	}
+	return true
+}
+
 // Pool counts the bytes that connections hold. It is safe for concurrent use.
 type Pool struct {
 	limit gypsum.Bytes
+	// budget bounds the pool together with others, nil for none, of which it leaves reserve.
+	budget  *Budget
+	reserve int64
 
 	mu        sync.Mutex
 	used      gypsum.Bytes
@@ -89,6 +118,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	err := h.check(size)
+	if err == nil && p.budget != nil && !p.budget.take(int64(size), p.reserve) {
+		err = fmt.Errorf("%w: %d more than the budget allows", ErrFull, size)
+	}
 	if err != nil {
 		p.rejected++
 		return err
@@ -97,6 +129,14 @@
 	return nil
 }
 
+// remove is change for bytes that are not held any more. The caller holds mu.
+func (h *Holder) remove(size gypsum.Bytes) {
+	if h.pool.budget != nil && !h.evicted {
+		h.pool.budget.take(-int64(size), 0)
+	}
+	h.change(-size)
+}
+
 // check returns the error of adding size. What an account holds first may take all that is free: a
 // large body must not be refused while nothing is short. The caller holds mu.
 func (h *Holder) check(size gypsum.Bytes) error {
@@ -143,18 +183,26 @@
 func (h *Holder) Remove(size gypsum.Bytes, now time.Time) {
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
-	h.change(-size)
+	h.remove(size)
 	h.progressedAt = now
 }
 
 // Progress records that the reader took bytes, which stay in memory until the rest is taken.
 func (h *Holder) Progress(now time.Time) { h.Remove(0, now) }
 
+// Keep makes the connection one that cannot be aborted. It reports false if it was aborted before.
+func (h *Holder) Keep() bool {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	h.abort = nil
+	return !h.evicted
+}
+
 // Close removes the holder and all its bytes.
 func (h *Holder) Close() {
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
-	h.change(-h.held)
+	h.remove(h.held)
 	delete(h.pool.holders, h)
 }
 
@@ -188,7 +236,7 @@
 		return false
 	}
 	// Its bytes count for a moment longer than they are counted here, until its goroutine ends.
-	slowest.change(-slowest.held)
+	slowest.remove(slowest.held)
 	slowest.evicted = true
 	p.evicted++
 	p.mu.Unlock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumhook/gypsum/daemon"
 	"github.com/gypsumhook/gypsum/feed"
 	"github.com/gypsumhook/gypsum/front"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
 	"github.com/gypsumhook/gypsum/pace"
@@ -32,11 +33,6 @@
 
 // Timeouts, intervals and limits of the process.
 const (
-	// readHeaderTimeout is longer than the header timeout of the users' clients.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle timeout in the users' configuration, since
-	// clients reuse connections for as long as that allows.
-	idleTimeout = 2 * time.Minute
 	// balancerNoticeTime is how long the load balancer takes to notice that a daemon is
 	// not ready: two checks one second apart, and a connection already being made.
 	balancerNoticeTime = 2800 * time.Millisecond
@@ -64,12 +60,19 @@
 	// watchInterval is the time between two checks for outages of the store, and between
 	// two attempts to store the daemon's address.
 	watchInterval = 200 * time.Millisecond
-	// maxHeaderBytes limits the header of a request. It is above the limit in the users'
-	// configuration.
-	maxHeaderBytes = 64 << 10
-	// bodyMemoryDivisor limits the memory for request bodies to 1/bodyMemoryDivisor of the
+	// Of allParts parts of what clients may use, the ports get these.
+	clientParts    = 10
+	internalParts  = 5
+	readinessParts = 1
+	allParts       = 16
+	// internalBodyCopies is how many times the bytes of a message of another daemon count, for what is
+	// decoded from it.
+	internalBodyCopies = 3
+	// The memory for bodies and responses is divided further: each use has a limit, and bodies
+	// leave 1/bodyReserveDivisor of the memory limit to the others. bodyMemoryDivisor limits the memory for request bodies to 1/bodyMemoryDivisor of the
 	// memory limit.
-	bodyMemoryDivisor = 4
+	bodyMemoryDivisor  = 4
+	bodyReserveDivisor = 16
 	// responseMemoryDivisor limits the memory for responses of replicas that are being read to
 	// 1/responseMemoryDivisor of the memory limit.
 	responseMemoryDivisor = 8
@@ -79,6 +82,9 @@
 	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
 	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
 	forwardMemoryDivisor = 16
+	// messageMemoryDivisor limits the memory for messages of other daemons to 1/messageMemoryDivisor
+	// of the memory limit.
+	messageMemoryDivisor = 8
 	// feedMemoryDivisor limits the memory for the records of each topic that other daemons get from
 	// this one to 1/feedMemoryDivisor of the memory limit: half a minute of the batch state on the
 	// smallest host.
@@ -113,6 +119,14 @@
 	followers []*store.Follower
 	writers   map[writerKey]*store.Writer
 	tasks     taskGroup
+
+	// shares is what clients may use of the host, payload the part for bodies and responses, of which
+	// forwardedMemory is for forwarded requests of other daemons and internalBodies for their messages.
+	shares          intake.Shares
+	payload         *buffer.Budget
+	forwardedMemory *buffer.Pool
+	internalBodies  *buffer.Pool
+	ports           *ports
 }
 
 // writerKey identifies the partition that a writer appends to.
@@ -154,11 +168,15 @@
 		stopTasks()
 		d.tasks.wait()
 	}()
+	listening, err := d.newServers()
+	if err != nil {
+		return err
+	}
 	d.publishMetrics()
 	d.Logger.Info("started", "host", d.Settings.Host, "data_centre", d.Settings.Location.DataCentre, "region", d.Settings.Location.Region,
 		"clients", d.Settings.ClientAddr, "store", d.Settings.StoreAddr, "boot", d.incarnation)
 	servers := &daemon.Servers{
-		Host: d.Settings.Host, Servers: d.newServers(), Leave: d.startLeaving,
+		Host: d.Settings.Host, Servers: listening, Leave: d.startLeaving,
 		StopTimeout: d.Settings.ShutdownGrace - balancerNoticeTime - exitTimeReserve, Logger: d.Logger,
 	}
 	if err := servers.Run(ctx); err != nil {
@@ -196,13 +214,19 @@
 // connections of their clients.
 func (d *Daemon) createComponents() (cleanup func(), err error) {
 	d.incarnation = gypsum.Incarnation(time.Now().UnixMilli())
+	host := intake.Resources{Memory: d.Settings.MemoryLimit, Descriptors: d.Settings.MaxOpenFiles}.WithDefaults()
+	memory := host.Memory
+	d.shares = intake.NewShares(host)
+	d.payload = buffer.NewBudget(d.shares.Payload)
+	d.forwardedMemory = d.payload.NewPool(memory/forwardMemoryDivisor, 0)
+	d.internalBodies = d.payload.NewPool(memory/messageMemoryDivisor, 0)
 	d.tasks.done = make(chan error, 256)
 	client, closeStore := platform.NewStore(d.Settings.StoreAddr)
 	d.registry = state.NewRegistry(d.Logger)
 	rateLimits := limit.NewTable(d.Logger)
-	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits, d.Settings.MemoryLimit/responseMemoryDivisor)
+	backends, closeBackends := platform.NewReplicaClient(d.registry, rateLimits, d.payload.NewPool(memory/responseMemoryDivisor, 0))
 	peers, closePeers := wire.NewPeerClients()
-	peers.ForwardMemory = d.Settings.MemoryLimit / forwardMemoryDivisor
+	peers.ForwardMemory = d.payload.NewPool(memory/forwardMemoryDivisor, 0)
 	d.registrations = platform.NewRegistrationDecoder(d.Settings.Regions)
 	d.batchState = batch.NewState(d.Logger)
 	topics := batch.Topics{
@@ -217,7 +241,7 @@
 	}
 	d.feed = &feed.Feed{
 		Self: d.Settings.Host, Location: d.Settings.Location, Store: d.store, Peers: peers, ListDaemons: d.feedDaemons, Ample: d.store.Reads.Ample,
-		Clock: clock.Steady, Memory: d.Settings.MemoryLimit / feedMemoryDivisor, Logger: d.Logger,
+		Clock: clock.Steady, Memory: memory / feedMemoryDivisor, Logger: d.Logger,
 	}
 	d.createWriters(topics)
 	follower := d.newFollower(topics.State, stateReadInterval, d.batchState.Apply)
@@ -256,7 +280,7 @@
 	d.reach.Prober, d.reach.Forwarder, d.reach.ListPeers, d.reach.Peers = backends, backends, d.peers, peers
 	d.reach.Stopping = func() bool { return d.frontend.Stopping.Load() }
 	d.relay = relay.New()
-	d.relay.Buffers = buffer.NewPool(d.Settings.MemoryLimit / clientMemoryDivisor)
+	d.relay.Buffers = d.payload.NewPool(memory/clientMemoryDivisor, 0)
 	d.relay.Reach = d.reach
 	d.relay.HostCount = func() int { return len(d.batchState.DaemonRecords()) }
 	d.relay.TransportVia = func(address string) gypsum.ReplicaTransport { return backends.Via(peers.ReplicasVia(address)) }
@@ -271,7 +295,7 @@
 	d.runner.StoreUnavailable = func() bool { return d.storeDowntime() > 0 }
 	d.frontend = &front.Server{
 		Registry: d.registry, Relay: d.relay, Batches: d.batches, Access: d.access, StoreDowntime: d.storeDowntime, ConfigAge: d.configAge,
-		BodyMemory: d.Settings.MemoryLimit / bodyMemoryDivisor, Buffers: d.relay.Buffers, Logger: d.Logger,
+		BodyMemory: d.payload.NewPool(memory/bodyMemoryDivisor, memory/bodyReserveDivisor), Buffers: d.relay.Buffers, Logger: d.Logger,
 	}
 	closeDuties := d.createDuties()
 	return func() {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/clock"
 	"github.com/gypsumhook/gypsum/feed"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/pace"
 )
 
@@ -90,6 +91,8 @@
 	DecisionRounds   int64            `json:"decision_rounds"`
 	DecisionMS       int64            `json:"decision_ms"`
 	Duties           *dutyMetrics     `json:"duties,omitempty"`
+	// Ports is what the clients of each port hold.
+	Ports map[string]intake.Usage `json:"ports"`
 }
 
 // storeMetrics count the calls of the store that the daemon has made, paced and not made, and give
@@ -206,7 +209,7 @@
 		},
 		LoadOrders: runnerStats.LoadOrders.Load(), Claims: runnerStats.Claims.Load(), Takeovers: runnerStats.Takeovers.Load(), Releases: runnerStats.UnreachableReleases.Load(),
 		DecisionRounds: runnerStats.Rounds.Load(), DecisionMS: time.Duration(runnerStats.RoundTime.Load()).Milliseconds(),
-		Duties: d.duties.metrics(),
+		Duties: d.duties.metrics(), Ports: intake.UsageOf(d.ports.all()),
 	}
 	if snapshot.Config != nil {
 		current.Revision = snapshot.Config.Revision
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/front"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -37,7 +38,7 @@
 
 // newServers returns the servers of the process: for clients, for the load balancer's check
 // and, if internal ports are configured, for other daemons.
-func (d *Daemon) newServers() []appServer {
+func (d *Daemon) newServers() ([]appServer, error) {
 	metricsHandler := expvar.Handler()
 	readiness := http.NewServeMux()
 	readiness.Handle("/debug/vars", metricsHandler)
@@ -48,9 +49,20 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	servers := []appServer{
-		newServer(d.Settings.ClientAddr, d.frontend.Handler()),
-		newServer(d.Settings.ReadinessAddr, readiness),
+	ports := d.newPorts()
+	var servers []appServer
+	addServer := func(port *intake.Port, address string, handler http.Handler) error {
+		server, err := newServer(port, address, handler)
+		if err == nil {
+			servers = append(servers, server)
+		}
+		return err
+	}
+	if err := addServer(ports.clients, d.Settings.ClientAddr, d.frontend.Handler()); err != nil {
+		return nil, err
+	}
+	if err := addServer(ports.readiness, d.Settings.ReadinessAddr, readiness); err != nil {
+		return nil, err
 	}
 	if d.Settings.InternalPorts[0] > 0 {
 		internal := http.NewServeMux()
@@ -62,25 +74,54 @@
 		for path, handler := range wire.OriginHandler(d.origins) {
 			internal.Handle(path, handler)
 		}
-		for path, handler := range wire.ReplicaHandler(d.reach, d.Settings.MemoryLimit/forwardMemoryDivisor) {
+		for path, handler := range wire.ReplicaHandler(d.reach, d.forwardedMemory) {
 			internal.Handle(path, handler)
 		}
-		servers = append(servers, newServer(d.internalAddress(), internal))
+		if err := addServer(ports.internal, d.internalAddress(), internal); err != nil {
+			return nil, err
+		}
 	}
-	return servers
+	return servers, nil
 }
 
-// newServer returns an HTTP server for a handler.
-func newServer(address string, handler http.Handler) *khttp.Server {
-	server := khttp.NewServer(khttp.Network("tcp"), khttp.Address(address), khttp.Timeout(0))
+// newServer returns an HTTP server for a handler, which listens on an address.
+func newServer(port *intake.Port, address string, handler http.Handler) (*khttp.Server, error) {
+	listener, err := port.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	server := khttp.NewServer(khttp.Network("tcp"), khttp.Address(address), khttp.Timeout(0), khttp.Listener(listener))
 	// Bypasses the kratos router, which would clean paths and redirect.
 	server.Handler = handler
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = maxHeaderBytes
-	return server
+	port.Protect(server.Server)
+	return server, nil
+}
+
+// ports are what bounds the clients of the servers.
+type ports struct {
+	clients, readiness, internal *intake.Port
+}
+
+// newPorts returns the ports, which divide the shares of the process.
+func (d *Daemon) newPorts() *ports {
+	d.ports = &ports{
+		clients: &intake.Port{
+			Name: "clients", Shares: d.shares.Part(clientParts, allParts), Refuse: d.frontend.RefuseUnread,
+		},
+		readiness: &intake.Port{Name: "readiness", Shares: d.shares.Part(readinessParts, allParts)},
+		internal: &intake.Port{
+			Name: "internal", Shares: d.shares.Part(internalParts, allParts), Bodies: d.internalBodies, BodyCopies: internalBodyCopies,
+		},
+	}
+	for _, port := range d.ports.all() {
+		port.Logger = d.Logger
+	}
+	return d.ports
 }
 
+// all returns the ports.
+func (p *ports) all() []*intake.Port { return []*intake.Port{p.clients, p.readiness, p.internal} }
+
 // internalAddress returns the address under which other daemons reach this one.
 func (d *Daemon) internalAddress() string {
 	return net.JoinHostPort(d.Settings.IP, strconv.Itoa(d.Settings.InternalPorts[0]))
--- a/front/body.go
+++ b/front/body.go
@@ -68,9 +68,9 @@
 	since  time.Time
 }
 
-// newBodyMemory returns memory of a size.
-func newBodyMemory(limit gypsum.Bytes) *bodyMemory {
-	return &bodyMemory{pool: buffer.NewPool(limit), policy: shed.NewCostPolicy(), shares: shed.NewShares()}
+// newBodyMemory returns the memory of a pool.
+func newBodyMemory(pool *buffer.Pool) *bodyMemory {
+	return &bodyMemory{pool: pool, policy: shed.NewCostPolicy(), shares: shed.NewShares()}
 }
 
 // errNoBodyMemory means that no memory was free for a body in time.
@@ -227,7 +227,7 @@
 		return nil, release, false
 	}
 	memory, maxWait := s.bodies(), bodyWait(work)
-	if r.ContentLength > int64(s.BodyMemory) || memory.isCrowded() {
+	if r.ContentLength > int64(s.BodyMemory.Usage().Limit) || memory.isCrowded() {
 		maxWait = 0
 	}
 	held, waited, err := memory.acquire(r.Context(), work, gypsum.Bytes(max(0, r.ContentLength)), maxWait)
--- a/front/body_test.go
+++ b/front/body_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 )
@@ -24,7 +25,7 @@
 	is := is.New(t)
 	s := newTestServer(t, 1)
 	s.replicas[0].ServiceTime = 200 * time.Millisecond
-	s.frontend.BodyMemory = 50 << 10
+	s.frontend.BodyMemory = buffer.NewPool(50 << 10)
 	route := gypsum.Route{
 		Name: "high", HostName: "a.example", PathPrefix: "/high/", Kind: gypsum.RouteIdempotent, Timeout: 20 * time.Second, LatencyTarget: 8 * time.Second,
 		MaxAttempts: 2, Services: []gypsum.WeightedService{{Service: "desk", Weight: 1}},
@@ -70,7 +71,7 @@
 	is := is.New(t)
 	s := newTestServer(t, 1)
 	s.applyConfig()
-	s.frontend.BodyMemory = 20 << 10
+	s.frontend.BodyMemory = buffer.NewPool(20 << 10)
 	send := func(size int) (int, string) {
 		// A reader of this type gives the request no length.
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+"/i/x", io.MultiReader(strings.NewReader(strings.Repeat("x", size))))
--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 	"github.com/gypsumhook/gypsum/reach"
@@ -50,13 +51,13 @@
 // startReach creates the tracker of a host and serves it to other hosts.
 func (s *testServer) startReach(name gypsum.HostID, backends *platform.ReplicaClient, logger *slog.Logger) {
 	peers, closePeers := wire.NewPeerClients()
-	peers.ForwardMemory = forwardMemory
+	peers.ForwardMemory = buffer.NewPool(forwardMemory)
 	s.t.Cleanup(closePeers)
 	s.reach = reach.NewTracker()
 	s.reach.Self, s.reach.Registry, s.reach.Prober, s.reach.Forwarder, s.reach.Logger = name, s.registry, backends, backends, logger
 	s.reach.ListPeers, s.reach.Peers, s.reach.Stopping = s.hosts.list, peers, func() bool { return s.frontend.Stopping.Load() }
 	internal := http.NewServeMux()
-	for path, handler := range wire.ReplicaHandler(s.reach, forwardMemory) {
+	for path, handler := range wire.ReplicaHandler(s.reach, buffer.NewPool(forwardMemory)) {
 		internal.Handle(path, handler)
 	}
 	server := httptest.NewUnstartedServer(s.watchForKeys(internal))
@@ -270,7 +271,7 @@
 	s, _ := newCutOffPair(t, 1)
 	peers, closePeers := wire.NewPeerClients()
 	defer closePeers()
-	peers.ForwardMemory = 2 * forwardMemory
+	peers.ForwardMemory = buffer.NewPool(2 * forwardMemory)
 	for _, size := range []int{forwardMemory + 1, 2*forwardMemory + 1} {
 		request := &gypsum.ForwardedRequest{Replica: "r-1", Method: "POST", Target: "/i/a", Header: http.Header{}, Body: make([]byte, size)}
 		_, err := peers.ReplicasVia(s.hosts.list()[1].Address).Forward(t.Context(), request)
--- a/front/server.go
+++ b/front/server.go
@@ -39,7 +39,7 @@
 	// after their current request, and reads of results no longer wait.
 	Stopping atomic.Bool
 	// BodyMemory limits the total size of the request bodies in memory.
-	BodyMemory gypsum.Bytes
+	BodyMemory *buffer.Pool
 	// Buffers limits the total size of the responses that clients have not read.
 	Buffers *buffer.Pool
 	Logger  *slog.Logger
@@ -225,6 +225,12 @@
 	writeRefusal(w, refusal)
 }
 
+// RefuseUnread refuses a request with which nothing has been done.
+func (s *Server) RefuseUnread(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
+	platform.TakeAPIKey(r.Header)
+	s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, retryAfter, "too many requests at one time"))
+}
+
 func writeRefusal(w http.ResponseWriter, refusal *gypsum.Refusal) {
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/limit"
@@ -99,7 +100,7 @@
 	logger := slog.New(slog.NewTextHandler(logs, nil)).With("host", name)
 	s := &testServer{t: t, logs: logs, recordStore: recordStore, peerOrigins: peerOrigins, hosts: hosts, registry: state.NewRegistry(logger)}
 	rateLimits := limit.NewTable(logger)
-	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits, 8<<20)
+	backends, closeBackends := platform.NewReplicaClient(s.registry, rateLimits, buffer.NewPool(8<<20))
 	t.Cleanup(closeBackends)
 	topics := batch.Topics{State: "keyed.state", Bodies: "keyed.body", Texts: "keyed.text"}
 	ctx, stop := context.WithCancel(t.Context())
@@ -152,7 +153,7 @@
 	}
 	s.access = &access.Checker{Registry: s.registry, Clock: func() time.Duration { return time.Duration(s.clock.Load()) }, StoreDowntime: storeDowntime}
 	s.frontend = &front.Server{
-		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: 1 << 20, Buffers: liveRelay.Buffers, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
+		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: buffer.NewPool(1 << 20), Buffers: liveRelay.Buffers, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
 	}
 	s.frontend.ConfigAge = s.frontend.StoreDowntime
 	server := httptest.NewServer(s.frontend.Handler())
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/fake"
 	"github.com/gypsumhook/gypsum/limit"
 	"github.com/gypsumhook/gypsum/origin"
@@ -58,7 +59,7 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	registry := state.NewRegistry(logger)
 	rateLimits := limit.NewTable(logger)
-	backends, closeBackends := platform.NewReplicaClient(registry, rateLimits, 8<<20)
+	backends, closeBackends := platform.NewReplicaClient(registry, rateLimits, buffer.NewPool(8<<20))
 	t.Cleanup(closeBackends)
 	s := &runService{relay: relay.New(), runs: &runRecorder{}, route: &gypsum.Route{
 		Name: "desk", Kind: gypsum.RouteIdempotent, MaxAttempts: 4, LatencyTarget: 250 * time.Millisecond,
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -6,13 +6,14 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
+	"github.com/gypsumhook/gypsum/intake"
 )
 
 // The procedures with which a daemon reaches replicas through another one.
@@ -25,8 +26,6 @@
 const (
 	// forwardChunkBytes is the size of one read of a forwarded response.
 	forwardChunkBytes = 16 << 10
-	// notAcceptedHeader is set in the response to a forwarded request that was not read.
-	notAcceptedHeader = "Gypsumhook-Not-Accepted"
 )
 
 // reachesMessage is the response of the procedure that asks whether replicas are in reach.
@@ -83,8 +82,8 @@
 
 // ReplicaHandler returns the HTTP handlers that give other daemons access to the replicas that
 // this one reaches, by their paths. memory limits the total size of the forwarded requests.
-func ReplicaHandler(replicas gypsum.RemoteReplicas, memory gypsum.Bytes) map[string]http.Handler {
-	options := []connect.HandlerOption{connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(int(memory))}
+func ReplicaHandler(replicas gypsum.RemoteReplicas, memory *buffer.Pool) map[string]http.Handler {
+	options := []connect.HandlerOption{connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(int(memory.Usage().Limit))}
 	forward := connect.NewServerStreamHandler(forwardProcedure,
 		func(ctx context.Context, request *connect.Request[gypsum.ForwardedRequest], stream *connect.ServerStream[forwardMessage]) error {
 			return sendForwarded(ctx, replicas, request.Msg, stream)
@@ -95,26 +94,24 @@
 				reaches, err := replicas.Reaches(ctx, *request.Msg)
 				return newResponse(&reachesMessage{Reaches: reaches}, err)
 			}, options...),
-		forwardProcedure: &requestMemory{next: forward, limit: int64(memory)},
+		forwardProcedure: &requestMemory{next: forward, memory: memory},
 	}
 }
 
 // requestMemory limits the total size of the requests that a handler reads. It does not read
 // those beyond the limit.
 type requestMemory struct {
-	next  http.Handler
-	limit int64
-	used  atomic.Int64
+	next   http.Handler
+	memory *buffer.Pool
 }
 
 // ServeHTTP implements http.Handler.
 func (m *requestMemory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	size := r.ContentLength
-	if size >= 0 {
-		defer m.used.Add(-size)
-	}
-	if size < 0 || m.used.Add(size) > m.limit {
-		w.Header().Set(notAcceptedHeader, "1")
+	size := gypsum.Bytes(r.ContentLength)
+	holder := m.memory.Open("", m.memory.Usage().Limit, nil, time.Now())
+	defer holder.Close()
+	if size < 0 || holder.Add(size) != nil {
+		w.Header().Set(intake.NotAcceptedHeader, "1")
 		http.Error(w, "no memory left for forwarded requests", http.StatusServiceUnavailable)
 		return
 	}
@@ -166,7 +163,7 @@
 	switch {
 	case err != nil && !connected:
 		return nil, fmt.Errorf("connect to peer daemon: %w: %w", errNotAccepted, err)
-	case err == nil && response.Header.Get(notAcceptedHeader) != "":
+	case err == nil && response.Header.Get(intake.NotAcceptedHeader) != "":
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("no memory left there: %w", errNotAccepted)
 	}
@@ -180,7 +177,7 @@
 	if client, ok := p.replicas[address]; ok {
 		return client
 	}
-	forwardClient := &http.Client{Transport: forwardTransport{p.httpClient.Transport}}
+	forwardClient := &http.Client{Transport: forwardTransport{p.transport}}
 	client := &peerReplicas{
 		peers:   p,
 		reaches: connect.NewClient[gypsum.ReachQuery, reachesMessage](p.httpClient, "http://"+address+reachesProcedure, clientOption()),
@@ -209,9 +206,10 @@
 
 // Forward implements gypsum.RemoteReplicas.
 func (p *peerReplicas) Forward(ctx context.Context, request *gypsum.ForwardedRequest) (*gypsum.ForwardedResponse, error) {
-	size := int64(len(request.Body))
-	defer p.peers.forwardBytes.Add(-size)
-	if p.peers.forwardBytes.Add(size) > int64(p.peers.ForwardMemory) {
+	size := gypsum.Bytes(len(request.Body))
+	holder := p.peers.ForwardMemory.Open("", size, nil, time.Now())
+	defer holder.Close()
+	if holder.Add(size) != nil {
 		return nil, fmt.Errorf("no memory left to forward a request of %d bytes: %w", size, gypsum.ErrNotSent)
 	}
 	callCtx, cancel := withLaterDeadline(ctx)
--- a/wire/store.go
+++ b/wire/store.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 )
 
 // The procedures with which a daemon forwards store calls of another daemon.
@@ -106,11 +106,10 @@
 type PeerClients struct {
 	// ForwardMemory limits the total size of the requests that are being forwarded to other
 	// daemons. It must be set before ReplicasVia is used.
-	ForwardMemory gypsum.Bytes
+	ForwardMemory *buffer.Pool
 
+	transport  *http.Transport
 	httpClient *http.Client
-	// forwardBytes is the size of the requests that are being forwarded.
-	forwardBytes atomic.Int64
 
 	mu       sync.Mutex
 	stores   map[string]*peerStore
@@ -133,7 +132,7 @@
 func NewPeerClients() (peers *PeerClients, cleanup func()) {
 	transport := &http.Transport{DialContext: Dial, IdleConnTimeout: peerIdleConnTimeout, MaxIdleConnsPerHost: peerIdleConns}
 	return &PeerClients{
-		httpClient: &http.Client{Transport: transport}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
+		transport: transport, httpClient: &http.Client{Transport: acceptedTransport{transport}}, stores: make(map[string]*peerStore), permits: make(map[string]*peerPermits),
 		origins: make(map[string]*peerOrigins), feeds: make(map[string]*peerFeed), replicas: make(map[string]*peerReplicas),
 	}, transport.CloseIdleConnections
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/intake"
 )
 
 // The procedures of the protocol.
@@ -94,7 +95,7 @@
 	return protocols
 }
 
-// ServerHTTP2Config returns the HTTP/2 settings of a daemon's server.
+// ServerHTTP2Config returns the HTTP/2 settings of a daemon's server for other daemons.
 func ServerHTTP2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams}
 }
@@ -124,7 +125,22 @@
 		Protocols: protocols, DialContext: Dial, TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13},
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
-	return &PeerClient{httpClient: &http.Client{Transport: transport}, clients: make(map[string]*procedureClients)}, transport.CloseIdleConnections
+	return &PeerClient{httpClient: &http.Client{Transport: acceptedTransport{transport}}, clients: make(map[string]*procedureClients)}, transport.CloseIdleConnections
+}
+
+// acceptedTransport reports requests that another daemon refused before it did anything with them.
+type acceptedTransport struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper. The error of a refused request wraps gypsum.ErrNotSent.
+func (t acceptedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err == nil && response.Header.Get(intake.NotAcceptedHeader) != "" {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("refused by the peer daemon: %w", gypsum.ErrNotSent)
+	}
+	return response, err
 }
 
 // Dial connects to an address. Its errors wrap gypsum.ErrNotSent.
