soak: batches of tiny items come whole, and further crowds of batches

The crowd 'batches of tiny items' declared up to 40 bytes more than it sent, so its batches never came whole and tested stalled bodies instead. It declares now what it sends.

--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,6 +91,29 @@
 	}
 }
 
+// submitForever returns a behaviour that submits one batch after the other, each under an ID of its own.
+func submitForever(items []byte) check.Behaviour {
+	var submitted atomic.Int64
+	return func(ctx context.Context, conn net.Conn, _ int) error {
+		reader := bufio.NewReader(conn)
+		for ctx.Err() == nil {
+			request := wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items)
+			id := fmt.Appendf(nil, "Attempt-Id: crowd-%d", submitted.Add(1))
+			if _, err := conn.Write(bytes.Replace(request, []byte("Attempt-Id: crowd"), id, 1)); err != nil {
+				return fmt.Errorf("send: %w", err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return fmt.Errorf("read response: %w", err)
+			}
+			if err := response.Body.Close(); err != nil {
+				return fmt.Errorf("read body: %w", err)
+			}
+		}
+		return ctx.Err()
+	}
+}
+
 // crowdCases returns the crowds.
 func crowdCases() []crowdCase {
 	shortLines, equalLines := check.HeaderLines("a", crowdHeadBytes), bytes.Repeat([]byte("a:\r\n"), crowdHeadBytes/4)
@@ -97,6 +123,7 @@
 	body := bytes.Repeat([]byte("x"), crowdBodyBytes)
 	feed := "POST /gypsumhook.inner.v1/feed HTTP/1.1\r\nHost: x\r\nContent-Type: application/cbor\r\nConnect-Protocol-Version: 1\r\nContent-Length: %d\r\n\r\n"
 	small := wholeRequest(http.MethodGet, "/i/crowd", nil, 0, nil)
+	items := tinyItems(crowdBodyBytes)
 	return []crowdCase{
 		{name: "heads without end", port: clientPort, size: crowdSize, behave: check.SendForever(start, shortLines)},
 		{name: "heads over the limit are held", port: clientPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
@@ -112,7 +139,12 @@
 		{name: "bodies that never come", port: clientPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/i/crowd", nil, len(body), nil))},
 		{name: "bodies that stop", port: clientPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/i/crowd", nil, len(body), body[:len(body)-1]))},
 		{name: "bodies that come slowly", port: clientPort, size: crowdSize, behave: check.SendSlowly(wholeRequest(http.MethodPost, "/i/crowd", nil, len(body), body[:len(body)/2]), body, 20*time.Millisecond)},
-		{name: "batches of tiny items", port: clientPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/t/crowd", nil, crowdBodyBytes, tinyItems(crowdBodyBytes)))},
+		{name: "batches of tiny items", port: clientPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items))},
+		{name: "different batches of tiny items", port: clientPort, size: 40, behave: func(ctx context.Context, conn net.Conn, member int) error {
+			request := wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items)
+			return check.SendAndHold(bytes.Replace(request, []byte("Attempt-Id: crowd"), fmt.Appendf(nil, "Attempt-Id: crowd-%d", member), 1))(ctx, conn, member)
+		}},
+		{name: "batches that are accepted", port: clientPort, size: 40, behave: submitForever(tinyItems(crowdBodyBytes / 10))},
 		{name: "responses that nobody reads", port: clientPort, size: crowdSize, prepare: submitLargeItem, behave: check.SendForever(wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil), wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil))},
 		{name: "requests without end", port: clientPort, size: crowdSize, behave: check.SendForever(small, bytes.Repeat(small, 10))},
 		{name: "heads at the readiness check", port: readinessPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
