front: bodies that stall do not keep others from being read

What callers saw: a few clients that declare a large body and do not send it, or stop before its last byte, used up the memory for bodies. All other requests with a body were refused (503) for as long as they liked, even small ones.

Cause: the memory was reserved by the declared length and held without an end.

Change: bodies of up to 8 KiB count as part of their requests. A body that comes at less than 64 KiB a second, after a second, loses its memory if others need it, and each must be whole by the deadline of its request (408, not run). Bodies are read into memory of their exact size, so that what is counted is what is held; those of unknown length are put together one at a time.

--- a/front/batch.go
+++ b/front/batch.go
@@ -31,11 +31,11 @@
 
 func (s *Server) serveSubmitBatch(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
 	id := r.Header.Get(platform.HeaderRequestID)
-	content, release, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
+	content, held, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
 	if !ok {
 		return
 	}
-	defer release()
+	defer held.release()
 	submitted, err := platform.DecodeBatch(id, content)
 	if err != nil {
 		s.Stats.BadInput.Add(1)
--- a/front/body.go
+++ b/front/body.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/buffer"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/shed"
 )
@@ -25,8 +26,6 @@
 	// bodyWaitDivisor is the part of the latency target, and of the remaining time, that a body
 	// may wait. Refused clients are to know early.
 	bodyWaitDivisor = 4
-	// bodyChunkBytes is the size of the steps in which a body of unknown length is counted.
-	bodyChunkBytes = 32 << 10
 	// Bounds of the retry delay of requests without memory for their bodies.
 	minBodyRetryAfter = 200 * time.Millisecond
 	maxBodyRetryAfter = 2 * time.Second
@@ -47,6 +46,8 @@
 	policy gypsum.Policy
 	shares *shed.Shares
 
+	reader buffer.Reader
+
 	mu      sync.Mutex
 	waiters []*bodyWaiter
 	// meanHold is the mean time for which bodies are held.
@@ -73,14 +74,21 @@
 	return &bodyMemory{pool: pool, policy: shed.NewCostPolicy(), shares: shed.NewShares()}
 }
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 // errNoBodyMemory means that no memory was free for a body in time.
 var errNoBodyMemory = errors.New("no memory for the body")
 
-// acquire reserves memory for a body, and waits for it at most maxWait. The error is
-// errNoBodyMemory or that of ctx.
-func (m *bodyMemory) acquire(ctx context.Context, work *gypsum.Work, size gypsum.Bytes, maxWait time.Duration) (*heldBody, bool, error) {
+// acquire reserves memory for a body, and waits for it at most maxWait. abort ends the read of the body
+// if its client is slow while others need the memory. The error is errNoBodyMemory or that of ctx.
+func (m *bodyMemory) acquire(ctx context.Context, work *gypsum.Work, size gypsum.Bytes, maxWait time.Duration, abort func()) (*heldBody, bool, error) {
 	now := time.Now()
-	body := &heldBody{memory: m, since: now, holder: m.pool.Open(work.Account, m.pool.Usage().Limit, nil, now)}
+	body := &heldBody{memory: m, since: now, holder: m.pool.Open(work.Account, m.pool.Usage().Limit, abort, now)}
+	if size <= intake.SmallBody {
+		// A small body counts as part of its request.
+		return body, false, nil
+	}
 	waiting := m.enter(work, body, size, now)
 	if waiting == nil {
 		return body, false, nil
@@ -107,7 +115,7 @@
 func (m *bodyMemory) enter(work *gypsum.Work, body *heldBody, size gypsum.Bytes, now time.Time) *bodyWaiter {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.waiters) == 0 && body.holder.Add(size) == nil {
+	if len(m.waiters) == 0 && body.holder.AddEvicting(size, intake.StallGrace, now) == nil {
 		m.shares.Serve(work, now)
 		return nil
 	}
@@ -149,7 +157,7 @@
 	var granted []*bodyWaiter
 	for _, index := range m.policy.Decide(state).Order {
 		waiting := m.waiters[index]
-		err := waiting.body.holder.Add(waiting.size)
+		err := waiting.body.holder.AddEvicting(waiting.size, intake.StallGrace, now)
 		if errors.Is(err, buffer.ErrFull) {
 			break
 		}
@@ -217,35 +225,38 @@
 	return wait / bodyWaitDivisor
 }
 
-// readBody reads the body of a request. The caller must call release when it no longer
-// needs the body. If ok is false, readBody has written the response.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes, work *gypsum.Work) (body []byte, release func(), ok bool) {
-	release = func() {}
+// readBody reads the body of a request, until the deadline of the request. The caller must release held
+// when it no longer needs the body. If ok is false, readBody has written the response.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit gypsum.Bytes, work *gypsum.Work) (body []byte, held *heldBody, ok bool) {
 	if r.ContentLength > int64(limit) {
 		s.Stats.BadInput.Add(1)
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		return nil, release, false
+		return nil, nil, false
 	}
 	memory, maxWait := s.bodies(), bodyWait(work)
 	if r.ContentLength > int64(s.BodyMemory.Usage().Limit) || memory.isCrowded() {
 		maxWait = 0
 	}
-	held, waited, err := memory.acquire(r.Context(), work, gypsum.Bytes(max(0, r.ContentLength)), maxWait)
+	controller := http.NewResponseController(w)
+	held, waited, err := memory.acquire(r.Context(), work, gypsum.Bytes(max(0, r.ContentLength)), maxWait, func() { _ = controller.SetReadDeadline(expired) })
 	if waited {
 		s.Stats.Bodies.Waited.Add(1)
 	}
 	if err != nil {
 		s.refuseBody(w, r, memory)
-		return nil, release, false
+		return nil, nil, false
 	}
+	// Writers that know no deadlines do without.
+	_ = controller.SetReadDeadline(work.Deadline)
 	body, err = held.read(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength)
 	if err == nil {
-		return body, held.release, true
+		_ = controller.SetReadDeadline(time.Time{})
+		return body, held, true
 	}
 	held.release()
 	if errors.Is(err, errNoBodyMemory) {
 		s.refuseBody(w, r, memory)
-		return nil, release, false
+		return nil, nil, false
 	}
 	s.Stats.BadInput.Add(1)
 	s.Logger.Info("failed to read request body", "request", r.Header.Get(platform.HeaderRequestID), "bytes", len(body), "error", err)
@@ -255,7 +266,7 @@
 	} else {
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusRequestTimeout, 0, "the body did not come whole"))
 	}
-	return nil, release, false
+	return nil, nil, false
 }
 
 // refuseBody refuses a request for whose body there is no memory.
@@ -266,25 +277,46 @@
 
 // read reads a body. The memory for one of known length is reserved already; otherwise it is
 // reserved as the body arrives.
-func (b *heldBody) read(reader io.Reader, length int64) ([]byte, error) {
+func (b *heldBody) read(body io.Reader, length int64) (content []byte, err error) {
+	b.holder.Progress(time.Now())
+	reader := &pacedReader{Reader: body, body: b}
 	if length >= 0 {
-		return io.ReadAll(reader)
+		content, err = buffer.ReadFull(reader, length)
+	} else {
+		reserved := gypsum.Bytes(0)
+		content, err = b.memory.reader.ReadAll(reader, intake.SmallBody, func(size gypsum.Bytes) error { return b.reserve(size, &reserved) })
 	}
-	var content []byte
-	chunk := make([]byte, bodyChunkBytes)
-	for {
-		read, err := reader.Read(chunk)
-		if read > 0 {
-			if b.holder.Add(gypsum.Bytes(read)) != nil {
-				return content, errNoBodyMemory
-			}
-			content = append(content, chunk[:read]...)
-		}
-		switch {
-		case err == io.EOF:
-			return content, nil
-		case err != nil:
-			return content, err
-		}
+	if err == nil && !b.holder.Keep() {
+		err = errNoBodyMemory
+	}
+	return content, err
+}
+
+// pacedReader is the reader of a body, which may be aborted while it is late.
+type pacedReader struct {
+	io.Reader
+	body *heldBody
+	pace intake.Pace
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(content []byte) (int, error) {
+	r.pace.Begin(time.Now())
+	n, err := r.Reader.Read(content)
+	if now := time.Now(); r.pace.End(n, now) {
+		r.body.holder.Progress(now)
+	}
+	return n, err
+}
+
+// reserve reserves memory up to a size, of which reserved is reserved already.
+func (b *heldBody) reserve(size gypsum.Bytes, reserved *gypsum.Bytes) error {
+	if size <= *reserved {
+		return nil
+	}
+	if b.holder.AddEvicting(size-*reserved, intake.StallGrace, time.Now()) != nil {
+		return errNoBodyMemory
 	}
+	*reserved = size
+	return nil
 }
--- a/front/server.go
+++ b/front/server.go
@@ -156,11 +156,11 @@
 
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
-	body, release, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
+	body, held, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
 	if !ok {
 		return
 	}
-	defer release()
+	defer held.release()
 	header := r.Header.Clone()
 	wire.RemoveHopByHopHeaders(header)
 	request := &relay.Request{
