front: what is decoded from a batch counts

What callers saw: a few batches of very many tiny items ended a daemon.

Cause: the body of a batch counted, its decoded form did not. An item of 22 bytes is some 600 bytes once decoded.

Change: before a batch is decoded, an upper estimate by its objects and fields is reserved in the memory for bodies. Without room, the submission is refused (503, nothing stored).

--- a/front/batch.go
+++ b/front/batch.go
@@ -36,6 +36,10 @@
 		return
 	}
 	defer held.release()
+	if err := held.addDecoded(platform.DecodedBatchMemory(content)); err != nil {
+		s.refuseBody(w, r, s.bodies())
+		return
+	}
 	submitted, err := platform.DecodeBatch(id, content)
 	if err != nil {
 		s.Stats.BadInput.Add(1)
--- a/front/body.go
+++ b/front/body.go
@@ -320,3 +320,11 @@
 	*reserved = size
 	return nil
 }
+
+// addDecoded reserves memory for what is decoded from the body.
+func (b *heldBody) addDecoded(size gypsum.Bytes) error {
+	if b.holder.AddEvicting(size, intake.StallGrace, time.Now()) != nil {
+		return errNoBodyMemory
+	}
+	return nil
+}
