front: results and bodies of items that clients do not read count

What callers saw: nothing yet; a client that asks for results of a batch and does not read them held them without a bound in number or time.

Cause: only responses of replicas counted toward the memory for responses and had a time in which the client must read. Responses about batches had neither.

Change: one function writes all complete responses.

--- a/front/batch.go
+++ b/front/batch.go
@@ -111,7 +111,7 @@
 		err = s.checkBatchAccess(r, batchRequest.ID, grant.AccountName())
 	}
 	if err == nil {
-		err = s.runBatchRequest(w, r, batchRequest, startedAt)
+		err = s.runBatchRequest(w, r, batchRequest, grant.AccountName(), startedAt)
 	}
 	if err == nil {
 		return
@@ -131,13 +131,13 @@
 }
 
 // runBatchRequest runs a request about a batch that the caller may access.
-func (s *Server) runBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, startedAt time.Time) (err error) {
+func (s *Server) runBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, account gypsum.AccountName, startedAt time.Time) (err error) {
 	switch batchRequest.Kind {
 	case platform.BatchRequestReadResults:
-		err = s.serveResults(w, r, batchRequest)
+		err = s.serveResults(w, r, batchRequest, account)
 		s.Stats.ResultReads.RecordDuration(time.Since(startedAt))
 	case platform.BatchRequestReadItem:
-		err = s.serveItemBody(w, r, batchRequest)
+		err = s.serveItemBody(w, r, batchRequest, account)
 	case platform.BatchRequestEndBatch:
 		err = s.serveEndBatch(w, r, batchRequest.ID)
 	}
@@ -145,7 +145,7 @@
 }
 
 // serveResults serves a request for the results of a batch.
-func (s *Server) serveResults(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest) error {
+func (s *Server) serveResults(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, account gypsum.AccountName) error {
 	wait := batchRequest.Wait
 	if s.Stopping.Load() {
 		wait = 0
@@ -160,14 +160,15 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(w, content)
+	w.Header().Set("Content-Type", "application/json")
+	s.writeBody(w, http.StatusOK, content, gypsum.RequestID(batchRequest.ID), account)
 	if len(results) > 0 {
 		s.Logger.Info("batch results read", "batch", batchRequest.ID, "after", batchRequest.After, "results", len(results), "total", total)
 	}
 	return nil
 }
 
-func (s *Server) serveItemBody(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest) error {
+func (s *Server) serveItemBody(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, account gypsum.AccountName) error {
 	ctx, cancel := context.WithTimeout(r.Context(), storeReadTimeout)
 	defer cancel()
 	body, err := s.Batches.ItemBody(ctx, batchRequest.ID, batchRequest.Item)
@@ -175,8 +176,7 @@
 		return err
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body)
+	s.writeBody(w, http.StatusOK, body, gypsum.RequestID(batchRequest.ID), account)
 	return nil
 }
 
--- a/front/write.go
+++ b/front/write.go
@@ -62,32 +62,37 @@
 	}
 }
 
-// writeResponse writes a complete response of a replica. Its body counts toward the memory for
-// responses until the client has read it. A client that reads nothing for long loses the
-// response, and loses it sooner if others need the memory.
+// writeResponse writes a complete response of a replica.
 func (s *Server) writeResponse(w http.ResponseWriter, response *gypsum.LiveResponse, request *relay.Request) {
 	copyHeader(w.Header(), response.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
-	w.WriteHeader(response.Status)
+	s.writeBody(w, response.Status, response.Body, request.ID, request.Account)
+}
+
+// writeBody writes a response with a body to a request of an account. The body counts toward the memory
+// for responses until the client has read it. A client that reads nothing for long loses the response,
+// and loses it sooner if others need the memory.
+func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte, request gypsum.RequestID, account gypsum.AccountName) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
 	deadline, now := newWriteDeadline(w), time.Now()
 	defer deadline.clear()
-	size := gypsum.Bytes(len(response.Body))
-	holder := s.Buffers.Open(request.Account, size, deadline.abort, now)
+	size := gypsum.Bytes(len(body))
+	holder := s.Buffers.Open(account, size, deadline.abort, now)
 	defer holder.Close()
 	timeout := stallTimeout
 	if err := holder.AddEvicting(size, shortStallTimeout, now); err != nil {
 		// The replica has run the request, so the response is written if the client takes it at
 		// once.
 		timeout = shortStallTimeout
-		s.Logger.Info("memory for responses is used up", "request", request.ID, "account", request.Account, "bytes", size, "error", err)
+		s.Logger.Info("memory for responses is used up", "request", request, "account", account, "bytes", size, "error", err)
 	}
-	for rest := response.Body; len(rest) > 0; {
+	for rest := body; len(rest) > 0; {
 		deadline.extend(timeout)
 		written, err := w.Write(rest[:min(len(rest), writeChunkBytes)])
 		if err != nil {
 			// The client has disconnected or reads too slowly, which is no failure of this daemon.
 			s.Stats.WritesFailed.Add(1)
-			s.Logger.Info("response not read by client", "request", request.ID, "account", request.Account, "bytes", size,
+			s.Logger.Info("response not read by client", "request", request, "account", account, "bytes", size,
 				"unread", len(rest), "took_ms", time.Since(now).Milliseconds(), "error", err)
 			return
 		}
