edge: the limits of the configuration for clients are in force

Cause: the limits were decoded, and nothing read them.

Change: the port of clients takes them from the configuration in force, for each head and each idle time anew. A head of more than the limit and 4 KiB gets 431, one that does not come within the time and a second 408, and an idle connection is closed at its limit, a quarter later than clients use it. A head that came in time while the process was suspended is still read.

--- a/edge/servers.go
+++ b/edge/servers.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/front"
 	"github.com/gypsumhook/gypsum/intake"
+	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -106,7 +107,7 @@
 func (d *Daemon) newPorts() *ports {
 	d.ports = &ports{
 		clients: &intake.Port{
-			Name: "clients", Shares: d.shares.Part(clientParts, allParts), Refuse: d.frontend.RefuseUnread,
+			Name: "clients", Shares: d.shares.Part(clientParts, allParts), Limits: d.clientLimits, Refuse: d.frontend.RefuseUnread,
 		},
 		readiness: &intake.Port{Name: "readiness", Shares: d.shares.Part(readinessParts, allParts)},
 		internal: &intake.Port{
@@ -122,6 +123,14 @@
 // all returns the ports.
 func (p *ports) all() []*intake.Port { return []*intake.Port{p.clients, p.readiness, p.internal} }
 
+// clientLimits returns the limits of the configuration in force.
+func (d *Daemon) clientLimits() gypsum.ClientLimits {
+	if config := d.registry.Current().Config; config != nil {
+		return config.Limits
+	}
+	return platform.DefaultClientLimits()
+}
+
 // internalAddress returns the address under which other daemons reach this one.
 func (d *Daemon) internalAddress() string {
 	return net.JoinHostPort(d.Settings.IP, strconv.Itoa(d.Settings.InternalPorts[0]))
