serve: connections, heads, requests, bodies and their parts count

What callers saw: a crowd of clients at any of the three ports ended a daemon: it counted nothing, and had no setting for its memory.

Change: the three ports use package intake, as those of edge do. New settings limits.memory and limits.descriptors, 0 by default for those of the machine and of the process, of which clients get parts. Bodies count as they arrive, and so does what is decoded from them (pulls and completions by their parts, messages of daemons and operators threefold).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -16,8 +17,10 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/adapt"
 	"github.com/gypsumhook/gypsum/admin"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/core"
 	"github.com/gypsumhook/gypsum/entry"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/plan"
 	"github.com/gypsumhook/gypsum/queue"
 	"github.com/gypsumhook/gypsum/route"
@@ -31,6 +34,20 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+// Parts of what clients may use of the host.
+const (
+	// Of allParts parts, the ports get these.
+	callerParts   = 10
+	peerParts     = 5
+	operatorParts = 1
+	allParts      = 16
+	// bodyCopies is how many times the bytes of a body count, for what is decoded from it.
+	bodyCopies = 3
+	// memoryLimitShare is the share of the host's memory that is set as the soft limit of the Go
+	// runtime. The rest is for network buffers and for memory that the runtime does not count.
+	memoryLimitShare = 0.75
+)
+
 // Daemon is the daemon process of a host. Set the exported fields before Run.
 type Daemon struct {
 	Settings *setup.Settings
@@ -38,12 +55,14 @@
 
 	core  *core.Core
 	entry *entry.Server
+	ports []*intake.Port
 }
 
 // Run serves until ctx is done or the process receives SIGTERM or SIGINT, and then until
 // the requests in flight have ended, for at most the drain timeout. Neither ctx nor the signal
 // cancels them. ctx must end at a signal that comes before Run is called.
 func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(intake.Resources{Memory: d.Settings.Memory}.WithDefaults().Memory)))
 	cleanup := d.createCore()
 	defer cleanup()
 	coreCtx, stopCore := context.WithCancel(context.WithoutCancel(ctx))
@@ -53,12 +72,12 @@
 		waitCore()
 	}()
 	d.publishMetrics()
-	callerServer := d.newServer(d.Settings.CallerAddr, "/", d.entry.Handler())
-	peerPath, peerHandler := wire.PeerHandler(d.core)
-	peerServer := d.newServer(d.Settings.PeerAddr, peerPath, peerHandler)
-	operatorServer := d.newOperatorServer()
+	listening, err := d.newServers()
+	if err != nil {
+		return err
+	}
 	servers := &Servers{
-		Host: d.Settings.Host, Servers: []transport.Server{callerServer, peerServer, operatorServer}, Leave: d.startLeaving,
+		Host: d.Settings.Host, Servers: listening, Leave: d.startLeaving,
 		StopTimeout: d.Settings.DrainTimeout, Logger: d.Logger,
 	}
 	if err := servers.Run(ctx); err != nil {
@@ -105,24 +124,51 @@
 	return nil
 }
 
-// newServer returns an HTTP server that serves a handler under a path prefix.
-func (d *Daemon) newServer(address, path string, handler http.Handler) *khttp.Server {
-	server := khttp.NewServer(khttp.Network("tcp"), khttp.Address(address), khttp.Timeout(0))
-	server.HandlePrefix(path, handler)
-	server.Protocols = wire.ServerProtocols()
-	server.HTTP2 = wire.ServerHTTP2Config()
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = int(d.Settings.MaxHeader)
-	return server
+// newServers returns the servers for callers, for other daemons, and of the operator API and the metrics.
+func (d *Daemon) newServers() ([]transport.Server, error) {
+	shares := intake.NewShares(intake.Resources{Memory: d.Settings.Memory, Descriptors: d.Settings.Descriptors}.WithDefaults())
+	d.ports = []*intake.Port{
+		d.newPort("callers", shares.Part(callerParts, allParts)), d.newPort("peers", shares.Part(peerParts, allParts)),
+		d.newPort("operators", shares.Part(operatorParts, allParts)),
+	}
+	// What callers' bodies are decoded to is counted there.
+	d.ports[0].Refuse, d.ports[0].BodyCopies = d.entry.RefuseUnread, 1
+	peerPath, peerHandler := wire.PeerHandler(d.core)
+	operatorPath, operatorHandler := (&admin.Server{Core: d.core}).Handler()
+	operators := http.NewServeMux()
+	operators.Handle(operatorPath, operatorHandler)
+	operators.Handle("/debug/vars", expvar.Handler())
+	var servers []transport.Server
+	for i, served := range []struct {
+		address, path string
+		handler       http.Handler
+		http2         *http.HTTP2Config
+	}{
+		{d.Settings.CallerAddr, "/", d.entry.Handler(), nil},
+		{d.Settings.PeerAddr, peerPath, peerHandler, wire.ServerHTTP2Config()},
+		{d.Settings.OperatorAddr, "/", operators, nil},
+	} {
+		listener, err := d.ports[i].Listen(served.address)
+		if err != nil {
+			return nil, err
+		}
+		server := khttp.NewServer(khttp.Network("tcp"), khttp.Address(served.address), khttp.Timeout(0), khttp.Listener(listener))
+		server.HandlePrefix(served.path, served.handler)
+		server.Protocols, server.HTTP2 = wire.ServerProtocols(), served.http2
+		d.ports[i].Protect(server.Server)
+		servers = append(servers, server)
+	}
+	return servers, nil
 }
 
-// newOperatorServer returns the server of the operator API and of the metrics.
-func (d *Daemon) newOperatorServer() *khttp.Server {
-	path, handler := (&admin.Server{Core: d.core}).Handler()
-	server := d.newServer(d.Settings.OperatorAddr, path, handler)
-	server.Handle("/debug/vars", expvar.Handler())
-	return server
+// newPort returns a port with shares of the host.
+func (d *Daemon) newPort(name string, shares intake.Shares) *intake.Port {
+	return &intake.Port{
+		Name: name, Shares: shares, Logger: d.Logger, Bodies: buffer.NewPool(shares.Payload), BodyCopies: bodyCopies,
+		Limits: func() gypsum.ClientLimits {
+			return gypsum.ClientLimits{MaxHeader: d.Settings.MaxHeader, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		},
+	}
 }
 
 // publishOnce ensures that the metrics are published once per process, as expvar panics
@@ -153,6 +199,8 @@
 	ControlBytesOut         int64                   `json:"control_bytes_out"`
 	Refusals                map[string]int64        `json:"refusals"`
 	BadInput                map[gypsum.Reason]int64 `json:"bad_input"`
+	// Ports is what the clients of each port hold.
+	Ports map[string]intake.Usage `json:"ports"`
 }
 
 func (d *Daemon) currentMetrics() metrics {
@@ -164,6 +212,7 @@
 		CrossRegionCalls: stats.CrossRegionCalls.Load(), LiveCrossRegionBytes: d.core.CrossRegionBytes(gypsum.ClassLive),
 		TrainerCrossRegionBytes: d.core.CrossRegionBytes(gypsum.ClassTrainer), Refusals: stats.Refusals.Snapshot(),
 		ControlBytesIn: in, ControlBytesOut: out, BadInput: d.entry.ClientErrors(),
+		Ports: intake.UsageOf(d.ports),
 	}
 	if view.Config != nil {
 		current.Revision = view.Config.Revision
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -56,6 +56,9 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
+	if refusal := reserveDecoded(r, body); refusal != nil {
+		return nil, nil, refusal
+	}
 	request, refusal := decodeCompletion(body)
 	if refusal != nil {
 		return nil, nil, refusal
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,8 +19,10 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/adapt"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/client"
 	"github.com/gypsumhook/gypsum/core"
+	"github.com/gypsumhook/gypsum/intake"
 )
 
 // Limits of requests.
@@ -43,6 +46,8 @@
 	// MaxBody is the maximum size of a request body.
 	MaxBody gypsum.Bytes
 
+	reader buffer.Reader
+
 	mu sync.Mutex
 	// clientErrors counts the requests refused with a 4xx status, by reason.
 	clientErrors map[gypsum.Reason]int64
@@ -119,8 +124,12 @@
 
 // readBody reads the body of a request, up to MaxBody.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *gypsum.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.MaxBody)))
+	// The port counts the body as it arrives.
+	body, err := s.reader.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.MaxBody)), intake.SmallBody, func(gypsum.Bytes) error { return nil })
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, intake.ErrNoMemory) {
+		return nil, overloadRefusal(time.Second)
+	}
 	if errors.As(err, &tooLarge) {
 		return nil, badRequestRefusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", s.MaxBody))
 	}
@@ -130,6 +139,27 @@
 	return body, nil
 }
 
+// decodedPartBytes is the memory of a part of a decoded body: a value of an array or of an object.
+const decodedPartBytes = 48
+
+// reserveDecoded counts an upper estimate of the memory that the decoded form of a JSON body needs.
+func reserveDecoded(r *http.Request, body []byte) *gypsum.Refusal {
+	if intake.Reserve(r, gypsum.Bytes(len(body)+decodedPartBytes*bytes.Count(body, []byte(",")))) != nil {
+		return overloadRefusal(time.Second)
+	}
+	return nil
+}
+
+// overloadRefusal returns the refusal of a request that there is no room for.
+func overloadRefusal(retryAfter time.Duration) *gypsum.Refusal {
+	return gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, retryAfter, "too many requests at one time")
+}
+
+// RefuseUnread refuses a request with which nothing has been done.
+func (s *Server) RefuseUnread(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
+	s.logAndRefuse(w, r, overloadRefusal(retryAfter))
+}
+
 // newCall returns a live call for a request to a service. The service must exist and be
 // of the given kind.
 func (s *Server) newCall(r *http.Request, service gypsum.ServiceName, kind gypsum.HostKind) (*gypsum.Call, *gypsum.Refusal) {
@@ -264,6 +294,10 @@
 		s.logAndRefuse(w, r, refusal)
 		return
 	}
+	if refusal := reserveDecoded(r, body); refusal != nil {
+		s.logAndRefuse(w, r, refusal)
+		return
+	}
 	var request client.PullRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		s.logAndRefuse(w, r, badRequestRefusal(http.StatusBadRequest, "the body is no pull: "+err.Error()))
--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -59,6 +59,8 @@
 	plainReplicas map[string]*fake.PlainService
 	listedHosts   []gypsum.Host
 	urls          struct{ log, hosts, store string }
+	// limits is a section that is added to the settings of the daemons.
+	limits string
 
 	mu         sync.Mutex
 	daemons    map[gypsum.HostID]*daemonProcess
@@ -72,6 +74,7 @@
 	cmd             *exec.Cmd
 	callerAddress   string
 	operatorAddress string
+	peerAddress     string
 	peerProxy       *proxy
 	settingsPath    string
 }
@@ -180,8 +183,8 @@
 func (env *testEnv) addDaemon(id gypsum.HostID, location gypsum.Location) (p *daemonProcess, settings []byte) {
 	env.t.Helper()
 	p = &daemonProcess{id: id, location: location, callerAddress: env.freeAddress(), operatorAddress: env.freeAddress()}
-	peerAddress := env.freeAddress()
-	p.peerProxy = newProxy(env.t, peerAddress)
+	p.peerAddress = env.freeAddress()
+	p.peerProxy = newProxy(env.t, p.peerAddress)
 	p.settingsPath = filepath.Join(env.t.TempDir(), "daemon.ini")
 	env.listedHosts = append(env.listedHosts, gypsum.Host{ID: string(id), Kind: gypsum.HostKindDaemon, Location: location, Address: p.peerProxy.address})
 	env.hostList.SetHostsWithoutLag(env.listedHosts)
@@ -198,8 +201,8 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.daemons[id] = p
-	content := fmt.Sprintf(settingsTemplate, id, location.DataCentre, location.Region, p.callerAddress, peerAddress, p.operatorAddress, p.peerProxy.address, env.urls.log, env.urls.hosts, env.urls.store)
-	return p, []byte(content)
+	content := fmt.Sprintf(settingsTemplate, id, location.DataCentre, location.Region, p.callerAddress, p.peerAddress, p.operatorAddress, p.peerProxy.address, env.urls.log, env.urls.hosts, env.urls.store)
+	return p, []byte(content + env.limits)
 }
 
 // logWriter copies a daemon's log to that of the test if DAEMON_LOGS is set.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -37,6 +37,9 @@
 
 	MaxBody   gypsum.Bytes
 	MaxHeader gypsum.Bytes
+	// Memory and Descriptors are those of the host that the daemon may use, 0 for all.
+	Memory      gypsum.Bytes
+	Descriptors int
 	// DrainWait is how long the servers keep running after the daemon has become not ready,
 	// so that the load balancer notices.
 	DrainWait time.Duration
@@ -88,6 +91,8 @@
 		urlSetting("platform", "weights", &s.WeightsURL, "base URL of the weight store"),
 		numberSetting("limits", "max_body", &s.MaxBody, 8<<20, 1, 1<<30, "bytes", "largest body of a request"),
 		numberSetting("limits", "max_header", &s.MaxHeader, 64<<10, 1<<10, 1<<20, "bytes", "largest header of a request"),
+		numberSetting("limits", "memory", &s.Memory, 0, 0, 1<<50, "bytes", "memory of the host that the daemon may use, 0 for that of the machine; clients get parts of it"),
+		numberSetting("limits", "descriptors", &s.Descriptors, 0, 0, 1<<30, "descriptors", "descriptors that the daemon may open, 0 for the limit of the process; clients get half of them"),
 		numberSetting("limits", "max_attempts", &t.MaxAttempts, t.MaxAttempts, 1, 100, "attempts", "attempts at one call"),
 		numberSetting("limits", "shards", &t.KeyShards, t.KeyShards, 1, 4096, "shards", "shards of idempotency keys; the same on all hosts, and never changed"),
 		numberSetting("limits", "snapshot_every", &t.SnapshotRecords, t.SnapshotRecords, 10, 1<<20, "records", "records of a stream after which a snapshot is written"),
