batch: known batches have a bound of memory

What callers saw: clients that submit one batch of tiny items after the other, each accepted, ended the daemon that ran them; all daemons know all of them.

Cause: accepted batches were counted nowhere. The cache of items was bounded by 16 batches, whatever their size.

Change: a batch is refused (503, nothing stored) while the estimated memory of the known batches, by their items with and without results, is above an eighth of the memory limit. Batches that are being stored count too. A single one is accepted in any case. The cache is bounded by memory.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -56,6 +56,8 @@
 	// partition.
 	StateWriter *store.Writer
 	WriterFor   func(gypsum.Topic, gypsum.Partition) *store.Writer
+	// Memory bounds the estimated memory of the known batches, 0 for no bound.
+	Memory gypsum.Bytes
 	// Clock dates the daemon's own heartbeats. It may be nil if nothing asks for them.
 	Clock  gypsum.SteadyClock
 	Logger *slog.Logger
@@ -64,6 +66,7 @@
 	lastHeartbeat atomic.Pointer[OwnHeartbeat]
 	texts         textCache
 	items         *lru.Cache[gypsum.BatchID, cachedItems]
+	pending       pendingBatches
 }
 
 // Init creates the caches.
@@ -93,8 +96,12 @@
 		}
 		return nil
 	}
+	if err := m.admit(batch, time.Now()); err != nil {
+		return fmt.Errorf("accept batch %s: %w", batch.ID, err)
+	}
 	bodies, err := m.storeItems(ctx, batch)
 	if err != nil {
+		m.withdraw(batch.ID)
 		// Items without a header are not a batch, so none of them will run.
 		return fmt.Errorf("store items: %w: %w", gypsum.ErrStoreRefused, err)
 	}
@@ -105,9 +112,12 @@
 		Bodies: bodies, Origin: m.Host, Step: batch.Step, Scored: batch.IsScored(),
 		Account: batch.Account,
 	}
-	m.items.Add(batch.ID, cachedItems{bodies: bodies.Key, items: batch.Items})
+	m.cacheItems(batch.ID, cachedItems{bodies: bodies.Key, items: batch.Items})
 	offset, err := m.appendRecord(ctx, header, kindHeader, string(batch.ID), m.uniqueKey())
 	if err != nil {
+		if errors.Is(err, gypsum.ErrStoreRefused) {
+			m.withdraw(batch.ID)
+		}
 		return err
 	}
 	if err := m.checkBatchWon(ctx, batch, offset); err != nil {
--- a/batch/values.go
+++ b/batch/values.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("decode items of batch %s: %w", header.ID, err)
 	}
-	m.items.Add(header.ID, cachedItems{bodies: header.Bodies.Key, items: items})
+	m.cacheItems(header.ID, cachedItems{bodies: header.Bodies.Key, items: items})
 	return items, nil
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -82,6 +82,9 @@
 	// forwardMemoryDivisor limits the memory for requests that are being forwarded to other
 	// daemons, and for those of other daemons, to 1/forwardMemoryDivisor of the memory limit each.
 	forwardMemoryDivisor = 16
+	// batchMemoryDivisor limits the memory for the known batches to 1/batchMemoryDivisor of the memory
+	// limit.
+	batchMemoryDivisor = 8
 	// messageMemoryDivisor limits the memory for messages of other daemons to 1/messageMemoryDivisor
 	// of the memory limit.
 	messageMemoryDivisor = 8
@@ -254,7 +257,7 @@
 	d.newFollower(platform.TopicReplicas, replicaReadInterval, d.applyReplicas)
 	d.batches = &batch.Manager{
 		Host: d.Settings.Host, Incarnation: d.incarnation, State: d.batchState, Follower: follower, Store: d.store, Topics: topics,
-		Partitions: d.Settings.Partitions, RecordSize: d.Settings.MaxRecordSize, StateWriter: d.writers[writerKey{topic: topics.State}],
+		Memory: memory / batchMemoryDivisor, Partitions: d.Settings.Partitions, RecordSize: d.Settings.MaxRecordSize, StateWriter: d.writers[writerKey{topic: topics.State}],
 		WriterFor: func(topic gypsum.Topic, partition gypsum.Partition) *store.Writer {
 			return d.writers[writerKey{topic, partition}]
 		}, Logger: d.Logger,
--- a/front/batch.go
+++ b/front/batch.go
@@ -24,6 +24,8 @@
 	storeWriteTimeout = 1500 * time.Millisecond
 	// storeReadTimeout is how long other requests may wait for the store.
 	storeReadTimeout = 1200 * time.Millisecond
+	// itemsRetryAfter is the retry delay of a batch that there is no memory for.
+	itemsRetryAfter = time.Second
 	// uncertainRetryAfter is the retry delay of requests that are refused because the
 	// daemon cannot be sure whether a batch or a route exists.
 	uncertainRetryAfter = 250 * time.Millisecond
@@ -70,6 +72,8 @@
 		w.WriteHeader(http.StatusAccepted)
 	case errors.Is(err, batch.ErrBatchTaken):
 		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonBadRequest, http.StatusConflict, 0, "another batch has the id"))
+	case errors.Is(err, batch.ErrTooManyItems):
+		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, itemsRetryAfter, "too many items wait for engines"))
 	case errors.Is(err, gypsum.ErrStoreRefused):
 		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonLogUnavailable, http.StatusServiceUnavailable,
 			relay.RetryAfter(s.StoreDowntime()), "the batch cannot be stored now"))
