wire: compressed requests of daemons and operators are refused

What callers saw: 60 clients with messages of 60 KiB ended a daemon.

Cause: connect-go decompresses requests after they were counted, up to the largest message (64 MiB between daemons of edge, without a limit for operators).

Change: requests that name a compression get 415 at the internal port of edge, and at the peers' and the operators' port of serve. No client of this project sends any; responses stay compressed. Ordinary requests count 16 KiB, ports of edge divide the shares by 9, 6 and 1, and the soft limit of the runtime is 0.7 of the memory, so that bursts stay below the memory.

--- a/check/crowd.go
+++ b/check/crowd.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -153,6 +156,34 @@
 	}
 }
 
+// Compressed returns size equal bytes, compressed with gzip.
+func Compressed(size int) ([]byte, error) {
+	var compressed bytes.Buffer
+	w := gzip.NewWriter(&compressed)
+	if _, err := io.CopyN(w, zeros{}, int64(size)); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	return compressed.Bytes(), nil
+}
+
+// zeros is a reader of zeros without end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(content []byte) (int, error) {
+	clear(content)
+	return len(content), nil
+}
+
+// CBORObjects returns a CBOR message whose field with a number is an array of count empty objects.
+func CBORObjects(field byte, count uint32) []byte {
+	message := binary.BigEndian.AppendUint32([]byte{0xa1, field, 0x9a}, count)
+	return append(message, bytes.Repeat([]byte{0xa0}, int(count))...)
+}
+
 // StatusOf sends a request on a new connection and returns the status of the response.
 func StatusOf(ctx context.Context, address string, request []byte) (int, error) {
 	var dialer net.Dialer
--- a/cmd/gypsumhook/edge.go
+++ b/cmd/gypsumhook/edge.go
@@ -24,7 +24,7 @@
 // memoryLimitShare is the share of the host's memory that is set as the soft limit of the
 // Go runtime. The rest is for network buffers and for memory that the runtime does not
 // count.
-const memoryLimitShare = 0.75
+const memoryLimitShare = 0.7
 
 // edgeCommand returns the command that runs a daemon on the users' platform.
 func edgeCommand() *cli.Command {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,7 +45,7 @@
 	bodyCopies = 3
 	// memoryLimitShare is the share of the host's memory that is set as the soft limit of the Go
 	// runtime. The rest is for network buffers and for memory that the runtime does not count.
-	memoryLimitShare = 0.75
+	memoryLimitShare = 0.7
 )
 
 // Daemon is the daemon process of a host. Set the exported fields before Run.
@@ -145,8 +145,8 @@
 		http2         *http.HTTP2Config
 	}{
 		{d.Settings.CallerAddr, "/", d.entry.Handler(), nil},
-		{d.Settings.PeerAddr, peerPath, peerHandler, wire.ServerHTTP2Config()},
-		{d.Settings.OperatorAddr, "/", operators, nil},
+		{d.Settings.PeerAddr, peerPath, wire.WithoutCompression(peerHandler), wire.ServerHTTP2Config()},
+		{d.Settings.OperatorAddr, "/", wire.WithoutCompression(operators), nil},
 	} {
 		listener, err := d.ports[i].Listen(served.address)
 		if err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -61,8 +61,8 @@
 	// two attempts to store the daemon's address.
 	watchInterval = 200 * time.Millisecond
 	// Of allParts parts of what clients may use, the ports get these.
-	clientParts    = 10
-	internalParts  = 5
+	clientParts    = 9
+	internalParts  = 6
 	readinessParts = 1
 	allParts       = 16
 	// internalBodyCopies is how many times the bytes of a message of another daemon count, for what is
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -78,7 +78,7 @@
 		for path, handler := range wire.ReplicaHandler(d.reach, d.forwardedMemory) {
 			internal.Handle(path, handler)
 		}
-		if err := addServer(ports.internal, d.internalAddress(), internal); err != nil {
+		if err := addServer(ports.internal, d.internalAddress(), wire.WithoutCompression(internal)); err != nil {
 			return nil, err
 		}
 	}
--- a/intake/head.go
+++ b/intake/head.go
@@ -18,7 +18,7 @@
 	requestHeadCopies = 3
 	// requestBytes is the memory of a request at work with a small head: stacks, buffers and a body of
 	// up to SmallBody.
-	requestBytes = 24 << 10
+	requestBytes = 16 << 10
 	// SmallBody is the size up to which a body counts as part of its request.
 	SmallBody gypsum.Bytes = 8 << 10
 )
--- a/procs/crowd_test.go
+++ b/procs/crowd_test.go
@@ -107,7 +107,18 @@
 	pull, put := "/v1/plans/plan/pull", "/gypsumhook.operator.v1.OperatorService/PutService"
 	gossip, proto, cbor := "/gypsumhook.inner.v1/gossip", fmt.Sprintf(connectLines, "proto"), fmt.Sprintf(connectLines, "cbor")
 	small := wholeRequest(http.MethodGet, "/healthz", "", 0, nil)
+	compressed, err := check.Compressed(60 << 20)
+	if err != nil {
+		panic(err)
+	}
+	parts := check.CBORObjects(2, 100_000)
+	// A plan of 4 MiB with empty prompts.
+	emptyPrompts := append([]byte{0x12, 0x80, 0x80, 0x80, 0x02}, bytes.Repeat([]byte{0x22, 0}, 2<<20)...)
 	cases := []crowdCase{
+		{name: "compressed messages at the peers' port", port: peerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, gossip, cbor+"Content-Encoding: gzip\r\n", len(compressed), compressed))},
+		{name: "compressed messages at the operators' port", port: operatorPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, put, proto+"Content-Encoding: gzip\r\n", len(compressed), compressed))},
+		{name: "messages of many parts at the peers' port", port: peerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, gossip, cbor, len(parts), parts))},
+		{name: "messages of many parts at the operators' port", port: operatorPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/gypsumhook.operator.v1.OperatorService/PutPlan", proto, len(emptyPrompts), emptyPrompts))},
 		{name: "empty lines without end", port: callerPort, size: crowdSize, behave: check.SendForever(emptyLines, emptyLines)},
 		{name: "heads come slowly", port: callerPort, size: crowdSize, behave: check.SendSlowly([]byte(start+shortLines), []byte(shortLines), 20*time.Millisecond)},
 		{name: "short lines, no body", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/v1/completions", shortLines, 10, nil))},
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// sendCompressed returns a behaviour that sends a large message that is compressed to a small one.
+func sendCompressed(head string) check.Behaviour {
+	return func(ctx context.Context, conn net.Conn, member int) error {
+		content, err := check.Compressed(60 << 20)
+		if err != nil {
+			return err
+		}
+		head := strings.Replace(fmt.Sprintf(head, len(content)), "Connect-", "Content-Encoding: gzip\r\nConnect-", 1)
+		return check.SendAndHold(append([]byte(head), content...))(ctx, conn, member)
+	}
+}
+
 // crowdCases returns the crowds.
 func crowdCases() []crowdCase {
 	shortLines, equalLines := check.HeaderLines("a", crowdHeadBytes), bytes.Repeat([]byte("a:\r\n"), crowdHeadBytes/4)
@@ -122,6 +134,8 @@
 	emptyLines := bytes.Repeat([]byte("\r\n"), 2<<10)
 	body := bytes.Repeat([]byte("x"), crowdBodyBytes)
 	feed := "POST /gypsumhook.inner.v1/feed HTTP/1.1\r\nHost: x\r\nContent-Type: application/cbor\r\nConnect-Protocol-Version: 1\r\nContent-Length: %d\r\n\r\n"
+	record := strings.Replace(feed, "/feed ", "/stream_origin_record ", 1)
+	parts := check.CBORObjects(1, 100_000)
 	small := wholeRequest(http.MethodGet, "/i/crowd", nil, 0, nil)
 	items := tinyItems(crowdBodyBytes)
 	return []crowdCase{
@@ -152,6 +166,8 @@
 		{name: "heads at the internal port", port: internalPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
 		{name: "connections at the internal port", port: internalPort, size: 2 * crowdSize, behave: check.SendAndHold(nil)},
 		{name: "bodies at the internal port", port: internalPort, size: 60, behave: check.SendAndHold(append(fmt.Appendf(nil, feed, 60<<20), bytes.Repeat([]byte{0x80}, 8<<20)...))},
+		{name: "messages of many parts at the internal port", port: internalPort, size: 60, behave: check.SendAndHold(append(fmt.Appendf(nil, record, len(parts)), parts...))},
+		{name: "compressed messages at the internal port", port: internalPort, size: 60, behave: sendCompressed(record)},
 		{name: "nested parts at the internal port", port: internalPort, size: 60, behave: check.SendAndHold(append(fmt.Appendf(nil, feed, 400<<10), bytes.Repeat([]byte{0x83, 0xa0, 0xa0, 0xa0}, 100<<10)...))},
 	}
 }
