intake: few large messages of daemons are read at a time

Cause: connect-go reads messages into buffers that it uses again, so that a small message may hold a buffer of up to 8 MiB that does not count.

Change: at ports whose handlers decode bodies, four bodies above 128 KiB are read at a time; others wait up to a second, and late ones make room.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -65,7 +65,7 @@
 		body := &countedBody{ReadCloser: r.Body, request: admitted}
 		if p.Bodies != nil {
 			body.holder = p.Bodies.Open("", p.Bodies.Usage().Limit, admitted.abort, time.Now())
-			defer body.holder.Close()
+			defer body.close()
 		}
 		r.Body = body
 	}
@@ -173,6 +173,66 @@
 	size   gypsum.Bytes
 	// counted is the part of the body that counts in holder.
 	counted gypsum.Bytes
+	// isLarge means that the body has one of the places for large ones.
+	isLarge bool
+}
+
+// Large bodies of a port whose handlers decode them. They are read into buffers that are used again, whose
+// size is that of the largest body so far, so few are read at a time.
+const (
+	largeBody    = 128 << 10
+	largeBodies  = 4
+	largeWait    = time.Second
+	largeRecheck = 50 * time.Millisecond
+)
+
+// awaitPlace waits for one of the places for large bodies. Clients that are late make room.
+func (b *countedBody) awaitPlace() error {
+	p := b.request.port
+	for deadline := time.Now().Add(largeWait); time.Now().Before(deadline); {
+		timer := time.NewTimer(largeRecheck)
+		select {
+		case p.places <- struct{}{}:
+			timer.Stop()
+			b.isLarge = true
+			return nil
+		case <-timer.C:
+		}
+		p.abortLateLarge()
+	}
+	return fmt.Errorf("%w: %d large bodies at a time", ErrNoMemory, largeBodies)
+}
+
+// abortLateLarge ends the read of the large body that is late for the longest time, if one is.
+func (p *Port) abortLateLarge() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest *request
+	now := time.Now()
+	for r := range p.requests {
+		late := r.pace.behindFor(now)
+		if r.pace.size.Load() > largeBody && late > StallGrace && (latest == nil || late > latest.pace.behindFor(now)) {
+			latest = r
+		}
+	}
+	if latest != nil {
+		p.Stats.Evicted.Add(1)
+		latest.abort()
+	}
+}
+
+// leavePlace gives back the place of a large body.
+func (b *countedBody) leavePlace() {
+	if b.isLarge {
+		b.isLarge = false
+		<-b.request.port.places
+	}
+}
+
+// close gives back what the body holds.
+func (b *countedBody) close() {
+	b.holder.Close()
+	b.leavePlace()
 }
 
 // Read implements io.Reader.
@@ -191,6 +251,15 @@
 	if err != nil {
 		b.holder.Keep()
 	}
+	if err != nil {
+		b.leavePlace()
+	}
+	if b.size > largeBody && !b.isLarge && err == nil && b.request.port.BodyCopies > 1 {
+		if placeErr := b.awaitPlace(); placeErr != nil {
+			b.request.port.Stats.Refused.Add(1)
+			return 0, placeErr
+		}
+	}
 	if more := b.size - SmallBody - b.counted; more > 0 {
 		copies := gypsum.Bytes(max(1, b.request.port.BodyCopies))
 		if addErr := b.holder.AddEvicting(more*copies, StallGrace, now); addErr != nil {
--- a/intake/port.go
+++ b/intake/port.go
@@ -84,6 +84,8 @@
 	atWork int
 	// closed is signalled when a connection is closed.
 	closed *sync.Cond
+	// places holds an element for each large body that is at work, if the port counts bodies.
+	places chan struct{}
 }
 
 // Stats counts what a port did.
@@ -156,7 +158,7 @@
 func (p *Port) Protect(server *http.Server) {
 	p.mu.Lock()
 	p.memory = share{limit: p.Shares.Requests, maxCount: p.Shares.MaxRequests + p.Shares.MaxConns}
-	p.closed = sync.NewCond(&p.mu)
+	p.closed, p.places = sync.NewCond(&p.mu), make(chan struct{}, largeBodies)
 	p.conns, p.requests = make(map[*conn]struct{}), make(map[*request]struct{})
 	p.mu.Unlock()
 	server.Handler = &handler{port: p, next: server.Handler}
