--- a/front/unread_test.go
+++ b/front/unread_test.go
@@ -46,14 +46,18 @@
 		defer close(done)
 		s.writeBody(&stuckWriter{header: make(http.Header), deadline: make(chan struct{})}, http.StatusOK, body, "unread", "")
 	}()
-	for s.Buffers.Usage().Used == 0 {
+	for deadline := time.Now().Add(5 * time.Second); s.Buffers.Usage().Used == 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(int(s.Buffers.Usage().Used), len(body))
 	time.Sleep(shortStallTimeout + 50*time.Millisecond)
 	holder := s.Buffers.Open("", 60<<10, nil, time.Now())
 	is.NoErr(holder.AddEvicting(60<<10, shortStallTimeout, time.Now()))
-	<-done
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the response was not aborted")
+	}
 	holder.Close()
 	is.Equal(int(s.Buffers.Usage().Used), 0)
 }
--- a/intake/port_test.go
+++ b/intake/port_test.go
@@ -180,6 +180,37 @@
 	}
 }
 
+// TestHeadsMakeRoom checks that heads that do not come whole make room for requests, the largest first, and
+// that their clients are told.
+func TestHeadsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	shares := ample()
+	shares.Requests = 1 << 20
+	s := newTestServer(t, shares, nil)
+	s.limits.Store(&gypsum.ClientLimits{MaxHeader: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second})
+	var conns []net.Conn
+	for range 40 {
+		conn := s.dial()
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 500))
+		is.NoErr(err)
+		conns = append(conns, conn)
+	}
+	for range 20 {
+		status, _ := send(s.dial(), get)
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(s.port.Stats.Memory.Load() <= 1<<20)
+	refused := 0
+	for _, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			refused++
+		}
+	}
+	is.True(refused > 20)
+}
+
 // TestStalledBodyMakesRoom checks that bodies that stop lose their memory to others, and that one without
 // room fails.
 func TestStalledBodyMakesRoom(t *testing.T) {
@@ -280,7 +311,7 @@
 	s.port.Protect(server)
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
-	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{Protocols: protocols}}
 	defer client.CloseIdleConnections()
 	results := make(chan int, 12)
 	for range 12 {
