intake: forwarded requests count once

Cause: a request that another daemon forwards counted in its own pool by its length, and threefold in the pool for messages of daemons, so that one above a 24th of the memory was refused after it was accepted (its outcome unknown).

Change: a handler that counts a body says so.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -231,7 +231,9 @@
 
 // close gives back what the body holds.
 func (b *countedBody) close() {
-	b.holder.Close()
+	if b.holder != nil {
+		b.holder.Close()
+	}
 	b.leavePlace()
 }
 
@@ -250,8 +252,6 @@
 	}
 	if err != nil {
 		b.holder.Keep()
-	}
-	if err != nil {
 		b.leavePlace()
 	}
 	if b.size > largeBody && !b.isLarge && err == nil && b.request.port.BodyCopies > 1 {
@@ -285,6 +285,14 @@
 	return nil
 }
 
+// CountedElsewhere ends the count of a request's body, since its handler counts it.
+func CountedElsewhere(r *http.Request) {
+	if body, ok := r.Body.(*countedBody); ok && body.holder != nil {
+		body.close()
+		body.holder = nil
+	}
+}
+
 // Pace tells whether a body comes as fast as it must while others need its memory. The zero value is
 // one that is not read yet. It is safe for concurrent use by one reader and others that ask.
 type Pace struct {
--- a/intake/port_test.go
+++ b/intake/port_test.go
@@ -27,6 +27,8 @@
 	limits  atomic.Pointer[gypsum.ClientLimits]
 	// block holds requests to /block until it is closed.
 	block chan struct{}
+	// countedElsewhere means that the handler counts bodies.
+	countedElsewhere atomic.Bool
 }
 
 // newTestServer starts a server with shares. change may change its port.
@@ -45,6 +47,9 @@
 		if r.URL.Path == "/block" {
 			<-s.block
 		}
+		if s.countedElsewhere.Load() {
+			intake.CountedElsewhere(r)
+		}
 		content, err := io.ReadAll(r.Body)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInsufficientStorage)
@@ -240,6 +245,23 @@
 	}
 }
 
+// TestBodyCountedElsewhere checks that a body that its handler counts does not need the memory of the port.
+func TestBodyCountedElsewhere(t *testing.T) {
+	is := is.New(t)
+	bodies := buffer.NewPool(100 << 10)
+	for _, elsewhere := range []bool{false, true} {
+		s := newTestServer(t, ample(), func(p *intake.Port) { p.Bodies, p.BodyCopies = bodies, 3 })
+		s.countedElsewhere.Store(elsewhere)
+		status, _ := send(s.dial(), fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", 400<<10, strings.Repeat("x", 400<<10)))
+		want := http.StatusInsufficientStorage
+		if elsewhere {
+			want = http.StatusOK
+		}
+		is.Equal(status, want)
+	}
+	is.Equal(int(bodies.Usage().Used), 0)
+}
+
 // TestIdleConnectionsMakeRoom checks that new connections are served while others are idle, and that one
 // in use stays.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -107,6 +107,7 @@
 
 // ServeHTTP implements http.Handler.
 func (m *requestMemory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	intake.CountedElsewhere(r)
 	size := gypsum.Bytes(r.ContentLength)
 	holder := m.memory.Open("", m.memory.Usage().Limit, nil, time.Now())
 	defer holder.Close()
