Reading: one constant for the runtime's share, one function for body memory

The share of the memory that is the soft limit of the runtime stood in edge and in daemon; front reserved memory for bodies and for what is decoded from them by two functions of one body, and had two expired deadlines; the crowds of soak named headers of the platform, which they take from package platform now, with the same bytes. No behaviour changes.

--- a/cmd/gypsumhook/edge.go
+++ b/cmd/gypsumhook/edge.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/gypsumhook/gypsum/edge"
+	"github.com/gypsumhook/gypsum/intake"
 	"github.com/gypsumhook/gypsum/logs"
 	"github.com/gypsumhook/gypsum/platform"
 )
@@ -21,11 +22,6 @@
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// memoryLimitShare is the share of the host's memory that is set as the soft limit of the
-// Go runtime. The rest is for network buffers and for memory that the runtime does not
-// count.
-const memoryLimitShare = 0.7
-
 // edgeCommand returns the command that runs a daemon on the users' platform.
 func edgeCommand() *cli.Command {
 	return &cli.Command{
@@ -48,7 +44,7 @@
 		return err
 	}
 	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryLimitShare))
+		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * intake.RuntimeMemoryShare))
 	}
 	logger, writer := logs.New(os.Stdout, slog.LevelInfo)
 	// Logging goes on while the daemon shuts down after a signal, which ends ctx.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,9 +43,6 @@
 	allParts      = 16
 	// bodyCopies is how many times the bytes of a body count, for what is decoded from it.
 	bodyCopies = 3
-	// memoryLimitShare is the share of the host's memory that is set as the soft limit of the Go
-	// runtime. The rest is for network buffers and for memory that the runtime does not count.
-	memoryLimitShare = 0.7
 )
 
 // Daemon is the daemon process of a host. Set the exported fields before Run.
@@ -62,7 +59,7 @@
 // the requests in flight have ended, for at most the drain timeout. Neither ctx nor the signal
 // cancels them. ctx must end at a signal that comes before Run is called.
 func (d *Daemon) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(intake.Resources{Memory: d.Settings.Memory}.WithDefaults().Memory)))
+	debug.SetMemoryLimit(int64(intake.RuntimeMemoryShare * float64(intake.Resources{Memory: d.Settings.Memory}.WithDefaults().Memory)))
 	cleanup := d.createCore()
 	defer cleanup()
 	coreCtx, stopCore := context.WithCancel(context.WithoutCancel(ctx))
--- a/front/batch.go
+++ b/front/batch.go
@@ -38,7 +38,7 @@
 		return
 	}
 	defer held.release()
-	if err := held.addDecoded(platform.DecodedBatchMemory(content)); err != nil {
+	if err := held.add(platform.DecodedBatchMemory(content)); err != nil {
 		s.refuseBody(w, r, s.bodies())
 		return
 	}
--- a/front/body.go
+++ b/front/body.go
@@ -314,15 +314,15 @@
 	if size <= *reserved {
 		return nil
 	}
-	if b.holder.AddEvicting(size-*reserved, intake.StallGrace, time.Now()) != nil {
-		return errNoBodyMemory
+	if err := b.add(size - *reserved); err != nil {
+		return err
 	}
 	*reserved = size
 	return nil
 }
 
-// addDecoded reserves memory for what is decoded from the body.
-func (b *heldBody) addDecoded(size gypsum.Bytes) error {
+// add reserves further memory, as for what is decoded from the body.
+func (b *heldBody) add(size gypsum.Bytes) error {
 	if b.holder.AddEvicting(size, intake.StallGrace, time.Now()) != nil {
 		return errNoBodyMemory
 	}
--- a/front/write.go
+++ b/front/write.go
@@ -50,7 +50,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.aborted = true
-	_ = d.controller.SetWriteDeadline(time.Unix(1, 0))
+	_ = d.controller.SetWriteDeadline(expired)
 }
 
 // clear removes the deadline, unless the response was aborted.
--- a/intake/shares.go
+++ b/intake/shares.go
@@ -73,6 +73,10 @@
 	maxDescriptors = 1 << 20
 )
 
+// RuntimeMemoryShare is the share of the host's memory that is set as the soft limit of the Go runtime.
+// The rest is for network buffers and for memory that the runtime does not count.
+const RuntimeMemoryShare = 0.7
+
 // NewShares divides resources.
 func NewShares(resources Resources) Shares {
 	memory, descriptors := resources.Memory, resources.Descriptors
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/check"
+	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/platform/mimic"
 )
 
@@ -50,13 +51,15 @@
 	silent bool
 }
 
+// crowdIDLine is the header line with the ID of a crowd's request.
+const crowdIDLine = platform.HeaderRequestID + ": crowd"
+
 // requestHead returns the head of a request without its last line.
 func requestHead(method, target, fields string) string {
-	return method + " " + target + " HTTP/1.1\r\nHost: " + routeHost + "\r\nAttempt-Id: crowd\r\nDeadline-Ms: 3000\r\n" + fields
+	return method + " " + target + " HTTP/1.1\r\nHost: " + routeHost + "\r\n" + crowdIDLine + "\r\n" + platform.HeaderDeadline + ": 3000\r\n" + fields
 }
 
-// wholeRequest returns a request of a legal size whose head has very many short lines. Body is what
-// is sent of a body of a length.
+// wholeRequest returns a request with further header lines. Body is what is sent of a body of a length.
 func wholeRequest(method, target string, lines []byte, length int, body []byte) []byte {
 	head := requestHead(method, target, fmt.Sprintf("Content-Length: %d\r\n", length))
 	return append([]byte(head+string(lines)+"\r\n"), body...)
@@ -98,8 +101,8 @@
 		reader := bufio.NewReader(conn)
 		for ctx.Err() == nil {
 			request := wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items)
-			id := fmt.Appendf(nil, "Attempt-Id: crowd-%d", submitted.Add(1))
-			if _, err := conn.Write(bytes.Replace(request, []byte("Attempt-Id: crowd"), id, 1)); err != nil {
+			id := fmt.Appendf(nil, crowdIDLine+"-%d", submitted.Add(1))
+			if _, err := conn.Write(bytes.Replace(request, []byte(crowdIDLine), id, 1)); err != nil {
 				return fmt.Errorf("send: %w", err)
 			}
 			response, err := http.ReadResponse(reader, nil)
@@ -156,7 +159,7 @@
 		{name: "batches of tiny items", port: clientPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items))},
 		{name: "different batches of tiny items", port: clientPort, size: 40, behave: func(ctx context.Context, conn net.Conn, member int) error {
 			request := wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items)
-			return check.SendAndHold(bytes.Replace(request, []byte("Attempt-Id: crowd"), fmt.Appendf(nil, "Attempt-Id: crowd-%d", member), 1))(ctx, conn, member)
+			return check.SendAndHold(bytes.Replace(request, []byte(crowdIDLine), fmt.Appendf(nil, crowdIDLine+"-%d", member), 1))(ctx, conn, member)
 		}},
 		{name: "batches that are accepted", port: clientPort, size: 40, behave: submitForever(tinyItems(crowdBodyBytes / 10))},
 		{name: "responses that nobody reads", port: clientPort, size: crowdSize, prepare: submitLargeItem, behave: check.SendForever(wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil), wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil))},
