intake: requests wait for clients that are leaving to make room

Callers saw 503 for ordinary requests while heads of others arrived, although those had been chosen to make room. What a leaving client held counted until its goroutine had ended; ending further clients did not help, so makeRoom ended all of them and then refused the request.

share.fits now tells whether others must make room or just those that are leaving must be gone. For the latter a request or a head waits, 500 ms at most, and nobody else is ended. The part of a share that could be used beyond it while clients were leaving is gone: the share is the bound. A timer's wake-up cannot be lost between the look at the clock and the wait any more.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -112,6 +112,7 @@
 func (c *conn) hold(size gypsum.Bytes) {
 	if c.state.leaving {
 		c.port.memory.leaving += size - c.state.held
+		c.port.left.Broadcast()
 	} else {
 		c.port.changeMemory(c.state.held, size)
 	}
@@ -169,6 +170,8 @@
 	c.port.memory.leaving += held
 	c.port.leavingConns++
 	c.port.Stats.Evicted.Add(1)
+	// Its head may wait for room.
+	c.port.left.Broadcast()
 	if c.state.phase == phaseBusy {
 		_ = c.Conn.SetDeadline(past)
 		return
@@ -186,7 +189,7 @@
 	c.hold(0)
 	c.state.leaving, c.isLast = false, true
 	c.port.leavingConns--
-	c.port.closed.Broadcast()
+	c.port.left.Broadcast()
 	c.hold(held)
 	_ = c.Conn.SetReadDeadline(time.Time{})
 }
@@ -241,10 +244,13 @@
 		return errHeadTooLarge
 	}
 	size := c.scan.memory()
-	if c.state.leaving && (c.state.phase != phaseIdle || c.state.held > 0) {
-		return errNoRoom
-	}
-	if !p.makeRoom(c.state.held, size, c, time.Now()) {
+	ok := p.awaitRoom(func(now time.Time) verdict {
+		if c.state.leaving && (c.state.phase != phaseIdle || c.state.held > 0) {
+			return fitsNot
+		}
+		return p.makeRoom(c.state.held, size, c, now)
+	})
+	if !ok {
 		p.Stats.Refused.Add(1)
 		return errNoRoom
 	}
@@ -368,7 +374,7 @@
 		}
 		delete(p.conns, c)
 		p.connMemory -= c.memory
-		p.closed.Broadcast()
+		p.left.Broadcast()
 		p.Stats.Connections.Store(int64(len(p.conns)))
 	}
 	p.mu.Unlock()
--- a/intake/decide_test.go
+++ b/intake/decide_test.go
@@ -54,23 +54,25 @@
 	is := is.New(t)
 	const limit, large, small = 8 << 20, 3 << 20, 30 << 10
 	s := &share{limit: limit, maxCount: 1000}
-	is.True(s.fits(0, limit)) // alone
+	is.Equal(s.fits(0, limit), fitsNow) // alone
 	s.change(0, large)
-	is.True(!s.fits(0, large)) // beyond the part of large ones
+	is.Equal(s.fits(0, large), fitsNot) // beyond the part of large ones
 	for s.used+small <= limit {
-		is.True(s.fits(0, small))
+		is.Equal(s.fits(0, small), fitsNow)
 		s.change(0, small)
 	}
-	is.True(!s.fits(0, small))
+	is.Equal(s.fits(0, small), fitsNot)
 	count := s.count
 	s.change(large, 0)
 	is.Equal(s.count, count-1)
-	is.True(s.fits(0, large))
-	s.leaving = limit/leavingDivisor + large // still held
-	is.True(!s.fits(0, large))
+	is.Equal(s.fits(0, large), fitsNow)
+	s.leaving = limit - s.used - small // still held
+	is.Equal(s.fits(0, large), fitsLater)
+	is.Equal(s.fits(0, small), fitsNow)
+	is.Equal(s.fits(0, limit), fitsNot) // others must leave besides
 	s.maxCount, s.leaving = s.count, 0
-	is.True(!s.fits(0, small))
-	is.True(s.fits(small, 2*small)) // growth is no further holder
+	is.Equal(s.fits(0, small), fitsNot)
+	is.Equal(s.fits(small, 2*small), fitsNow) // growth is no further holder
 }
 
 // TestSharesFitIntoHost checks the sum of the shares on hosts of all sizes, and the reserves.
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -105,11 +105,22 @@
 func (p *Port) admit(r *request, size gypsum.Bytes, isOnly bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.conn != nil && isOnly {
-		r.conn.hold(0)
-	}
-	now := time.Now()
-	if !p.makeRoomForRequest(now) || !p.makeRoom(0, size, nil, now) {
+	ok := p.awaitRoom(func(now time.Time) verdict {
+		head := gypsum.Bytes(0)
+		if r.conn != nil && isOnly {
+			head = r.conn.state.held
+			r.conn.hold(0)
+		}
+		room := fitsNot
+		if p.makeRoomForRequest(now) {
+			room = p.makeRoom(0, size, nil, now)
+		}
+		if room == fitsLater && head > 0 {
+			r.conn.hold(head)
+		}
+		return room
+	})
+	if !ok {
 		return false
 	}
 	r.held = size
@@ -129,6 +140,7 @@
 	defer p.mu.Unlock()
 	if r.leaving {
 		p.memory.leaving -= r.held
+		p.left.Broadcast()
 	} else {
 		p.changeMemory(r.held, 0)
 		p.atWork--
--- a/intake/port.go
+++ b/intake/port.go
@@ -27,6 +27,9 @@
 	logInterval = time.Second
 	// busyWait is how long a new connection waits for one of those that are all busy to end.
 	busyWait = 100 * time.Millisecond
+	// leaveWait is how long a request waits for clients to leave that were chosen to make room for it.
+	// They take a few milliseconds in most cases.
+	leaveWait = 500 * time.Millisecond
 	// newGrace is the time in which a new connection sends its first head in most cases.
 	newGrace = 100 * time.Millisecond
 	// refusedDivisor and minRefused bound the connections beyond a port's share that are about to end.
@@ -82,8 +85,9 @@
 	lastNumber   int64
 	// atWork is the number of requests that were not chosen to make room.
 	atWork int
-	// closed is signalled when a connection is closed.
-	closed *sync.Cond
+	// left is signalled when a connection is closed, and when a client has left that was chosen to make
+	// room.
+	left *sync.Cond
 	// places holds an element for each large body that is at work, if the port counts bodies.
 	places chan struct{}
 }
@@ -158,7 +162,7 @@
 func (p *Port) Protect(server *http.Server) {
 	p.mu.Lock()
 	p.memory = share{limit: p.Shares.Requests, maxCount: p.Shares.MaxRequests + p.Shares.MaxConns}
-	p.closed, p.places = sync.NewCond(&p.mu), make(chan struct{}, largeBodies)
+	p.left, p.places = sync.NewCond(&p.mu), make(chan struct{}, largeBodies)
 	p.conns, p.requests = make(map[*conn]struct{}), make(map[*request]struct{})
 	p.mu.Unlock()
 	server.Handler = &handler{port: p, next: server.Handler}
@@ -216,11 +220,10 @@
 		if p.leavingConns == 0 {
 			hasWaited = true
 			p.endBusiest()
-			timer := time.AfterFunc(busyWait, p.closed.Broadcast)
-			defer timer.Stop()
+			defer p.wakeAfter(busyWait).Stop()
 		}
 		// Further connections wait in the backlog of the listener.
-		p.closed.Wait()
+		p.left.Wait()
 	}
 	p.lastNumber++
 	c.state.number = p.lastNumber
@@ -313,10 +316,39 @@
 	return occupants, ends
 }
 
-// makeRoom ends clients until a holder may grow. It reports false if it may not. A large holder is made
-// room by large ones alone. asker is the connection whose head grows, nil for none. The caller holds mu.
-func (p *Port) makeRoom(from, to gypsum.Bytes, asker *conn, now time.Time) bool {
-	for !p.memory.fits(from, to) {
+// wakeAfter wakes those that wait for others to leave, after a time. The caller must stop the timer.
+func (p *Port) wakeAfter(wait time.Duration) *time.Timer {
+	return time.AfterFunc(wait, func() {
+		// With the mutex, nobody is between the look at the clock and the wait.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.left.Broadcast()
+	})
+}
+
+// awaitRoom tries to make room. While just clients that are leaving stand in the way, it tries again when one
+// has left, for leaveWait. It reports false if there is no room. The caller holds mu.
+func (p *Port) awaitRoom(try func(now time.Time) verdict) bool {
+	start := time.Now()
+	room := try(start)
+	if room == fitsLater {
+		defer p.wakeAfter(leaveWait).Stop()
+	}
+	for room == fitsLater && time.Since(start) < leaveWait {
+		p.left.Wait()
+		room = try(time.Now())
+	}
+	return room == fitsNow
+}
+
+// makeRoom ends clients until a holder may grow, and returns whether it may. It ends none if just those that
+// are leaving stand in the way. A large holder is made room by large ones alone. asker is the connection
+// whose head grows, nil for none. The caller holds mu.
+func (p *Port) makeRoom(from, to gypsum.Bytes, asker *conn, now time.Time) verdict {
+	for {
+		if room := p.memory.fits(from, to); room != fitsNot {
+			return room
+		}
 		occupants, ends := p.occupants(now, nil)
 		requests, requestEnds := p.requestOccupants(now)
 		occupants, ends = append(occupants, requests...), append(ends, requestEnds...)
@@ -331,14 +363,12 @@
 			occupants, ends = append(occupants, occupant{phase: phaseNew, held: to}), append(ends, nil)
 		}
 		index := chooseForMemory(occupants)
+		p.logShortage(now)
 		if index < 0 || index == own {
-			p.logShortage(now)
-			return false
+			return fitsNot
 		}
 		ends[index]()
-		p.logShortage(now)
 	}
-	return true
 }
 
 // changeMemory changes the memory of a holder. The caller holds mu.
--- a/intake/share.go
+++ b/intake/share.go
@@ -14,9 +14,6 @@
 	largeDivisor      = 64
 	minLarge          = 64 << 10
 	largeShareDivisor = 2
-	// leavingDivisor is the part of a share that may be used beyond it while clients that were chosen
-	// to make room still hold theirs.
-	leavingDivisor = 4
 )
 
 // share counts the memory and the number of holders.
@@ -28,26 +25,39 @@
 	count int
 	// large is the memory of large holders.
 	large gypsum.Bytes
-	// leaving is the memory of holders that were chosen to make room.
+	// leaving is the memory of holders that were chosen to make room and still hold it.
 	leaving gypsum.Bytes
 }
 
 // isLarge reports whether a holder of a size is large.
 func (s *share) isLarge(size gypsum.Bytes) bool { return size > max(minLarge, s.limit/largeDivisor) }
 
-// fits reports whether a holder may grow from one size to another. A new one has size 0.
-func (s *share) fits(from, to gypsum.Bytes) bool {
+// verdict is whether a holder may grow.
+type verdict int
+
+// The verdicts: the holder may grow, it may once those have left that were chosen to make room, and
+// others must make room first.
+const (
+	fitsNow verdict = iota
+	fitsLater
+	fitsNot
+)
+
+// fits returns whether a holder may grow from one size to another. A new one has size 0.
+func (s *share) fits(from, to gypsum.Bytes) verdict {
 	large, largeFrom := s.large, gypsum.Bytes(0)
 	if s.isLarge(from) {
 		largeFrom = from
 	}
 	switch {
-	case from == 0 && s.count >= s.maxCount:
-		return false
-	case s.used-from+to > s.limit || s.used+s.leaving-from+to > s.limit+s.limit/leavingDivisor:
-		return false
+	case from == 0 && s.count >= s.maxCount, s.used-from+to > s.limit:
+		return fitsNot
+	case s.isLarge(to) && large != largeFrom && large-largeFrom+to > s.limit/largeShareDivisor:
+		return fitsNot
+	case s.used+s.leaving-from+to > s.limit:
+		return fitsLater
 	}
-	return !s.isLarge(to) || large == largeFrom || large-largeFrom+to <= s.limit/largeShareDivisor
+	return fitsNow
 }
 
 // change changes the size of a holder. One of size 0 does not count.
