procs, soak: further crowds of clients, with the reason for a failed readiness check

The crowds were chosen by what is held and counted nowhere on reading the code: responses that nobody reads and that are far larger than their requests, HTTP/2 responses without a window, HTTP/2 pings and cancelled streams, requests that go on after their client has left, responses that are kept under keys, forwarded messages of many parts, bodies of very many chunks, parameters without end, metrics that nobody reads. Sizes, host and bounds are those of the other crowds.

--- a/fake/plainservice.go
+++ b/fake/plainservice.go
@@ -1,9 +1,12 @@
 package fake
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +53,9 @@
 	Slots       int
 	// PoisonText crashes the replica if a request body contains it. Empty for none.
 	PoisonText string
+	// SizeParameter is the parameter of a target with a number of bytes by which the response is longer.
+	// Empty for none.
+	SizeParameter string
 
 	process
 
@@ -122,10 +128,12 @@
 	if dropped {
 		return nil, fmt.Errorf("connection lost: %w", gypsum.ErrIncompleteResponse)
 	}
-	return &gypsum.PlainResponse{
-		Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}},
-		Body: fmt.Appendf(nil, `{"slip":%d,"key":%q,"request":%q,"score":%d}`, slipNumber, key, request.Body, slipNumber%10),
-	}, nil
+	body := fmt.Appendf(nil, `{"slip":%d,"key":%q,"request":%q,"score":%d}`, slipNumber, key, request.Body, slipNumber%10)
+	if query, err := url.ParseQuery(request.Query); err == nil && p.SizeParameter != "" {
+		size, _ := strconv.Atoi(query.Get(p.SizeParameter))
+		body = append(body, bytes.Repeat([]byte(" "), size)...)
+	}
+	return &gypsum.PlainResponse{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}, nil
 }
 
 // startRequest counts a running request. It returns the channel that is closed when the
--- a/procs/crowd_test.go
+++ b/procs/crowd_test.go
@@ -1,13 +1,16 @@
 package procs
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +28,7 @@
 	crowdTryPause  = 50 * time.Millisecond
 	crowdHeadBytes = 60 << 10
 	crowdBodyBytes = 7 << 20
+	crowdKeptBytes = 12 << 10
 	crowdLimits    = "\n[limits]\nmemory = %d\ndescriptors = %d\n"
 )
 
@@ -41,6 +45,8 @@
 	port   crowdPort
 	size   int
 	behave check.Behaviour
+	// silent means that the replicas of the plain service do not respond while the crowd is there.
+	silent bool
 }
 
 // requestHead returns the head of a request without its last line.
@@ -56,11 +62,15 @@
 // connectLines are the header lines of a call of a procedure.
 const connectLines = "Content-Type: application/%s\r\nConnect-Protocol-Version: 1\r\n"
 
-// Types of HTTP/2 frames, and the flag of a complete header (RFC 9113, 6).
+// Types of HTTP/2 frames, the flag of a complete header and an error code (RFC 9113, 6 and 7).
 const (
-	frameHeaders   = 1
-	frameSettings  = 4
-	flagEndHeaders = 4
+	frameHeaders    = 1
+	frameReset      = 3
+	frameSettings   = 4
+	framePing       = 6
+	flagEndStream   = 1
+	flagEndHeaders  = 4
+	errorCodeCancel = 8
 )
 
 // http2Frame returns a frame.
@@ -70,9 +80,73 @@
 	return append(frame, payload...)
 }
 
+// http2Start is the start of an HTTP/2 connection, with a payload of its settings.
+func http2Start(settings []byte) []byte {
+	return append([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"), http2Frame(frameSettings, 0, 0, settings)...)
+}
+
+// noWindow is the setting of a connection whose client takes no bytes of responses.
+var noWindow = []byte{0, 4, 0, 0, 0, 0}
+
 // http2Requests returns the start of an HTTP/2 connection with requests of fieldCount short header
-// fields, whose bodies do not come.
-func http2Requests(target string, streams, fieldCount int) []byte {
+// fields. Without flagEndStream, their bodies do not come.
+func http2Requests(settings []byte, target string, streams, fieldCount int, flags byte) []byte {
+	content, block := http2Start(settings), headerBlock(target, fieldCount)
+	for i := range streams {
+		content = append(content, http2Frame(frameHeaders, flagEndHeaders|flags, uint32(2*i+1), block)...)
+	}
+	return content
+}
+
+// resetForever returns a behaviour that sends HTTP/2 requests of fieldCount short header fields and
+// cancels each at once.
+func resetForever(target string, fieldCount int) check.Behaviour {
+	block, reset := headerBlock(target, fieldCount), binary.BigEndian.AppendUint32(nil, errorCodeCancel)
+	return func(ctx context.Context, conn net.Conn, _ int) error {
+		if _, err := conn.Write(http2Start(nil)); err != nil {
+			return fmt.Errorf("send: %w", err)
+		}
+		for stream := uint32(1); ctx.Err() == nil; stream += 2 {
+			request := append(http2Frame(frameHeaders, flagEndHeaders, stream, block), http2Frame(frameReset, 0, stream, reset)...)
+			if _, err := conn.Write(request); err != nil {
+				return fmt.Errorf("send: %w", err)
+			}
+		}
+		return ctx.Err()
+	}
+}
+
+// newKeys returns a behaviour that sends requests that are not idempotent, each under a key of its own. Unless
+// it leaves, it reads each response before the next request.
+func newKeys(body []byte, leaves bool) check.Behaviour {
+	var sent atomic.Int64
+	return func(ctx context.Context, conn net.Conn, _ int) error {
+		reader := bufio.NewReader(conn)
+		for ctx.Err() == nil {
+			key := fmt.Sprintf("Idempotency-Key: %0200d\r\n", sent.Add(1))
+			if _, err := conn.Write(wholeRequest(http.MethodPost, plainTarget, key, len(body), body)); err != nil || leaves {
+				return err
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return fmt.Errorf("read response: %w", err)
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return fmt.Errorf("read body: %w", err)
+			}
+		}
+		return ctx.Err()
+	}
+}
+
+// sizeParameter makes the response of the plain service longer.
+const sizeParameter = "size"
+
+// plainTarget is a target of the plain service.
+const plainTarget = "/services/" + string(check.PlainService) + "/x"
+
+// headerBlock returns the header of a request with fieldCount short fields.
+func headerBlock(target string, fieldCount int) []byte {
 	var block bytes.Buffer
 	// The fields are literals without indexing (RFC 7541, 6.2.2).
 	field := func(name, value string) {
@@ -89,12 +163,7 @@
 	for i := range fieldCount {
 		field(fmt.Sprintf("a%x", i), "")
 	}
-	content := []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
-	content = append(content, http2Frame(frameSettings, 0, 0, nil)...)
-	for i := range streams {
-		content = append(content, http2Frame(frameHeaders, flagEndHeaders, uint32(2*i+1), block.Bytes())...)
-	}
-	return content
+	return block.Bytes()
 }
 
 // crowdCases returns the crowds.
@@ -127,6 +196,13 @@
 		{name: "bodies that never come", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/v1/completions", "", len(body), nil))},
 		{name: "bodies that stop", port: callerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/v1/completions", "", len(body), body[:len(body)-1]))},
 		{name: "pulls of many parts", port: callerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, pull, "", len(prompts)+2, append(prompts, "]}"...)))},
+		{name: "large responses that nobody reads", port: callerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPut, plainTarget, "", len(body), body))},
+		{name: "responses far larger than requests", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodGet, fmt.Sprintf("%s?%s=%d", plainTarget, sizeParameter, crowdBodyBytes), "", 0, nil))},
+		{name: "responses that nobody reads", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPut, plainTarget, "", crowdBodyBytes/16, body[:crowdBodyBytes/16]))},
+		{name: "responses under new keys", port: callerPort, size: crowdSize, behave: newKeys(body[:crowdKeptBytes], false)},
+		{name: "bodies under new keys, clients that leave", port: callerPort, size: 40, silent: true, behave: newKeys(body, true)},
+		{name: "parameters without end", port: callerPort, size: crowdSize, behave: check.SendForever(nil, wholeRequest(http.MethodGet, plainTarget+"?"+strings.Repeat("a&", crowdHeadBytes/2), "", 0, nil))},
+		{name: "streams that are cancelled", port: callerPort, size: 100, behave: resetForever("/v1/completions", 1700)},
 		{name: "bodies at the peers' port", port: peerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, gossip, cbor, 60<<20, bytes.Repeat([]byte{0x80}, crowdBodyBytes)))},
 		{name: "bodies at the operators' port", port: operatorPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, put, proto, 1<<30, body))},
 	}
@@ -135,7 +211,9 @@
 			crowdCase{name: "heads without end at the " + name + " port", port: port, size: crowdSize, behave: check.SendForever([]byte(start), []byte(shortLines))},
 			crowdCase{name: "heads are held at the " + name + " port", port: port, size: crowdSize, behave: check.SendAndHold([]byte(start + shortLines))},
 			crowdCase{name: "connections at the " + name + " port", port: port, size: 2 * crowdSize, behave: check.SendAndHold(nil)},
-			crowdCase{name: "streams at the " + name + " port", port: port, size: 30, behave: check.SendAndHold(http2Requests("/v1/completions", 100, 1700))},
+			crowdCase{name: "pings at the " + name + " port", port: port, size: crowdSize, behave: check.SendForever(http2Start(nil), bytes.Repeat(http2Frame(framePing, 0, 0, make([]byte, 8)), 1000))},
+			crowdCase{name: "streams at the " + name + " port", port: port, size: 30, behave: check.SendAndHold(http2Requests(nil, "/v1/completions", 100, 1700, 0))},
+			crowdCase{name: "streams without a window at the " + name + " port", port: port, size: 30, behave: check.SendAndHold(http2Requests(noWindow, "/healthz", 200, 1700, flagEndStream))},
 		)
 	}
 	return cases
@@ -155,6 +233,9 @@
 			env.waitFor("configuration in force", func() bool { return env.isInForce(3) })
 			daemon, kept := env.daemons["genova-1"], &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
 			checkServed(t, daemon, kept, "before the crowd")
+			if tc.silent {
+				env.freezePlain(true)
+			}
 			crowd := check.StartCrowd(t.Context(), tc.port(daemon), tc.size, tc.behave)
 			descriptors, pid := 0, daemon.cmd.Process.Pid
 			for stop := time.Now().Add(crowdTime); time.Now().Before(stop); time.Sleep(crowdTryPause) {
@@ -162,12 +243,15 @@
 					descriptors = max(descriptors, open)
 				}
 			}
-			checkServed(t, daemon, nil, "during the crowd, on new connections")
-			checkServed(t, daemon, kept, "during the crowd, on an open connection")
-			if !env.isReady("genova-1") {
-				t.Error("not ready during the crowd")
+			if !tc.silent {
+				checkServed(t, daemon, nil, "during the crowd, on new connections")
+				checkServed(t, daemon, kept, "during the crowd, on an open connection")
+			}
+			if err := env.checkReady("genova-1"); err != nil {
+				t.Errorf("not ready during the crowd: %v", err)
 			}
 			crowd.Stop()
+			env.freezePlain(false)
 			checkServed(t, daemon, nil, "after the crowd")
 			peak, err := check.PeakMemory(pid)
 			t.Logf("peak of %d KiB and %d descriptors", peak>>10, descriptors)
@@ -184,6 +268,17 @@
 	}
 }
 
+// freezePlain stops the replicas of the plain service, or lets them go on.
+func (env *testEnv) freezePlain(frozen bool) {
+	for _, replica := range env.plainReplicas {
+		if frozen {
+			replica.Freeze()
+		} else {
+			replica.Unfreeze()
+		}
+	}
+}
+
 // checkServed sends ordinary requests until one is served, with a client or, without one, each on a
 // new connection.
 func checkServed(t *testing.T, daemon *daemonProcess, httpClient *http.Client, moment string) {
@@ -194,7 +289,7 @@
 	statuses := make(map[string]int)
 	for range crowdTries {
 		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
-		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+daemon.callerAddress+"/services/"+string(check.PlainService)+"/x", strings.NewReader("ordinary"))
+		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+daemon.callerAddress+plainTarget, strings.NewReader("ordinary"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -223,7 +318,7 @@
 	env.waitFor("ready", func() bool { return env.isReady("genova-1") })
 	env.createServices()
 	env.waitFor("configuration in force", func() bool { return env.isInForce(3) })
-	target := "/services/" + string(check.PlainService) + "/x"
+	target := plainTarget
 	for name, request := range map[string][]byte{
 		"short lines": wholeRequest(http.MethodPut, target, string(check.HeaderLines("a", crowdHeadBytes)), 1, []byte("x")),
 		"long lines":  wholeRequest(http.MethodPut, target, "a: "+strings.Repeat("x", crowdHeadBytes)+"\r\n", 1, []byte("x")),
--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -100,6 +100,7 @@
 		env.addBackend(gypsum.Host{ID: id, Kind: gypsum.HostKindModel, Service: check.ModelService, Location: location}, stubs.EngineHandler(env.engines[id]))
 		id = string(location.DataCentre) + "-plain"
 		env.plainReplicas[id] = fake.NewPlainService(env.executions, 5*time.Millisecond)
+		env.plainReplicas[id].SizeParameter = sizeParameter
 		env.addBackend(gypsum.Host{ID: id, Kind: gypsum.HostKindPlain, Service: check.PlainService, Location: location}, stubs.PlainServiceHandler(env.plainReplicas[id]))
 	}
 	return env
@@ -256,20 +257,26 @@
 }
 
 // isReady reports whether a daemon passes the load balancer's readiness check.
-func (env *testEnv) isReady(id gypsum.HostID) bool {
+func (env *testEnv) isReady(id gypsum.HostID) bool { return env.checkReady(id) == nil }
+
+// checkReady returns the reason why a daemon does not pass the load balancer's readiness check, nil if it does.
+func (env *testEnv) checkReady(id gypsum.HostID) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+env.daemons[id].callerAddress+"/readyz", nil)
 	if err != nil {
-		return false
+		return err
 	}
 	resp, err := env.httpClient.Do(req)
 	if err != nil {
-		return false
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode == http.StatusOK
+	content, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", resp.Status, content)
+	}
+	return nil
 }
 
 // operatorClient returns a client for the operators' API of a daemon.
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,6 +31,7 @@
 	crowdTryPause  = 50 * time.Millisecond
 	crowdHeadBytes = 15 << 10
 	crowdBodyBytes = 1 << 20
+	crowdValues    = 100_000
 )
 
 // crowdPort is a port of a daemon.
@@ -129,6 +131,22 @@
 	}
 }
 
+// forwardedRequest returns a request of a daemon that forwards one whose header has a number of lists of
+// empty values, and whose body has a length. All but the last missing bytes are sent.
+func forwardedRequest(lists, length, missing int) []byte {
+	values := append(binary.BigEndian.AppendUint32([]byte{0x9a}, crowdValues), bytes.Repeat([]byte{0x60}, crowdValues)...)
+	message := []byte{0xa2, 6, 0xa0 | byte(lists)}
+	for i := range lists {
+		message = append(append(message, 0x61, 'a'+byte(i)), values...)
+	}
+	message = binary.BigEndian.AppendUint32(append(message, 7, 0x5a), uint32(length))
+	message = append(message, bytes.Repeat([]byte("x"), length)...)
+	// A message of a stream begins with flags and its length.
+	message = append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(message))), message...)
+	head := fmt.Sprintf("POST /gypsumhook.inner.v1/replica_forward HTTP/1.1\r\nHost: x\r\nContent-Type: application/connect+cbor\r\nConnect-Protocol-Version: 1\r\nContent-Length: %d\r\n\r\n", len(message))
+	return append([]byte(head), message[:len(message)-missing]...)
+}
+
 // crowdCases returns the crowds.
 func crowdCases() []crowdCase {
 	shortLines, equalLines := check.HeaderLines("a", crowdHeadBytes), bytes.Repeat([]byte("a:\r\n"), crowdHeadBytes/4)
@@ -139,6 +157,7 @@
 	feed := "POST /gypsumhook.inner.v1/feed HTTP/1.1\r\nHost: x\r\nContent-Type: application/cbor\r\nConnect-Protocol-Version: 1\r\nContent-Length: %d\r\n\r\n"
 	record := strings.Replace(feed, "/feed ", "/stream_origin_record ", 1)
 	parts := check.CBORObjects(1, 100_000)
+	metrics := []byte("GET /debug/vars HTTP/1.1\r\nHost: x\r\n\r\n")
 	small := wholeRequest(http.MethodGet, "/i/crowd", nil, 0, nil)
 	items := tinyItems(crowdBodyBytes)
 	return []crowdCase{
@@ -163,9 +182,16 @@
 		}},
 		{name: "batches that are accepted", port: clientPort, size: 40, behave: submitForever(tinyItems(crowdBodyBytes / 10))},
 		{name: "responses that nobody reads", port: clientPort, size: crowdSize, prepare: submitLargeItem, behave: check.SendForever(wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil), wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1"), nil, 0, nil))},
+		{name: "large responses that nobody reads", port: clientPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPost, "/i/crowd", nil, len(body)/3, body[:len(body)/3]))},
+		{name: "parameters without end", port: clientPort, size: crowdSize, prepare: submitLargeItem, behave: check.SendForever(nil, wholeRequest(http.MethodGet, mimic.ItemTarget(crowdBatch, "large.1")+strings.Repeat("&a", crowdHeadBytes/2), nil, 0, nil))},
+		{name: "bodies of very many chunks", port: clientPort, size: crowdSize, behave: check.SendForever([]byte(requestHead(http.MethodPost, "/i/crowd", "Transfer-Encoding: chunked\r\n\r\n")), bytes.Repeat([]byte("1\r\nx\r\n"), 1000))},
 		{name: "requests without end", port: clientPort, size: crowdSize, behave: check.SendForever(small, bytes.Repeat(small, 10))},
 		{name: "heads at the readiness check", port: readinessPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
 		{name: "connections at the readiness check", port: readinessPort, size: 2 * crowdSize, behave: check.SendAndHold(nil)},
+		{name: "metrics that nobody reads at the readiness check", port: readinessPort, size: crowdSize, behave: check.SendForever(metrics, metrics)},
+		{name: "metrics that nobody reads at the internal port", port: internalPort, size: crowdSize, behave: check.SendForever(metrics, metrics)},
+		{name: "forwarded requests of many parts", port: internalPort, size: 60, behave: check.SendAndHold(forwardedRequest(4, 1, 0))},
+		{name: "forwarded requests that stop", port: internalPort, size: 60, behave: check.SendAndHold(forwardedRequest(0, crowdBodyBytes, 1))},
 		{name: "heads at the internal port", port: internalPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
 		{name: "connections at the internal port", port: internalPort, size: 2 * crowdSize, behave: check.SendAndHold(nil)},
 		{name: "bodies at the internal port", port: internalPort, size: 60, behave: check.SendAndHold(append(fmt.Appendf(nil, feed, 60<<20), bytes.Repeat([]byte{0x80}, 8<<20)...))},
@@ -206,8 +232,8 @@
 				checkServed(t, load, "during the crowd, on new connections", true)
 				checkServed(t, kept, "during the crowd, on an open connection", false)
 			}
-			if !daemon.isReady() {
-				t.Error("not ready during the crowd")
+			if err := daemon.checkReady(); err != nil {
+				t.Errorf("not ready during the crowd: %v", err)
 			}
 			crowd.Stop()
 			env.setPlainFault("")
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -445,14 +446,21 @@
 }
 
 // isReady reports whether a daemon passes the load balancer's readiness check.
-func (d *daemonProcess) isReady() bool {
+func (d *daemonProcess) isReady() bool { return d.checkReady() == nil }
+
+// checkReady returns the reason why the daemon is not ready, nil if it is.
+func (d *daemonProcess) checkReady() error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d/readyz", d.readyPort))
 	if err != nil {
-		return false
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	content, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", resp.Status, content)
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return nil
 }
 
 // cutOff sets the fault of a daemon's links to all replicas.
