intake: new connections are read before they make room for others

The readiness check, and other callers on new connections, got 503 or no response under clients that send requests and read nothing: connections were ended to make room before the server had read the head that had come with them, and the few requests that a port may have at work were all those of clients that do not read.

A connection that was accepted within 10 ms, or whose bytes have come and were not read yet, makes no room; the next one waits in the backlog meanwhile. If a new connection waits, all clients that send further requests instead of reading lose theirs at the end of the request at work, not just the busiest one. A request of a client that waits for its responses is not refused while one of theirs is at work.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -8,9 +8,11 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/gypsumhook/gypsum"
 )
@@ -140,6 +142,21 @@
 	return c.isLast
 }
 
+// hasArrived reports whether bytes of the client have arrived that the server has not read.
+func (c *conn) hasArrived() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := 0
+	err = raw.Control(func(fd uintptr) { arrived, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && arrived > 0
+}
+
 // unreadFor returns how long the client has not read what is being written, 0 if nothing is. One that
 // sends requests instead is stalled soon. The caller holds the port's mutex.
 func (c *conn) unreadFor(now time.Time) time.Duration {
--- a/intake/decide_test.go
+++ b/intake/decide_test.go
@@ -18,7 +18,9 @@
 	busy := func(stalled time.Duration) occupant {
 		return occupant{phase: phaseBusy, requests: 1, stalledFor: stalled}
 	}
-	fresh := func(number int64) occupant { return occupant{phase: phaseNew, number: number, isYoung: true} }
+	fresh := func(number int64) occupant { return occupant{phase: phaseNew, number: number, age: newGrace / 2} }
+	without := func(number int64) occupant { return occupant{phase: phaseNew, number: number, age: newGrace} }
+	accepted := func(number int64) occupant { return occupant{phase: phaseNew, number: number, age: firstGrace / 2} }
 	for _, tc := range []struct {
 		name      string
 		occupants []occupant
@@ -26,13 +28,17 @@
 	}{
 		{"none", nil, -1},
 		{"all at work", []occupant{busy(0), busy(StallGrace / 2)}, -1},
-		{"connections without a byte", []occupant{idle(1, 9), {phase: phaseNew, number: 3}, {phase: phaseNew, number: 2}, fresh(1)}, 2},
+		{"connections without a byte", []occupant{idle(1, 9), without(3), without(2), fresh(1)}, 2},
+		{"a new connection waits while others are read for the first time", []occupant{idle(1, 1), accepted(3), accepted(2)}, -1},
+		{"one that sends nothing makes room before one that is not read yet", []occupant{{phase: phaseNew, number: 1, age: newGrace / 2, isUnread: true}, fresh(2), idle(3, 1)}, 1},
+		{"a new connection waits while others are not read yet", []occupant{{phase: phaseNew, number: 1, age: newGrace / 2, isUnread: true}, idle(3, 1)}, -1},
+		{"but not if one makes room before them", []occupant{accepted(3), busy(time.Second), {phase: phaseRefused}}, 2},
 		{"a flood of connections keeps the idle ones", []occupant{idle(1, 1), fresh(3), fresh(2)}, 2},
 		{"idle connections after one request keep the one in use", []occupant{idle(1, 5), idle(2, 1), idle(3, 1)}, 2},
 		{"requests without end keep the new one", []occupant{fresh(9), {phase: phaseBusy, pipelines: true, stalledFor: StallGrace}, idle(1, 1)}, 1},
 		{"unread responses", []occupant{busy(time.Second), busy(2 * time.Second), busy(0)}, 1},
-		{"refused first", []occupant{{phase: phaseNew, number: 1}, {phase: phaseRefused, number: 2}}, 1},
-		{"chosen before", []occupant{{phase: phaseNew, number: 1, leaving: true}, {phase: phaseNew, number: 2}}, 1},
+		{"refused first", []occupant{without(1), {phase: phaseRefused, number: 2}}, 1},
+		{"chosen before", []occupant{{phase: phaseNew, number: 1, age: newGrace, leaving: true}, without(2)}, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) { is.New(t).Equal(chooseForConnection(tc.occupants), tc.want) })
 	}
@@ -41,7 +47,7 @@
 // TestChooseForMemory replays who makes room for the memory of heads.
 func TestChooseForMemory(t *testing.T) {
 	is := is.New(t)
-	is.Equal(chooseForMemory([]occupant{{phase: phaseNew, held: 10, isYoung: true}, {phase: phaseNew, held: 30, isYoung: true}, {phase: phaseNew, held: 20}}), 1)
+	is.Equal(chooseForMemory([]occupant{{phase: phaseNew, held: 10}, {phase: phaseNew, held: 30}, {phase: phaseNew, held: 20, age: newGrace}}), 1)
 	// One that sends its first head goes before one that has sent one, and before one at work.
 	is.Equal(chooseForMemory([]occupant{{phase: phaseIdle, held: 90}, {phase: phaseBusy, held: 95, stalledFor: time.Second}, {phase: phaseNew, held: 5}}), 2)
 	is.Equal(chooseForMemory([]occupant{{phase: phaseBusy, held: 95}, {phase: phaseBusy, held: 5, stalledFor: time.Second}}), 1)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -112,8 +112,12 @@
 			r.conn.hold(0)
 		}
 		room := fitsNot
-		if p.makeRoomForRequest(now) {
+		switch {
+		case p.makeRoomForRequest(now):
 			room = p.makeRoom(0, size, nil, now)
+		case r.conn != nil && !r.conn.state.pipelines && p.hasPipelining():
+			// Those do not read, so they can be ended soon.
+			room = fitsLater
 		}
 		if room == fitsLater && head > 0 {
 			r.conn.hold(head)
@@ -144,6 +148,9 @@
 	} else {
 		p.changeMemory(r.held, 0)
 		p.atWork--
+		if p.atWork == p.Shares.MaxRequests-1 {
+			p.left.Broadcast()
+		}
 	}
 	delete(p.requests, r)
 	p.Stats.Requests.Store(int64(len(p.requests)))
--- a/intake/port.go
+++ b/intake/port.go
@@ -30,8 +30,12 @@
 	// leaveWait is how long a request waits for clients to leave that were chosen to make room for it.
 	// They take a few milliseconds in most cases.
 	leaveWait = 500 * time.Millisecond
-	// newGrace is the time in which a new connection sends its first head in most cases.
-	newGrace = 100 * time.Millisecond
+	// recheckTime is how often a client that waits for others looks whether one of these may be ended by now.
+	recheckTime = 25 * time.Millisecond
+	// newGrace is the time in which a new connection sends its first head in most cases, firstGrace the
+	// time in which the server reads one that came with it.
+	newGrace   = 100 * time.Millisecond
+	firstGrace = 10 * time.Millisecond
 	// refusedDivisor and minRefused bound the connections beyond a port's share that are about to end.
 	refusedDivisor = 8
 	minRefused     = 16
@@ -88,6 +92,8 @@
 	// left is signalled when a connection is closed, and when a client has left that was chosen to make
 	// room.
 	left *sync.Cond
+	// isWakePending means that a timer signals left within recheckTime.
+	isWakePending bool
 	// places holds an element for each large body that is at work, if the port counts bodies.
 	places chan struct{}
 }
@@ -212,19 +218,20 @@
 	c := &conn{Conn: accepted, port: p, memory: connBytes, openedAt: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hasWaited := false
+	hasEnded := false
 	for !p.makeRoomForConn(connBytes, nil, time.Now()) {
-		if hasWaited && p.leavingConns == 0 {
+		waited := time.Since(c.openedAt)
+		if p.leavingConns == 0 && waited >= busyWait && (waited >= leaveWait || !p.hasPipelining()) {
 			return nil
 		}
-		if p.leavingConns == 0 {
-			hasWaited = true
+		if p.leavingConns == 0 && !hasEnded {
+			hasEnded = true
 			p.endBusiest()
-			defer p.wakeAfter(busyWait).Stop()
 		}
 		// Further connections wait in the backlog of the listener.
-		p.left.Wait()
+		p.waitForOthers()
 	}
+	c.openedAt = time.Now()
 	p.lastNumber++
 	c.state.number = p.lastNumber
 	p.conns[c] = struct{}{}
@@ -233,20 +240,35 @@
 	return c
 }
 
-// endBusiest makes the request at work the last one of the connection that has sent most requests, if all
-// connections are busy. The caller holds mu.
+// endBusiest makes the requests at work the last ones of the connections whose clients send further requests
+// instead of waiting, or else that of the connection that has sent most requests. The caller holds mu.
 func (p *Port) endBusiest() {
 	var busiest *conn
 	for c := range p.conns {
-		if c.state.phase == phaseBusy && !c.isLast && (busiest == nil || c.state.requests > busiest.state.requests) {
+		switch {
+		case c.state.phase != phaseBusy || c.isLast:
+		case c.state.pipelines:
+			c.isLast = true
+		case busiest == nil || c.state.requests > busiest.state.requests:
 			busiest = c
 		}
 	}
-	if busiest != nil {
+	if busiest != nil && !p.hasPipelining() {
 		busiest.isLast = true
 	}
 }
 
+// hasPipelining reports whether a request at work is one of a client that sends further requests instead of
+// waiting. The caller holds mu.
+func (p *Port) hasPipelining() bool {
+	for r := range p.requests {
+		if r.conn != nil && r.conn.state.pipelines && !r.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoomForConn ends connections until there is room for more memory of connections, and for one more
 // connection unless grown is set. It reports false if there is none. The caller holds mu.
 func (p *Port) makeRoomForConn(more gypsum.Bytes, grown *conn, now time.Time) bool {
@@ -285,7 +307,8 @@
 		case phaseBusy:
 			state.stalledFor = c.stalledFor(now)
 		case phaseNew:
-			state.isYoung = now.Sub(c.openedAt) < newGrace
+			state.age = now.Sub(c.openedAt)
+			state.isUnread = state.held == 0 && state.age < newGrace && c.hasArrived()
 		}
 		occupants, ends = append(occupants, state), append(ends, c.evict)
 	}
@@ -316,26 +339,27 @@
 	return occupants, ends
 }
 
-// wakeAfter wakes those that wait for others to leave, after a time. The caller must stop the timer.
-func (p *Port) wakeAfter(wait time.Duration) *time.Timer {
-	return time.AfterFunc(wait, func() {
-		// With the mutex, nobody is between the look at the clock and the wait.
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.left.Broadcast()
-	})
+// waitForOthers waits until another client has left, for recheckTime. The caller holds mu.
+func (p *Port) waitForOthers() {
+	if !p.isWakePending {
+		p.isWakePending = true
+		time.AfterFunc(recheckTime, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.isWakePending = false
+			p.left.Broadcast()
+		})
+	}
+	p.left.Wait()
 }
 
-// awaitRoom tries to make room. While just clients that are leaving stand in the way, it tries again when one
-// has left, for leaveWait. It reports false if there is no room. The caller holds mu.
+// awaitRoom tries to make room. While just clients that are leaving or about to be ended stand in the way, it
+// tries again when one has left, for leaveWait. It reports false if there is no room. The caller holds mu.
 func (p *Port) awaitRoom(try func(now time.Time) verdict) bool {
 	start := time.Now()
 	room := try(start)
-	if room == fitsLater {
-		defer p.wakeAfter(leaveWait).Stop()
-	}
 	for room == fitsLater && time.Since(start) < leaveWait {
-		p.left.Wait()
+		p.waitForOthers()
 		room = try(time.Now())
 	}
 	return room == fitsNow
--- a/intake/share.go
+++ b/intake/share.go
@@ -94,8 +94,10 @@
 	phase phase
 	// number is the order in which connections were opened.
 	number int64
-	// isYoung means that a connection without a whole head has just been opened.
-	isYoung bool
+	// age is the time since a connection without a whole head was opened, and isUnread means that its client
+	// has sent bytes, of which none has been read yet.
+	age      time.Duration
+	isUnread bool
 	// requests is the number of requests that the connection has sent, and pipelines means that it has
 	// sent one before it got the response to the one before.
 	requests  int
@@ -132,7 +134,7 @@
 		return groupNone
 	case o.phase == phaseRefused:
 		return groupRefused
-	case o.phase == phaseNew && o.isYoung:
+	case o.phase == phaseNew && o.age < newGrace:
 		return groupYoung
 	case o.phase == phaseNew:
 		return groupNew
@@ -145,26 +147,35 @@
 }
 
 // chooseForConnection returns the index of the occupant that makes room for a new connection, -1 for
-// none: the first group that has any decides. Without a whole head, the oldest one goes; of idle ones that
-// with the fewest requests, the latest first, so that those in use for long stay; and of those that keep
-// a request waiting, the one that does so for the longest time.
+// none: the first group that has any decides. Without a whole head, the oldest one goes, but none within
+// firstGrace and none of those just opened that the server has not read; of idle ones that with the fewest requests, the latest first, so that those in use for long
+// stay; and of those that keep a request waiting, the one that does so for the longest time.
 func chooseForConnection(occupants []occupant) int {
-	return chooseBest(occupants, func(o, best *occupant, in group) bool {
+	index := chooseBest(occupants, func(o, best *occupant, in group) bool {
 		switch in {
 		case groupIdle:
 			return o.requests < best.requests || (o.requests == best.requests && o.number > best.number)
 		case groupStalled, groupPipelining:
 			return o.stalledFor > best.stalledFor
+		case groupYoung:
+			return (best.isUnread && !o.isUnread) || (best.isUnread == o.isUnread && o.number < best.number)
 		}
 		return o.number < best.number
 	})
+	if index < 0 {
+		return -1
+	}
+	if chosen := &occupants[index]; chosen.group() == groupYoung && (chosen.isUnread || chosen.age < firstGrace) {
+		return -1
+	}
+	return index
 }
 
 // chooseForMemory returns the index of the occupant that makes room for the memory of another, -1 for
 // none: of the first group that has any, the one that holds most. All without a whole head are one group.
 func chooseForMemory(occupants []occupant) int {
 	for i := range occupants {
-		occupants[i].isYoung, occupants[i].pipelines = false, false
+		occupants[i].age, occupants[i].pipelines = newGrace, false
 	}
 	return chooseBest(occupants, func(o, best *occupant, _ group) bool { return o.held > best.held })
 }
