intake: responses that clients do not read count, on HTTP/2 as well

On HTTP/2 the server writes what a handler has left in its buffer after the handler has returned, so a request had ended for intake while its response waited for the client's window, for good: 30 clients with 200 requests each held 197 MB. Requests whose handlers waited to write could not make room either, as only the connection was looked at.

It also lets bodies and responses of a port be aborted for others while they are written (buffer.Holder.Abortable). The requests that an HTTP/2 connection has sent are handled before more is read from it, as their heads do not count until then. What a holder adds after it was aborted or closed is refused; it stayed in the budget for good.

--- a/buffer/budget_test.go
+++ b/buffer/budget_test.go
@@ -1,6 +1,7 @@
 package buffer_test
 
 import (
+	"context"
 	"io"
 	"strings"
 	"testing"
@@ -68,3 +69,34 @@
 		}
 	}
 }
+
+// TestEndedHolderCountsNoMore checks that a holder that was aborted or closed adds nothing to its budget, which
+// nobody would take back.
+func TestEndedHolderCountsNoMore(t *testing.T) {
+	is := is.New(t)
+	budget := buffer.NewBudget(1000)
+	pool, now := budget.NewPool(1000, 0), time.Now()
+	slow, other := pool.Open("", 1000, func() {}, now), pool.Open("", 1000, nil, now)
+	is.NoErr(slow.Add(600))
+	is.NoErr(other.AddEvicting(600, time.Second, now.Add(2*time.Second)))
+	is.True(errors.Is(slow.AddEvicting(100, time.Second, now), buffer.ErrEnded))
+	slow.Close()
+	other.Close()
+	is.True(errors.Is(other.Add(100), buffer.ErrEnded))
+	is.NoErr(pool.Open("", 1000, nil, now).Add(1000)) // all is free
+}
+
+// TestReserve checks that what a context's request holds counts until its holder is closed, and that it does
+// not count without one.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	pool := buffer.NewPool(1000)
+	is.NoErr(buffer.Reserve(context.Background(), 5000, time.Second))
+	holder := pool.Open("", 1000, nil, time.Now())
+	ctx := buffer.NewContext(context.Background(), holder)
+	is.NoErr(buffer.Reserve(ctx, 700, time.Second))
+	is.Equal(int(pool.Usage().Used), 700)
+	is.True(errors.Is(buffer.Reserve(context.WithoutCancel(ctx), 700, time.Second), buffer.ErrConnectionFull))
+	holder.Close()
+	is.Equal(int(pool.Usage().Used), 0)
+}
--- a/buffer/pool.go
+++ b/buffer/pool.go
@@ -22,6 +22,8 @@
 	ErrAccountFull = errors.New("account holds too many bytes")
 	// ErrFull is returned if the process would hold more than its bound.
 	ErrFull = errors.New("no memory left")
+	// ErrEnded is returned if the connection was aborted or closed before.
+	ErrEnded = errors.New("connection holds no memory any more")
 )
 
 // Budget bounds what several pools hold together. It is safe for concurrent use.
@@ -96,9 +98,10 @@
 
 	held gypsum.Bytes
 	// progressedAt is when the reader last took bytes. evicted means that the holder was
-	// aborted and counts no more.
+	// aborted and counts no more, closed that its owner has ended it.
 	progressedAt time.Time
 	evicted      bool
+	closed       bool
 }
 
 // Open returns the share of a connection of an account, empty for none, which may hold up to
@@ -142,6 +145,8 @@
 func (h *Holder) check(size gypsum.Bytes) error {
 	p := h.pool
 	switch {
+	case h.evicted, h.closed:
+		return ErrEnded
 	case h.held+size > h.limit:
 		return fmt.Errorf("%w: %d and %d of %d", ErrConnectionFull, h.held, size, h.limit)
 	case p.used+size > p.limit:
@@ -198,11 +203,19 @@
 	return !h.evicted
 }
 
+// Abortable makes the connection one that may be aborted again, as while its reader takes a response.
+func (h *Holder) Abortable(abort func(), now time.Time) {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	h.abort, h.progressedAt = abort, now
+}
+
 // Close removes the holder and all its bytes.
 func (h *Holder) Close() {
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
 	h.remove(h.held)
+	h.closed = true
 	delete(h.pool.holders, h)
 }
 
@@ -212,7 +225,7 @@
 func (h *Holder) AddEvicting(size gypsum.Bytes, grace time.Duration, now time.Time) error {
 	for {
 		err := h.Add(size)
-		if err == nil || errors.Is(err, ErrConnectionFull) || !h.pool.evictSlowest(h, errors.Is(err, ErrAccountFull), grace, now) {
+		if err == nil || errors.Is(err, ErrConnectionFull) || errors.Is(err, ErrEnded) || !h.pool.evictSlowest(h, errors.Is(err, ErrAccountFull), grace, now) {
 			return err
 		}
 	}
@@ -239,7 +252,8 @@
 	slowest.remove(slowest.held)
 	slowest.evicted = true
 	p.evicted++
+	abort := slowest.abort
 	p.mu.Unlock()
-	slowest.abort()
+	abort()
 	return true
 }
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -216,7 +217,11 @@
 	switch {
 	case c.isRefused.Load():
 		return 0, net.ErrClosed
-	case c.scan.isHTTP2 || !c.isWaiting():
+	case c.scan.isHTTP2:
+		// The handlers of requests that were read, which are not counted yet, run before more is read.
+		runtime.Gosched()
+		return c.Conn.Read(content)
+	case !c.isWaiting():
 		return c.Conn.Read(content)
 	}
 	n, err := c.Conn.Read(content)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -42,15 +42,16 @@
 	leaving bool
 	conn    *conn
 	// abort ends the read of the body.
-	abort func()
-	pace  Pace
+	abort    func()
+	pace     Pace
+	response *responseWriter
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := h.port
-	controller := http.NewResponseController(w)
-	admitted := &request{port: p, abort: func() { _ = controller.SetReadDeadline(past) }}
+	response := newResponseWriter(w, r)
+	admitted := &request{port: p, abort: func() { _ = response.controller.SetReadDeadline(past) }, response: response}
 	admitted.conn, _ = r.Context().Value(connKey{}).(*conn)
 	if !p.admit(admitted, requestMemory(r), r.ProtoMajor == 1) {
 		p.Stats.Refused.Add(1)
@@ -61,15 +62,29 @@
 	if r.ProtoMajor == 1 && admitted.conn != nil && admitted.conn.endsNow() {
 		w.Header().Set("Connection", "close")
 	}
+	if p.Bodies != nil {
+		response.holder = p.Bodies.Open("", p.Bodies.Usage().Limit, nil, time.Now())
+		defer response.holder.Close()
+		r = r.WithContext(buffer.NewContext(r.Context(), response.holder))
+	}
 	if r.Body != nil && r.Body != http.NoBody {
-		body := &countedBody{ReadCloser: r.Body, request: admitted}
-		if p.Bodies != nil {
-			body.holder = p.Bodies.Open("", p.Bodies.Usage().Limit, admitted.abort, time.Now())
-			defer body.close()
+		body := &countedBody{ReadCloser: r.Body, request: admitted, holder: response.holder}
+		if body.holder != nil {
+			body.holder.Abortable(admitted.abort, time.Now())
 		}
+		defer body.leavePlace()
 		r.Body = body
 	}
-	h.next.ServeHTTP(w, r)
+	if !response.isStream && response.holder == nil {
+		// The connection tells what is not read.
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	h.next.ServeHTTP(response, r)
+	if response.isStream {
+		// Without this, the server would write the rest after the request has ended here.
+		_ = response.FlushError()
+	}
 }
 
 // refuse refuses a request that there is no room for.
@@ -161,7 +176,7 @@
 
 // stalledFor returns how long the client has been late with the body or has not read the response.
 func (r *request) stalledFor(now time.Time) time.Duration {
-	stalled := r.pace.behindFor(now)
+	stalled := max(r.pace.behindFor(now), r.response.unreadFor(now))
 	if r.conn != nil {
 		stalled = max(stalled, r.conn.unreadFor(now))
 	}
@@ -176,11 +191,15 @@
 	r.leaving = true
 	r.port.memory.leaving += r.held
 	r.port.Stats.Evicted.Add(1)
-	if r.conn != nil && r.conn.unreadFor(time.Now()) > 0 {
+	now := time.Now()
+	switch {
+	case r.conn != nil && r.conn.unreadFor(now) > 0:
 		_ = r.conn.Conn.SetDeadline(past)
-		return
+	case r.response.unreadFor(now) > 0:
+		r.response.abort()
+	default:
+		r.abort()
 	}
-	r.abort()
 }
 
 // countedBody is the body of a request at work.
@@ -248,14 +267,6 @@
 	}
 }
 
-// close gives back what the body holds.
-func (b *countedBody) close() {
-	if b.holder != nil {
-		b.holder.Close()
-	}
-	b.leavePlace()
-}
-
 // Read implements io.Reader.
 func (b *countedBody) Read(content []byte) (int, error) {
 	b.request.pace.Begin(time.Now())
@@ -291,14 +302,12 @@
 }
 
 // Reserve counts memory for what is decoded from the body of a request, until its handler returns. The
-// error is ErrNoMemory. Bodies that no port counts need none.
+// error is ErrNoMemory. Requests that no port counts need none.
 func Reserve(r *http.Request, size gypsum.Bytes) error {
-	body, ok := r.Body.(*countedBody)
-	if !ok || body.holder == nil {
-		return nil
-	}
-	if err := body.holder.AddEvicting(size, StallGrace, time.Now()); err != nil {
-		body.request.port.Stats.Refused.Add(1)
+	if err := buffer.Reserve(r.Context(), size, StallGrace); err != nil {
+		if body, ok := r.Body.(*countedBody); ok {
+			body.request.port.Stats.Refused.Add(1)
+		}
 		return fmt.Errorf("%w: %w", ErrNoMemory, err)
 	}
 	return nil
@@ -307,8 +316,9 @@
 // CountedElsewhere ends the count of a request's body, since its handler counts it.
 func CountedElsewhere(r *http.Request) {
 	if body, ok := r.Body.(*countedBody); ok && body.holder != nil {
-		body.close()
-		body.holder = nil
+		body.holder.Close()
+		body.leavePlace()
+		body.holder, body.request.response.holder = nil, nil
 	}
 }
 
--- a/procs/crowd_test.go
+++ b/procs/crowd_test.go
@@ -198,7 +198,7 @@
 		{name: "pulls of many parts", port: callerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPost, pull, "", len(prompts)+2, append(prompts, "]}"...)))},
 		{name: "large responses that nobody reads", port: callerPort, size: 40, behave: check.SendAndHold(wholeRequest(http.MethodPut, plainTarget, "", len(body), body))},
 		{name: "responses far larger than requests", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodGet, fmt.Sprintf("%s?%s=%d", plainTarget, sizeParameter, crowdBodyBytes), "", 0, nil))},
-		{name: "responses that nobody reads", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPut, plainTarget, "", crowdBodyBytes/16, body[:crowdBodyBytes/16]))},
+		{name: "responses like their requests, which nobody reads", port: callerPort, size: crowdSize, behave: check.SendAndHold(wholeRequest(http.MethodPut, plainTarget, "", crowdBodyBytes/16, body[:crowdBodyBytes/16]))},
 		{name: "responses under new keys", port: callerPort, size: crowdSize, behave: newKeys(body[:crowdKeptBytes], false)},
 		{name: "bodies under new keys, clients that leave", port: callerPort, size: 40, silent: true, behave: newKeys(body, true)},
 		{name: "parameters without end", port: callerPort, size: crowdSize, behave: check.SendForever(nil, wholeRequest(http.MethodGet, plainTarget+"?"+strings.Repeat("a&", crowdHeadBytes/2), "", 0, nil))},
