serve: responses of backend servers count until clients have read them

The context of a request carries its share of the port's memory (buffer.NewContext). What is read for it from a backend server, or from another daemon, and what is put together of a completion or a pull, counts there until the request has ended. If there is no room, the caller is told that the outcome is not known.

--- a/adapt/http.go
+++ b/adapt/http.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -98,6 +99,7 @@
 type Dialer struct {
 	Client           *http.Client
 	atMostOnceClient *http.Client
+	reader           buffer.Reader
 }
 
 // NewDialer returns a dialer and a function that closes its idle connections.
@@ -114,5 +116,5 @@
 
 // PlainService implements gypsum.Dialer.
 func (d *Dialer) PlainService(host gypsum.Host) gypsum.PlainService {
-	return &plainClient{client: d.Client, atMostOnceClient: d.atMostOnceClient, baseURL: "http://" + host.Address}
+	return &plainClient{client: d.Client, atMostOnceClient: d.atMostOnceClient, baseURL: "http://" + host.Address, reader: &d.reader}
 }
--- a/adapt/plain.go
+++ b/adapt/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/wire"
 )
 
@@ -19,6 +20,7 @@
 	client           *http.Client
 	atMostOnceClient *http.Client
 	baseURL          string
+	reader           *buffer.Reader
 }
 
 // Do implements gypsum.PlainService.
@@ -43,7 +45,7 @@
 		return nil, fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := wire.ReadBody(response.Body, maxPlainBytes)
+	body, err := wire.ReadCounted(ctx, p.reader, response.Body, maxPlainBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %v: %w", err, gypsum.ErrIncompleteResponse)
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/adapt"
 	"github.com/gypsumhook/gypsum/client"
+	"github.com/gypsumhook/gypsum/intake"
 )
 
 // defaultMaxTokens is the max_tokens of completion requests that do not set it.
@@ -142,6 +143,10 @@
 		if c.streaming {
 			return c.writeChunk(event.Chunk)
 		}
+		// The text is held until the response is complete, and once more while it is encoded.
+		if err := intake.Reserve(c.r, gypsum.Bytes(2*len(event.Chunk.Text))); err != nil {
+			return fmt.Errorf("assemble completion: %w", err)
+		}
 	}
 	return nil
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -317,6 +317,15 @@
 		s.logAndRefuse(w, r, gypsum.AsRefusal(err))
 		return
 	}
+	content, err := json.Marshal(response)
+	if err == nil {
+		err = intake.Reserve(r, gypsum.Bytes(len(content)))
+	}
+	if err != nil {
+		// The samples may count as sent.
+		s.logAndRefuse(w, r, gypsum.UnknownRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, time.Second, "no memory for the response"))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(response)
+	_, _ = w.Write(content)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/intake"
 )
 
@@ -192,6 +193,11 @@
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
 		event := *stream.Msg()
+		if event.Response != nil {
+			if err := buffer.Reserve(ctx, gypsum.Bytes(len(event.Response.Body)), intake.StallGrace); err != nil {
+				return fmt.Errorf("count response of %s: %w", peer.ID, err)
+			}
+		}
 		if err := sink(&event); err != nil {
 			return err
 		}
