dedup: a request that goes on without its caller counts until it has ended

A request that is not idempotent goes on when its client has left, and its body with it, but it had ended for the port: 40 clients that sent large bodies under ever new keys and left held 1,252 MB on a host of 96 MB. The body was also held while the outcome was recorded, up to a minute without the log, and so was a response that is too large to be stored.

Run returns to the first caller of a key when the request has ended, at its deadline at the latest, so that its share of the port is held as long as what it counts. The call and a response that is not stored are given back before the outcome is recorded.

--- a/dedup/shard.go
+++ b/dedup/shard.go
@@ -109,6 +109,10 @@
 	select {
 	case <-pending.done:
 	case <-ctx.Done():
+		if first && errors.Is(ctx.Err(), context.Canceled) {
+			// The request goes on without its caller. What it holds counts as long as Run has not returned.
+			<-pending.done
+		}
 		return gypsum.UnknownRefusal(gypsum.ReasonTimeout, http.StatusGatewayTimeout, unknownRetryAfter, "the request has not ended yet")
 	}
 	if pending.err != nil {
@@ -154,11 +158,12 @@
 // reserveAndRun reserves the call's key, runs the call and records the outcome.
 func (s *Shard) reserveAndRun(ctx context.Context, call *gypsum.Call, pending *pendingRequest) {
 	deadline := time.Now().Add(call.Budget)
-	intentID := uuid.NewString()
+	// The call, with its body, is not held while the outcome is recorded.
+	intentID, key := uuid.NewString(), call.ScopedKey()
 	response, err := s.reserveKey(ctx, call, intentID, deadline)
 	if response != nil || err != nil {
 		pending.setResult(response, &gypsum.End{}, err)
-		s.removePending(call.ScopedKey())
+		s.removePending(key)
 		return
 	}
 	s.dispatchedCount.Add(1)
@@ -166,8 +171,15 @@
 	defer cancel()
 	response, end, err := s.runCall(runCtx, call, deadline)
 	pending.setResult(response, end, err)
-	s.recordOutcome(ctx, newOutcome(call.ScopedKey(), intentID, response, err))
-	s.removePending(call.ScopedKey())
+	outcome := newOutcome(key, intentID, response, err)
+	if outcome.Kind == kindDone && outcome.Response == nil {
+		// A response that is not stored is not held while its outcome is recorded either.
+		s.removePending(key)
+		s.recordOutcome(ctx, outcome)
+		return
+	}
+	s.recordOutcome(ctx, outcome)
+	s.removePending(key)
 }
 
 // setResult sets the result and wakes all callers that wait for it.
