wire: the parts of messages of daemons count before they are decoded

A handler reads a message whole, estimates the memory of its decoded form by its data items, and refuses it with the mark of requests that were not accepted if the port has no room. The estimate needs no decoder: the heads of the items follow each other.

--- a/wire/feed.go
+++ b/wire/feed.go
@@ -24,14 +24,14 @@
 // FeedHandler returns the HTTP handler that serves the records of a source to other daemons, and the
 // path to serve it under.
 func FeedHandler(source gypsum.FeedSource) (path string, handler http.Handler) {
-	return feedProcedure, connect.NewUnaryHandler(feedProcedure,
+	return feedProcedure, countParts(connect.NewUnaryHandler(feedProcedure,
 		func(ctx context.Context, request *connect.Request[gypsum.FeedRead]) (*connect.Response[feedResponse], error) {
 			page, err := source.ReadFeed(ctx, *request.Msg)
 			if errors.Is(err, gypsum.ErrFeedUnavailable) {
 				return connect.NewResponse(&feedResponse{}), nil
 			}
 			return newResponse(&feedResponse{Page: page}, err)
-		}, connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
+		}, connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes)))
 }
 
 // FeedFrom implements gypsum.PeerFeeds.
--- a/wire/origins.go
+++ b/wire/origins.go
@@ -37,15 +37,15 @@
 func OriginHandler(origins gypsum.OriginStore) map[string]http.Handler {
 	options := []connect.HandlerOption{connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes)}
 	return map[string]http.Handler{
-		recordOriginProcedure: connect.NewUnaryHandler(recordOriginProcedure,
+		recordOriginProcedure: countParts(connect.NewUnaryHandler(recordOriginProcedure,
 			func(ctx context.Context, request *connect.Request[originsMessage]) (*connect.Response[originMessage], error) {
 				return newResponse(&originMessage{}, origins.RecordOrigins(ctx, request.Msg.Origins))
-			}, options...),
-		findOriginProcedure: connect.NewUnaryHandler(findOriginProcedure,
+			}, options...)),
+		findOriginProcedure: countParts(connect.NewUnaryHandler(findOriginProcedure,
 			func(ctx context.Context, request *connect.Request[findOriginMessage]) (*connect.Response[originMessage], error) {
 				found, err := origins.FindOrigin(ctx, request.Msg.First)
 				return newResponse(&originMessage{Origin: found}, err)
-			}, options...),
+			}, options...)),
 	}
 }
 
--- a/wire/permits.go
+++ b/wire/permits.go
@@ -17,11 +17,11 @@
 // PermitHandler returns the HTTP handler that gives permits of a source to other daemons, and
 // the path to serve it under.
 func PermitHandler(permits gypsum.PermitSource) (path string, handler http.Handler) {
-	return permitProcedure, connect.NewUnaryHandler(permitProcedure,
+	return permitProcedure, countParts(connect.NewUnaryHandler(permitProcedure,
 		func(ctx context.Context, request *connect.Request[gypsum.PermitRequest]) (*connect.Response[gypsum.PermitResponse], error) {
 			response, err := permits.RequestPermit(ctx, *request.Msg)
 			return newResponse(&response, err)
-		}, connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
+		}, connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxMessageBytes)))
 }
 
 // PermitsFrom implements gypsum.PeerPermits.
--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -89,17 +90,17 @@
 			return sendForwarded(ctx, replicas, request.Msg, stream)
 		}, options...)
 	return map[string]http.Handler{
-		reachesProcedure: connect.NewUnaryHandler(reachesProcedure,
+		reachesProcedure: countParts(connect.NewUnaryHandler(reachesProcedure,
 			func(ctx context.Context, request *connect.Request[gypsum.ReachQuery]) (*connect.Response[reachesMessage], error) {
 				reaches, err := replicas.Reaches(ctx, *request.Msg)
 				return newResponse(&reachesMessage{Reaches: reaches}, err)
-			}, options...),
+			}, options...)),
 		forwardProcedure: &requestMemory{next: forward, memory: memory},
 	}
 }
 
-// requestMemory limits the total size of the requests that a handler reads. It does not read
-// those beyond the limit.
+// requestMemory limits the total size of the requests that a handler reads, decoded as well. It does not
+// read those beyond the limit.
 type requestMemory struct {
 	next   http.Handler
 	memory *buffer.Pool
@@ -112,10 +113,19 @@
 	holder := m.memory.Open("", m.memory.Usage().Limit, nil, time.Now())
 	defer holder.Close()
 	if size < 0 || holder.Add(size) != nil {
-		w.Header().Set(intake.NotAcceptedHeader, "1")
-		http.Error(w, "no memory left for forwarded requests", http.StatusServiceUnavailable)
+		refuseMessage(w)
 		return
 	}
+	body, err := buffer.ReadFull(r.Body, r.ContentLength)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("the request did not come whole: %v", err), http.StatusBadRequest)
+		return
+	}
+	if holder.Add(messageMemory(r.Header, body)) != nil {
+		refuseMessage(w)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	m.next.ServeHTTP(w, r)
 }
 
--- a/wire/store.go
+++ b/wire/store.go
@@ -98,7 +98,7 @@
 			response.Latest = page
 			return connect.NewResponse(response), nil
 		}, options...))
-	return procedurePrefix, mux
+	return procedurePrefix, countParts(mux)
 }
 
 // PeerClients holds the clients of other daemons. It implements gypsum.PeerStores,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -71,7 +71,7 @@
 			}
 			return newResponse(&pullResult{Response: response}, err)
 		}, options...))
-	return procedurePrefix, mux
+	return procedurePrefix, countParts(mux)
 }
 
 // pullResult is the response to a pull or its refusal.
