dedup: idempotency keys and the responses kept for them have a bound of memory

An eighth of the host's memory is for keys, half of it for the keys themselves. A request under a further key is refused (503, not run); known keys are answered as before, since the records in the log decide. Of the responses the oldest of a shard are dropped beyond the other half; a retry is then told that the request ran and that its response is not kept any more. Expired keys are removed by the times of the records, but never ahead of the local clock.

--- a/core/core.go
+++ b/core/core.go
@@ -37,7 +37,10 @@
 	Admission    gypsum.Admission
 	Scheduler    gypsum.Scheduler
 	Tuning       Tuning
-	Logger       *slog.Logger
+	// KeyMemory bounds the memory of idempotency keys and of the responses that are kept for retries, 0 for
+	// no bound. A call with a further key is refused.
+	KeyMemory gypsum.Bytes
+	Logger    *slog.Logger
 
 	view               atomic.Pointer[View]
 	updates            chan func(*controlLoop)
--- a/core/keyshards.go
+++ b/core/keyshards.go
@@ -14,13 +14,15 @@
 type keyShards struct {
 	core *Core
 	ctx  context.Context
+	// memory bounds what all shards remember.
+	memory *dedup.Memory
 
 	mu     sync.Mutex
 	shards map[int]*dedup.Shard
 }
 
 func newKeyShards(ctx context.Context, c *Core) *keyShards {
-	return &keyShards{core: c, ctx: ctx, shards: make(map[int]*dedup.Shard)}
+	return &keyShards{core: c, ctx: ctx, memory: &dedup.Memory{Limit: c.KeyMemory}, shards: make(map[int]*dedup.Shard)}
 }
 
 // shardIndexOf returns the index of the shard of a call's key.
@@ -54,6 +56,7 @@
 	}
 	c := s.core
 	stateMachine := dedup.NewStateMachine(c.Tuning.KeyWindow, c.Tuning.ResponseWindow)
+	stateMachine.Memory = s.memory
 	stream := &epoch.Stream{
 		Log: c.logBreaker, Name: gypsum.StreamName(shardOwnershipKey(index)), StateMachine: stateMachine, Logger: c.Logger,
 		MinAppendInterval: c.Tuning.AppendInterval, Timeout: c.Tuning.LogTimeout,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,9 @@
 	peerParts     = 5
 	operatorParts = 1
 	allParts      = 16
+	// keyMemoryDivisor limits the memory of idempotency keys, and of the responses that are kept for retries,
+	// to 1/keyMemoryDivisor of that of the host.
+	keyMemoryDivisor = 8
 	// bodyCopies is how many times the bytes of a body count, for what is decoded from it.
 	bodyCopies = 3
 )
@@ -59,7 +62,7 @@
 // the requests in flight have ended, for at most the drain timeout. Neither ctx nor the signal
 // cancels them. ctx must end at a signal that comes before Run is called.
 func (d *Daemon) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(intake.RuntimeMemoryShare * float64(intake.Resources{Memory: d.Settings.Memory}.WithDefaults().Memory)))
+	debug.SetMemoryLimit(int64(intake.RuntimeMemoryShare * float64(d.resources().Memory)))
 	cleanup := d.createCore()
 	defer cleanup()
 	coreCtx, stopCore := context.WithCancel(context.WithoutCancel(ctx))
@@ -96,7 +99,7 @@
 			ID: settings.Host, Address: settings.AdvertisedAddr, Location: settings.Location,
 			Incarnation: gypsum.Incarnation(time.Now().UnixMilli()),
 		},
-		HomeRegion: settings.HomeRegion, Log: adapt.NewLog(client, settings.LogURL),
+		HomeRegion: settings.HomeRegion, Log: adapt.NewLog(client, settings.LogURL), KeyMemory: d.resources().Memory / keyMemoryDivisor,
 		HostList: adapt.NewHostList(client, settings.HostsURL), WeightStore: adapt.NewWeightStore(client, settings.WeightsURL),
 		Dialer: dialer, Peers: peers, Placer: route.NewAffinityPlacer(), NewCallQueue: queue.NewPriorityQueue,
 		Admission: queue.NewDeadlineAdmission(), Scheduler: plan.NewLookaheadScheduler(), Tuning: settings.Tuning, Logger: d.Logger,
@@ -123,7 +126,7 @@
 
 // newServers returns the servers for callers, for other daemons, and of the operator API and the metrics.
 func (d *Daemon) newServers() ([]transport.Server, error) {
-	shares := intake.NewShares(intake.Resources{Memory: d.Settings.Memory, Descriptors: d.Settings.Descriptors}.WithDefaults())
+	shares := intake.NewShares(d.resources())
 	d.ports = []*intake.Port{
 		d.newPort("callers", shares.Part(callerParts, allParts)), d.newPort("peers", shares.Part(peerParts, allParts)),
 		d.newPort("operators", shares.Part(operatorParts, allParts)),
@@ -158,6 +161,11 @@
 	return servers, nil
 }
 
+// resources returns what the daemon may use of its host.
+func (d *Daemon) resources() intake.Resources {
+	return intake.Resources{Memory: d.Settings.Memory, Descriptors: d.Settings.Descriptors}.WithDefaults()
+}
+
 // newPort returns a port with shares of the host.
 func (d *Daemon) newPort(name string, shares intake.Shares) *intake.Port {
 	return &intake.Port{
--- a/dedup/shard.go
+++ b/dedup/shard.go
@@ -23,6 +23,8 @@
 	logRetryAfter     = 2 * time.Second
 	notRunRetryAfter  = time.Second
 	unknownRetryAfter = time.Second
+	// keysRetryAfter applies if there is no memory for further keys, which expire after a long time.
+	keysRetryAfter = 10 * time.Second
 )
 
 // recordOutcomeTimeout limits how long recording an outcome is retried.
@@ -95,6 +97,9 @@
 	if refusal := s.checkKey(call); refusal != nil {
 		return refusal
 	}
+	if !s.StateMachine.hasRoom(call.ScopedKey()) {
+		return gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, keysRetryAfter, "too many idempotency keys are remembered")
+	}
 	pending, first := s.joinPending(call)
 	if pending.fingerprint != call.Fingerprint {
 		return keyReusedRefusal()
--- a/dedup/statemachine.go
+++ b/dedup/statemachine.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,15 +71,23 @@
 	KeyWindow time.Duration
 	// ResponseWindow is how long snapshots keep the response of a key.
 	ResponseWindow time.Duration
+	// Memory bounds what this shard and others remember. It must be set before the first entry.
+	Memory *Memory
 
 	mu    sync.Mutex
 	state snapshot
+	// keyMemory and responseMemory are the parts of this shard in Memory.
+	keyMemory, responseMemory gypsum.Bytes
+	// kept are the keys with a response, in the order in which the responses came. It may have further ones.
+	kept []gypsum.IdempotencyKey
+	// expiredAt is the time of the last removal of expired keys, in Unix milliseconds.
+	expiredAt int64
 }
 
 // NewStateMachine returns the state machine of a shard without keys.
 func NewStateMachine(keyWindow, responseWindow time.Duration) *StateMachine {
 	return &StateMachine{
-		KeyWindow: keyWindow, ResponseWindow: responseWindow,
+		KeyWindow: keyWindow, ResponseWindow: responseWindow, Memory: &Memory{},
 		state: newSnapshot(),
 	}
 }
@@ -102,9 +111,10 @@
 	state := m.state.Keys[rec.Key]
 	if state != nil && state.IntentID == rec.IntentID {
 		state.Kind = rec.Kind
-		state.Response = rec.Response
-	} else if rec.Kind == kindNotRun {
+		m.keepResponse(rec.Key, state, rec.Response)
+	} else if _, known := m.state.Voided[rec.IntentID]; rec.Kind == kindNotRun && !known {
 		m.state.Voided[rec.IntentID] = rec.UnixMilli
+		m.countKeys(voidedBytes)
 	}
 }
 
@@ -114,12 +124,25 @@
 	if _, voided := m.state.Voided[rec.IntentID]; voided {
 		return
 	}
+	// Daemons that write no snapshots forget expired keys as well. A clock that is ahead removes none too early.
+	now := min(rec.UnixMilli, time.Now().UnixMilli())
+	if now-m.expiredAt > m.KeyWindow.Milliseconds()/expiriesPerWindow {
+		m.removeExpired(now)
+	}
 	state := m.state.Keys[rec.Key]
 	if state == nil || state.Kind == kindNotRun || rec.UnixMilli-state.UnixMilli > m.KeyWindow.Milliseconds() {
+		if state != nil {
+			m.keepResponse(rec.Key, state, nil)
+		} else {
+			m.countKeys(keyMemory(rec.Key))
+		}
 		m.state.Keys[rec.Key] = &keyState{IntentID: rec.IntentID, Fingerprint: rec.Fingerprint, Kind: kindIntent, UnixMilli: rec.UnixMilli}
 	}
 }
 
+// expiriesPerWindow is how often expired keys are removed within the time for which keys are kept.
+const expiriesPerWindow = 16
+
 // keyState returns a copy of the state of a key.
 func (m *StateMachine) keyState(key gypsum.IdempotencyKey) (keyState, bool) {
 	m.mu.Lock()
@@ -160,19 +183,27 @@
 
 // removeExpired removes expired keys, responses and voided intents. The caller holds mu.
 func (m *StateMachine) removeExpired(now int64) {
+	m.expiredAt = now
 	for key, state := range m.state.Keys {
 		age := now - state.UnixMilli
+		if age > min(m.KeyWindow, m.ResponseWindow).Milliseconds() {
+			m.keepResponse(key, state, nil)
+		}
 		if age > m.KeyWindow.Milliseconds() {
 			delete(m.state.Keys, key)
-		} else if age > m.ResponseWindow.Milliseconds() {
-			state.Response = nil
+			m.countKeys(-keyMemory(key))
 		}
 	}
 	for intentID, voidedAt := range m.state.Voided {
 		if now-voidedAt > m.KeyWindow.Milliseconds() {
 			delete(m.state.Voided, intentID)
+			m.countKeys(-voidedBytes)
 		}
 	}
+	m.kept = slices.DeleteFunc(m.kept, func(key gypsum.IdempotencyKey) bool {
+		state, ok := m.state.Keys[key]
+		return !ok || state.Response == nil
+	})
 }
 
 // Restore replaces the state by a snapshot.
@@ -184,6 +215,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = restored
+	m.recount()
 	return nil
 }
 
