intake: requests wait for a place in the order of arrival, and connections turn over

With as many requests at work as a port may have, ordinary callers on new connections got 503 forty times in a row: the connections that had a place sent their next request as soon as a place was free, and a new request was refused at once. New connections came in one by one, as one busy connection ended for each that had waited.

An HTTP/1 request waits up to 100 ms for a place, in the order of arrival; its head counts meanwhile. One on a shared connection does not wait, as its head would not count. If a new connection waits, an eighth of the busy ones end with their requests, those with most requests first. HTTP/2 connections are not taken for ones that send further requests instead of waiting any more.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -100,7 +100,7 @@
 	switch state {
 	case http.StateActive:
 		c.state.phase = phaseBusy
-		c.state.pipelines = c.state.pipelines || (c.state.requests > 0 && !c.scan.isWhole)
+		c.state.pipelines = c.state.pipelines || (c.state.requests > 0 && !c.scan.isWhole && !c.scan.isHTTP2)
 		c.stay()
 	case http.StateIdle:
 		c.state.phase = phaseIdle
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -120,26 +120,12 @@
 func (p *Port) admit(r *request, size gypsum.Bytes, isOnly bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ok := p.awaitRoom(func(now time.Time) verdict {
-		head := gypsum.Bytes(0)
-		if r.conn != nil && isOnly {
-			head = r.conn.state.held
-			r.conn.hold(0)
+	// The head of a request that waits counts as that of its connection. On one that is shared it would not.
+	if r.conn == nil || !isOnly {
+		if now := time.Now(); !p.makeRoomForRequest(now) || p.makeRoom(0, size, nil, now) != fitsNow {
+			return false
 		}
-		room := fitsNot
-		switch {
-		case p.makeRoomForRequest(now):
-			room = p.makeRoom(0, size, nil, now)
-		case r.conn != nil && !r.conn.state.pipelines && p.hasPipelining():
-			// Those do not read, so they can be ended soon.
-			room = fitsLater
-		}
-		if room == fitsLater && head > 0 {
-			r.conn.hold(head)
-		}
-		return room
-	})
-	if !ok {
+	} else if !p.awaitTurn(r.conn) || !p.awaitRoom(func(now time.Time) verdict { return p.exchangeHead(r.conn, size, now) }) {
 		return false
 	}
 	r.held = size
@@ -153,6 +139,38 @@
 	return true
 }
 
+// exchangeHead makes room for a request in place of its head, which does not count any more if it fits. The
+// caller holds mu.
+func (p *Port) exchangeHead(c *conn, size gypsum.Bytes, now time.Time) verdict {
+	head := c.state.held
+	c.hold(0)
+	room := fitsNot
+	if p.makeRoomForRequest(now) {
+		room = p.makeRoom(0, size, nil, now)
+	}
+	if room == fitsLater && head > 0 {
+		c.hold(head)
+	}
+	return room
+}
+
+// awaitTurn waits until fewer requests than the port may have are at work, in the order of arrival, for busyWait.
+// While some are those of clients that do not read, it waits for leaveWait, as they can be ended soon. A client
+// that sends further requests instead of waiting for responses does not wait here. The caller holds mu.
+func (p *Port) awaitTurn(c *conn) bool {
+	start := time.Now()
+	for isFirst := true; (isFirst && p.waiting > 0) || !p.makeRoomForRequest(time.Now()); isFirst = false {
+		waited := time.Since(start)
+		if c.state.pipelines || waited >= leaveWait || (waited >= busyWait && !p.hasPipelining()) {
+			return false
+		}
+		p.waiting++
+		p.wait(p.freed)
+		p.waiting--
+	}
+	return true
+}
+
 // release ends a request.
 func (p *Port) release(r *request) {
 	p.mu.Lock()
@@ -163,9 +181,7 @@
 	} else {
 		p.changeMemory(r.held, 0)
 		p.atWork--
-		if p.atWork == p.Shares.MaxRequests-1 {
-			p.left.Broadcast()
-		}
+		p.freed.Signal()
 	}
 	delete(p.requests, r)
 	p.Stats.Requests.Store(int64(len(p.requests)))
--- a/intake/port.go
+++ b/intake/port.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,8 @@
 	http2Streams = 250
 	// logInterval is the shortest time between two logs of a shortage.
 	logInterval = time.Second
-	// busyWait is how long a new connection waits for one of those that are all busy to end.
+	// busyWait is how long a new connection waits for one of those that are all busy to end, and a request for
+	// one of those at work.
 	busyWait = 100 * time.Millisecond
 	// leaveWait is how long a request waits for clients to leave that were chosen to make room for it.
 	// They take a few milliseconds in most cases.
@@ -39,6 +41,8 @@
 	// refusedDivisor and minRefused bound the connections beyond a port's share that are about to end.
 	refusedDivisor = 8
 	minRefused     = 16
+	// endedDivisor is the part of the connections that end with their requests at work for new ones.
+	endedDivisor = 8
 )
 
 // Limits of servers whose ports have no Limits.
@@ -92,7 +96,10 @@
 	// left is signalled when a connection is closed, and when a client has left that was chosen to make
 	// room.
 	left *sync.Cond
-	// isWakePending means that a timer signals left within recheckTime.
+	// freed is signalled when a request has ended, for the one of waiting requests that has waited longest.
+	freed   *sync.Cond
+	waiting int
+	// isWakePending means that a timer signals left and freed within recheckTime.
 	isWakePending bool
 	// places holds an element for each large body that is at work, if the port counts bodies.
 	places chan struct{}
@@ -168,6 +175,7 @@
 func (p *Port) Protect(server *http.Server) {
 	p.mu.Lock()
 	p.memory = share{limit: p.Shares.Requests, maxCount: p.Shares.MaxRequests + p.Shares.MaxConns}
+	p.freed = sync.NewCond(&p.mu)
 	p.left, p.places = sync.NewCond(&p.mu), make(chan struct{}, largeBodies)
 	p.conns, p.requests = make(map[*conn]struct{}), make(map[*request]struct{})
 	p.mu.Unlock()
@@ -229,7 +237,7 @@
 			p.endBusiest()
 		}
 		// Further connections wait in the backlog of the listener.
-		p.waitForOthers()
+		p.wait(p.left)
 	}
 	c.openedAt = time.Now()
 	p.lastNumber++
@@ -241,20 +249,26 @@
 }
 
 // endBusiest makes the requests at work the last ones of the connections whose clients send further requests
-// instead of waiting, or else that of the connection that has sent most requests. The caller holds mu.
+// instead of waiting and, without any, of those that have sent most requests: a part of all, as one new
+// connection after the other waits. The caller holds mu.
 func (p *Port) endBusiest() {
-	var busiest *conn
+	var busy, pipelining []*conn
 	for c := range p.conns {
 		switch {
 		case c.state.phase != phaseBusy || c.isLast:
 		case c.state.pipelines:
-			c.isLast = true
-		case busiest == nil || c.state.requests > busiest.state.requests:
-			busiest = c
+			pipelining = append(pipelining, c)
+		default:
+			busy = append(busy, c)
 		}
 	}
-	if busiest != nil && !p.hasPipelining() {
-		busiest.isLast = true
+	ending := pipelining
+	if len(ending) == 0 {
+		slices.SortFunc(busy, func(a, b *conn) int { return b.state.requests - a.state.requests })
+		ending = busy[:min(len(busy), max(1, p.Shares.MaxConns/endedDivisor))]
+	}
+	for _, c := range ending {
+		c.isLast = true
 	}
 }
 
@@ -339,8 +353,8 @@
 	return occupants, ends
 }
 
-// waitForOthers waits until another client has left, for recheckTime. The caller holds mu.
-func (p *Port) waitForOthers() {
+// wait waits until left or freed is signalled, for recheckTime. The caller holds mu.
+func (p *Port) wait(changed *sync.Cond) {
 	if !p.isWakePending {
 		p.isWakePending = true
 		time.AfterFunc(recheckTime, func() {
@@ -348,18 +362,19 @@
 			defer p.mu.Unlock()
 			p.isWakePending = false
 			p.left.Broadcast()
+			p.freed.Broadcast()
 		})
 	}
-	p.left.Wait()
+	changed.Wait()
 }
 
-// awaitRoom tries to make room. While just clients that are leaving or about to be ended stand in the way, it
-// tries again when one has left, for leaveWait. It reports false if there is no room. The caller holds mu.
+// awaitRoom tries to make room. While just clients that are leaving stand in the way, it tries again when one
+// has left, for leaveWait. It reports false if there is no room. The caller holds mu.
 func (p *Port) awaitRoom(try func(now time.Time) verdict) bool {
 	start := time.Now()
 	room := try(start)
 	for room == fitsLater && time.Since(start) < leaveWait {
-		p.waitForOthers()
+		p.wait(p.left)
 		room = try(time.Now())
 	}
 	return room == fitsNow
