intake: heads that have come whole are served although their connection makes room

A connection could be chosen to make room after its head had come and before its request was at work, or before the server had come to read it; its client got 503 or no response. A head that is whole is served as the last one of its connection, and bytes that have arrived are read after the deadline, however late the process is.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -25,8 +25,8 @@
 	// headerTimeSlack is the time that a head may be on its way.
 	headerTimeSlack = time.Second
 	// lateReadTime is how long a read after the deadline may take. It gets the bytes that came in time
-	// while the process was suspended.
-	lateReadTime = 5 * time.Millisecond
+	// while the process was suspended or busy, so that it does not wait for the client.
+	lateReadTime = time.Second
 	// writeStallTime is how long a client may read nothing. Bytes in the buffers of the kernel count
 	// as read.
 	writeStallTime = 10 * time.Second
@@ -105,6 +105,7 @@
 	case http.StateIdle:
 		c.state.phase = phaseIdle
 		c.state.requests++
+		c.state.isWhole = false
 		c.hold(0)
 		c.scan = headScanner{isHTTP2: c.scan.isHTTP2}
 		c.usedLateRead = false
@@ -225,7 +226,7 @@
 		return c.Conn.Read(content)
 	}
 	n, err := c.Conn.Read(content)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.usedLateRead && !c.scan.isWhole {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.usedLateRead && !c.scan.isWhole && c.hasArrived() {
 		c.usedLateRead = true
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTime))
 		n, err = c.Conn.Read(content)
@@ -267,7 +268,8 @@
 	}
 	size := c.scan.memory()
 	ok := p.awaitRoom(func(now time.Time) verdict {
-		if c.state.leaving && (c.state.phase != phaseIdle || c.state.held > 0) {
+		// A head that came whole is served, as the last one.
+		if c.state.leaving && !c.scan.isWhole && (c.state.phase != phaseIdle || c.state.held > 0) {
 			return fitsNot
 		}
 		return p.makeRoom(c.state.held, size, c, now)
@@ -277,6 +279,7 @@
 		return errNoRoom
 	}
 	c.hold(size)
+	c.state.isWhole = c.scan.isWhole
 	return nil
 }
 
--- a/intake/decide_test.go
+++ b/intake/decide_test.go
@@ -31,6 +31,7 @@
 		{"connections without a byte", []occupant{idle(1, 9), without(3), without(2), fresh(1)}, 2},
 		{"a new connection waits while others are read for the first time", []occupant{idle(1, 1), accepted(3), accepted(2)}, -1},
 		{"one that sends nothing makes room before one that is not read yet", []occupant{{phase: phaseNew, number: 1, age: newGrace / 2, isUnread: true}, fresh(2), idle(3, 1)}, 1},
+		{"one whose head has come stays", []occupant{{phase: phaseNew, age: time.Second, isWhole: true}, {phase: phaseIdle, isWhole: true}, idle(3, 1)}, 2},
 		{"a new connection waits while others are not read yet", []occupant{{phase: phaseNew, number: 1, age: newGrace / 2, isUnread: true}, idle(3, 1)}, -1},
 		{"but not if one makes room before them", []occupant{accepted(3), busy(time.Second), {phase: phaseRefused}}, 2},
 		{"a flood of connections keeps the idle ones", []occupant{idle(1, 1), fresh(3), fresh(2)}, 2},
--- a/intake/share.go
+++ b/intake/share.go
@@ -98,6 +98,8 @@
 	// has sent bytes, of which none has been read yet.
 	age      time.Duration
 	isUnread bool
+	// isWhole means that a whole head has come, whose request is not at work yet.
+	isWhole bool
 	// requests is the number of requests that the connection has sent, and pipelines means that it has
 	// sent one before it got the response to the one before.
 	requests  int
@@ -130,7 +132,7 @@
 // group returns the group of an occupant, groupNone if it does not make room.
 func (o *occupant) group() group {
 	switch {
-	case o.leaving, o.phase == phaseBusy && o.stalledFor < StallGrace:
+	case o.leaving, o.phase == phaseBusy && o.stalledFor < StallGrace, o.isWhole && o.phase != phaseBusy && o.phase != phaseRefused:
 		return groupNone
 	case o.phase == phaseRefused:
 		return groupRefused
