--- a/intake/conn.go
+++ b/intake/conn.go
@@ -76,6 +76,8 @@
 	isClosed bool
 	// isLast means that the request at work is the last one of the connection.
 	isLast bool
+	// isCounting means that bytes of a head were read that do not count yet.
+	isCounting atomic.Bool
 	// isRefused means that the connection has got a refusal. The server writes nothing more.
 	isRefused atomic.Bool
 	// writingSince is when the write in progress began, in nanoseconds, 0 for none.
@@ -144,8 +146,11 @@
 	return c.isLast
 }
 
-// hasArrived reports whether bytes of the client have arrived that the server has not read.
+// hasArrived reports whether bytes of the client have arrived that the server has not read or not counted yet.
 func (c *conn) hasArrived() bool {
+	if c.isCounting.Load() {
+		return true
+	}
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -226,6 +231,8 @@
 		return c.Conn.Read(content)
 	}
 	n, err := c.Conn.Read(content)
+	c.isCounting.Store(n > 0)
+	defer c.isCounting.Store(false)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.usedLateRead && !c.scan.isWhole && c.hasArrived() {
 		c.usedLateRead = true
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTime))
