intake: the state of heads is not reset while an HTTP/2 connection is read

A data race, found with -race: when the last stream of an HTTP/2 connection ended, setPhase wrote the scanner of heads, which the goroutine that reads frames looks at. HTTP/2 connections have no such heads, so theirs is left alone.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -109,8 +109,10 @@
 		c.state.requests++
 		c.state.isWhole = false
 		c.hold(0)
-		c.scan = headScanner{isHTTP2: c.scan.isHTTP2}
-		c.usedLateRead = false
+		if !c.scan.isHTTP2 {
+			// The connection waits for a head, so nothing is being read.
+			c.scan, c.usedLateRead = headScanner{}, false
+		}
 	}
 }
 
