serve: the operators' port answers the health and readiness checks as well

At the callers' port a probe has to compete with callers. A load balancer that checks the operators' port is not affected by what callers hold.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,6 +138,7 @@
 	operators := http.NewServeMux()
 	operators.Handle(operatorPath, operatorHandler)
 	operators.Handle("/debug/vars", expvar.Handler())
+	d.entry.HandleChecks(operators)
 	var servers []transport.Server
 	for i, served := range []struct {
 		address, path string
--- a/entry/server.go
+++ b/entry/server.go
@@ -59,14 +59,20 @@
 	mux.HandleFunc("POST /v1/completions", s.serveCompletion)
 	mux.HandleFunc("/services/{service}/{path...}", s.servePlain)
 	mux.HandleFunc("POST /v1/plans/{plan}/pull", s.servePull)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET /readyz", s.serveReadiness)
+	s.HandleChecks(mux)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.logAndRefuse(w, r, badRequestRefusal(http.StatusNotFound, "there is nothing at this path"))
 	})
 	return mux
 }
 
+// HandleChecks adds the health check and the load balancer's readiness check to mux. Further ports may serve
+// them, so that callers cannot take their room.
+func (s *Server) HandleChecks(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReadiness)
+}
+
 // ClientErrors returns the number of requests refused with a 4xx status, by reason.
 func (s *Server) ClientErrors() map[gypsum.Reason]int64 {
 	s.mu.Lock()
--- a/procs/crowd_test.go
+++ b/procs/crowd_test.go
@@ -250,6 +250,9 @@
 			if err := env.checkReady("genova-1"); err != nil {
 				t.Errorf("not ready during the crowd: %v", err)
 			}
+			if err := env.checkReadyAt(daemon.operatorAddress); err != nil {
+				t.Errorf("not ready at the operators' port during the crowd: %v", err)
+			}
 			crowd.Stop()
 			env.freezePlain(false)
 			checkServed(t, daemon, nil, "after the crowd")
--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -261,9 +261,14 @@
 
 // checkReady returns the reason why a daemon does not pass the load balancer's readiness check, nil if it does.
 func (env *testEnv) checkReady(id gypsum.HostID) error {
+	return env.checkReadyAt(env.daemons[id].callerAddress)
+}
+
+// checkReadyAt is checkReady at a port of a daemon.
+func (env *testEnv) checkReadyAt(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+env.daemons[id].callerAddress+"/readyz", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
 	if err != nil {
 		return err
 	}
