dedup: retries of requests in progress are answered without memory for keys

The bound of keys refused a retry as not run whose first request was in progress and not yet recorded, which was not true. The bound applies to the first request of a key at a daemon.

Found on reading the change. Before: dedup.TestRetryWithoutMemoryForKeys red. After: green.

--- a/dedup/shard.go
+++ b/dedup/shard.go
@@ -97,14 +97,15 @@
 	if refusal := s.checkKey(call); refusal != nil {
 		return refusal
 	}
-	if !s.StateMachine.hasRoom(call.ScopedKey()) {
-		return gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, keysRetryAfter, "too many idempotency keys are remembered")
-	}
 	pending, first := s.joinPending(call)
 	if pending.fingerprint != call.Fingerprint {
 		return keyReusedRefusal()
 	}
-	if first {
+	switch {
+	case first && !s.StateMachine.hasRoom(call.ScopedKey()):
+		pending.setResult(nil, nil, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, keysRetryAfter, "too many idempotency keys are remembered"))
+		s.removePending(call.ScopedKey())
+	case first:
 		s.backgroundTasks.Add(1)
 		go func() {
 			defer s.backgroundTasks.Done()
--- a/intake/share.go
+++ b/intake/share.go
@@ -95,7 +95,7 @@
 	// number is the order in which connections were opened.
 	number int64
 	// age is the time since a connection without a whole head was opened, and isUnread means that its client
-	// has sent bytes, of which none has been read yet.
+	// has sent bytes, of which none counts yet.
 	age      time.Duration
 	isUnread bool
 	// isWhole means that a whole head has come, whose request is not at work yet.
@@ -150,8 +150,9 @@
 
 // chooseForConnection returns the index of the occupant that makes room for a new connection, -1 for
 // none: the first group that has any decides. Without a whole head, the oldest one goes, but none within
-// firstGrace and none of those just opened that the server has not read; of idle ones that with the fewest requests, the latest first, so that those in use for long
-// stay; and of those that keep a request waiting, the one that does so for the longest time.
+// firstGrace and none of those just opened that the server has not read; of idle ones that with the fewest
+// requests, the latest first, so that those in use for long stay; and of those that keep a request waiting,
+// the one that does so for the longest time.
 func chooseForConnection(occupants []occupant) int {
 	index := chooseBest(occupants, func(o, best *occupant, in group) bool {
 		switch in {
