origin: the origins of streams have a bound of memory

The cache of origins was bounded by number, 16,384, and holds the IDs of requests, which clients choose: of the largest heads that is 245 MB, and more of messages of daemons. 4 MB are enough for as many ordinary ones; beyond that the oldest go, and the streams of those are refused as not run, as after 30 s.

Before: TestOriginsHaveABoundOfMemory red (all of 30 MB known). After: green.

--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -26,6 +26,10 @@
 	// maxOrigins bounds the origins in memory: a daemon's share of the target's streams within
 	// maxStreamAge, several times over.
 	maxOrigins = 1 << 14
+	// maxOriginBytes bounds their memory: as many of ordinary requests, whose IDs clients choose. An origin
+	// takes originBytes apart from its texts.
+	maxOriginBytes = 4 << 20
+	originBytes    = 128
 	// recordCopies is the number of other daemons that an origin is sent to.
 	recordCopies = 2
 	// findCopies is the number of other daemons that are asked for an origin. Daemons may
@@ -62,6 +66,9 @@
 	Stats Stats
 
 	origins *lru.Cache[gypsum.RequestID, knownOrigin]
+	// addMu guards memory, which is that of the origins.
+	addMu  sync.Mutex
+	memory int
 
 	// versions are the software versions of the services at the last Update, unconfirmed is whether
 	// the store did not respond then.
@@ -89,16 +96,33 @@
 
 // NewTracker returns a Tracker whose exported fields are not set yet.
 func NewTracker() (*Tracker, error) {
-	origins, err := lru.New[gypsum.RequestID, knownOrigin](maxOrigins)
+	t := &Tracker{versions: make(map[gypsum.ServiceName][]gypsum.SoftwareVersion), wake: make(chan struct{}, 1)}
+	var err error
+	// The cache calls this for what add removes.
+	t.origins, err = lru.NewWithEvict(maxOrigins, func(_ gypsum.RequestID, removed knownOrigin) { t.memory -= removed.memory() })
 	if err != nil {
 		return nil, fmt.Errorf("create cache of stream origins: %w", err)
 	}
-	return &Tracker{origins: origins, versions: make(map[gypsum.ServiceName][]gypsum.SoftwareVersion), wake: make(chan struct{}, 1)}, nil
+	return t, nil
 }
 
-// add adds an origin.
+// memory returns the memory of an origin.
+func (o *knownOrigin) memory() int {
+	return originBytes + len(o.Request) + len(o.Service) + len(o.Software)
+}
+
+// add adds an origin. The oldest ones make room.
 func (t *Tracker) add(stream gypsum.StreamOrigin) {
-	t.origins.Add(stream.Request, knownOrigin{StreamOrigin: stream, learnedAt: time.Now()})
+	added := knownOrigin{StreamOrigin: stream, learnedAt: time.Now()}
+	t.addMu.Lock()
+	defer t.addMu.Unlock()
+	// The cache does not report a value that is replaced.
+	t.origins.Remove(stream.Request)
+	t.memory += added.memory()
+	t.origins.Add(stream.Request, added)
+	for t.memory > maxOriginBytes {
+		t.origins.RemoveOldest()
+	}
 }
 
 // known returns the origin of a stream that this daemon knows, nil if it knows none.
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -315,3 +315,40 @@
 		tracker.Record(gypsum.StreamOrigin{Request: "q", Service: chatService, Software: "1"})
 	}
 }
+
+// TestOriginsHaveABoundOfMemory checks that origins of requests with long IDs do not need more memory than those of
+// ordinary ones, that the latest are known, and that one that is recorded again counts once.
+func TestOriginsHaveABoundOfMemory(t *testing.T) {
+	is := is.New(t)
+	tracker, err := origin.NewTracker()
+	is.NoErr(err)
+	const idBytes, ordinary = 15000, 1 << 14
+	add := func(id string) {
+		is.NoErr(tracker.RecordOrigins(t.Context(), []gypsum.StreamOrigin{{Request: gypsum.RequestID(id), Service: "desk", Software: "2026.12.6"}}))
+	}
+	isKnown := func(id string) bool {
+		found, err := tracker.FindOrigin(t.Context(), gypsum.RequestID(id))
+		return err == nil && found != nil
+	}
+	long := func(i int) string { return fmt.Sprintf("%0*d", idBytes, i) }
+	for i := range 2000 { // 30 MB
+		add(long(i))
+	}
+	known := 0
+	for i := range 2000 {
+		if isKnown(long(i)) {
+			known++
+		}
+	}
+	is.True(known*idBytes > 2<<20 && known*idBytes <= 4<<20)
+	is.True(isKnown(long(1999)))
+	for range 1000 {
+		add(long(1999))
+	}
+	is.True(isKnown(long(1998)))
+	uuid := func(i int) string { return fmt.Sprintf("00000000-0000-0000-0000-%012d", i) }
+	for i := range ordinary {
+		add(uuid(i))
+	}
+	is.True(isKnown(uuid(0))) // ordinary ones are all known
+}
