--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -147,6 +147,33 @@
 	return append([]byte(head), message[:len(message)-missing]...)
 }
 
+// recordOrigins returns a behaviour that sends one message of a daemon after the other with origins of streams
+// whose requests have long IDs of their own.
+func recordOrigins(head string) check.Behaviour {
+	var sent atomic.Int64
+	return func(ctx context.Context, conn net.Conn, _ int) error {
+		reader := bufio.NewReader(conn)
+		for ctx.Err() == nil {
+			message := []byte{0xa1, 1, 0x88}
+			for range 8 {
+				id := fmt.Appendf(nil, "%0*d", crowdHeadBytes, sent.Add(1))
+				message = append(binary.BigEndian.AppendUint16(append(message, 0xa1, 1, 0x79), uint16(len(id))), id...)
+			}
+			if _, err := conn.Write(append(fmt.Appendf(nil, head, len(message)), message...)); err != nil {
+				return fmt.Errorf("send: %w", err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return fmt.Errorf("read response: %w", err)
+			}
+			if err := response.Body.Close(); err != nil {
+				return fmt.Errorf("read body: %w", err)
+			}
+		}
+		return ctx.Err()
+	}
+}
+
 // crowdCases returns the crowds.
 func crowdCases() []crowdCase {
 	shortLines, equalLines := check.HeaderLines("a", crowdHeadBytes), bytes.Repeat([]byte("a:\r\n"), crowdHeadBytes/4)
@@ -190,6 +217,7 @@
 		{name: "connections at the readiness check", port: readinessPort, size: 2 * crowdSize, behave: check.SendAndHold(nil)},
 		{name: "metrics that nobody reads at the readiness check", port: readinessPort, size: crowdSize, behave: check.SendForever(metrics, bytes.Repeat(metrics, 1000))},
 		{name: "metrics that nobody reads at the internal port", port: internalPort, size: crowdSize, behave: check.SendForever(metrics, bytes.Repeat(metrics, 1000))},
+		{name: "origins of requests with long identifiers", port: internalPort, size: 40, behave: recordOrigins(record)},
 		{name: "forwarded requests of many parts", port: internalPort, size: 60, behave: check.SendAndHold(forwardedRequest(4, 1, 0))},
 		{name: "forwarded requests that stop", port: internalPort, size: 60, behave: check.SendAndHold(forwardedRequest(0, crowdBodyBytes, 1))},
 		{name: "heads at the internal port", port: internalPort, size: crowdSize, behave: check.SendAndHold(append(bytes.Clone(start), manyLines...))},
