intake: tests of waiting for room, and of heads before requests make room

Two mutations survived: without the count of heads TestHeadsMakeRoom passed, as the requests that follow made room, and without the wait as clients leave fast. The test looks at the memory before requests come as well, and TestAwaitRoom at the wait.

--- a/intake/decide_test.go
+++ b/intake/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -195,3 +196,30 @@
 		})
 	}
 }
+
+// TestAwaitRoom checks that a holder waits while those that are leaving stand in its way, but not for ever, and not
+// while others must make room.
+func TestAwaitRoom(t *testing.T) {
+	is := is.New(t)
+	p := &Port{}
+	p.Protect(&http.Server{})
+	p.memory = share{limit: 1000, maxCount: 10, used: 100, leaving: 850}
+	try := func(size gypsum.Bytes) func(time.Time) verdict {
+		return func(time.Time) verdict { return p.memory.fits(0, size) }
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.True(p.awaitRoom(try(50)))
+	start := time.Now()
+	is.True(!p.awaitRoom(try(950))) // more than those that stay leave
+	is.True(time.Since(start) < leaveWait)
+	is.True(!p.awaitRoom(try(200)))
+	is.True(time.Since(start) >= leaveWait)
+	time.AfterFunc(10*time.Millisecond, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.memory.leaving = 0
+		p.left.Broadcast()
+	})
+	is.True(p.awaitRoom(try(200)))
+}
--- a/intake/port_test.go
+++ b/intake/port_test.go
@@ -200,6 +200,10 @@
 		is.NoErr(err)
 		conns = append(conns, conn)
 	}
+	for range 50 { // also before requests make room
+		is.True(s.port.Stats.Memory.Load() <= 1<<20)
+		time.Sleep(time.Millisecond)
+	}
 	for range 20 {
 		status, _ := send(s.dial(), get)
 		is.Equal(status, http.StatusOK)
