check: crowds that read each response share one loop

The loop that sends a request and reads its response stood three times among the crowds. Requests, sizes and checks stay as they were.

--- a/check/crowd.go
+++ b/check/crowd.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// RequestForever returns a behaviour that sends one request after the other and reads each response. All members
+// call next for their requests.
+func RequestForever(next func() []byte) Behaviour {
+	return func(ctx context.Context, conn net.Conn, _ int) error {
+		reader := bufio.NewReader(conn)
+		for ctx.Err() == nil {
+			if _, err := conn.Write(next()); err != nil {
+				return fmt.Errorf("send: %w", err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return fmt.Errorf("read response: %w", err)
+			}
+			if err := response.Body.Close(); err != nil {
+				return fmt.Errorf("read body: %w", err)
+			}
+		}
+		return ctx.Err()
+	}
+}
+
 // HeaderLines returns header lines of at most size bytes in all, each with a name of its own that
 // begins with prefix and an empty value.
 func HeaderLines(prefix string, size int) []byte {
--- a/procs/crowd_test.go
+++ b/procs/crowd_test.go
@@ -1,7 +1,6 @@
 package procs
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -120,22 +119,18 @@
 // it leaves, it reads each response before the next request.
 func newKeys(body []byte, leaves bool) check.Behaviour {
 	var sent atomic.Int64
-	return func(ctx context.Context, conn net.Conn, _ int) error {
-		reader := bufio.NewReader(conn)
-		for ctx.Err() == nil {
-			key := fmt.Sprintf("Idempotency-Key: %0200d\r\n", sent.Add(1))
-			if _, err := conn.Write(wholeRequest(http.MethodPost, plainTarget, key, len(body), body)); err != nil || leaves {
-				return err
-			}
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				return fmt.Errorf("read response: %w", err)
-			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return fmt.Errorf("read body: %w", err)
-			}
+	next := func() []byte {
+		key := fmt.Sprintf("Idempotency-Key: %0200d\r\n", sent.Add(1))
+		return wholeRequest(http.MethodPost, plainTarget, key, len(body), body)
+	}
+	if !leaves {
+		return check.RequestForever(next)
+	}
+	return func(_ context.Context, conn net.Conn, _ int) error {
+		if _, err := conn.Write(next()); err != nil {
+			return fmt.Errorf("send: %w", err)
 		}
-		return ctx.Err()
+		return nil
 	}
 }
 
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -99,24 +98,10 @@
 // submitForever returns a behaviour that submits one batch after the other, each under an ID of its own.
 func submitForever(items []byte) check.Behaviour {
 	var submitted atomic.Int64
-	return func(ctx context.Context, conn net.Conn, _ int) error {
-		reader := bufio.NewReader(conn)
-		for ctx.Err() == nil {
-			request := wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items)
-			id := fmt.Appendf(nil, crowdIDLine+"-%d", submitted.Add(1))
-			if _, err := conn.Write(bytes.Replace(request, []byte(crowdIDLine), id, 1)); err != nil {
-				return fmt.Errorf("send: %w", err)
-			}
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				return fmt.Errorf("read response: %w", err)
-			}
-			if err := response.Body.Close(); err != nil {
-				return fmt.Errorf("read body: %w", err)
-			}
-		}
-		return ctx.Err()
-	}
+	return check.RequestForever(func() []byte {
+		id := fmt.Appendf(nil, crowdIDLine+"-%d", submitted.Add(1))
+		return bytes.Replace(wholeRequest(http.MethodPost, "/t/crowd", nil, len(items), items), []byte(crowdIDLine), id, 1)
+	})
 }
 
 // sendCompressed returns a behaviour that sends a large message that is compressed to a small one.
@@ -151,27 +136,14 @@
 // whose requests have long IDs of their own.
 func recordOrigins(head string) check.Behaviour {
 	var sent atomic.Int64
-	return func(ctx context.Context, conn net.Conn, _ int) error {
-		reader := bufio.NewReader(conn)
-		for ctx.Err() == nil {
-			message := []byte{0xa1, 1, 0x88}
-			for range 8 {
-				id := fmt.Appendf(nil, "%0*d", crowdHeadBytes, sent.Add(1))
-				message = append(binary.BigEndian.AppendUint16(append(message, 0xa1, 1, 0x79), uint16(len(id))), id...)
-			}
-			if _, err := conn.Write(append(fmt.Appendf(nil, head, len(message)), message...)); err != nil {
-				return fmt.Errorf("send: %w", err)
-			}
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				return fmt.Errorf("read response: %w", err)
-			}
-			if err := response.Body.Close(); err != nil {
-				return fmt.Errorf("read body: %w", err)
-			}
+	return check.RequestForever(func() []byte {
+		message := []byte{0xa1, 1, 0x88}
+		for range 8 {
+			id := fmt.Appendf(nil, "%0*d", crowdHeadBytes, sent.Add(1))
+			message = append(binary.BigEndian.AppendUint16(append(message, 0xa1, 1, 0x79), uint16(len(id))), id...)
 		}
-		return ctx.Err()
-	}
+		return append(fmt.Appendf(nil, head, len(message)), message...)
+	})
 }
 
 // crowdCases returns the crowds.
