--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -390,3 +390,93 @@
 	r.add("%d replicas were crashed, %d of them later than contact_ms after the third crash", len(crashes), late)
 	return late > 3, nil
 }
+
+// Load of trySecondCopy, and its dose, which is that of an entry of the site file.
+const (
+	orderReplicas  = 5
+	orderPause     = 3 * time.Millisecond
+	orderWork      = 120 * time.Millisecond
+	orderSlots     = 6
+	garbleReplicas = 3 // a share of 0.6
+	garbleTime     = 5 * time.Second
+	garblePart     = 0.03
+	garbleRuns     = 6
+)
+
+// setSpoil sets the share of the answers that replicas spoil.
+func setSpoil(replicas []*rawReplica, share float64) {
+	for _, p := range replicas {
+		p.setSpoil(share)
+	}
+}
+
+// trySecondCopy sends requests that are not idempotent to busy replicas, of which some spoil a few of their answers: a
+// second copy comes late, where the next answer is due.
+func trySecondCopy(ctx context.Context, r *record, trouble bool) (broken bool, err error) {
+	d, err := newDeployment(r)
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := d.addRaw("xano55b", orderReplicas, orderSlots, orderWork); err != nil {
+		return false, err
+	}
+	orders := plainRoute("r-orders", "/lohu930/", "xano55b")
+	orders["kind"] = "non_idempotent"
+	d.putManifest(1, []any{orders}, []any{plainService("xano55b")})
+	if err := d.start(ctx, 3); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	refused := make(map[string]int)
+	var wg sync.WaitGroup
+	for range garbleRuns {
+		if trouble {
+			r.add("%d of %d replicas begin to spoil %v of their answers, for %s", garbleReplicas, orderReplicas, garblePart, garbleTime)
+			setSpoil(d.raw[:garbleReplicas], garblePart)
+		}
+		for end, number := time.Now().Add(garbleTime), 0; time.Now().Before(end); number++ {
+			id, to := fmt.Sprintf("%016x", d.nextID.Add(1)), d.daemons[number%len(d.daemons)]
+			wg.Go(func() {
+				got := d.send(ctx, to, http.MethodPost, "/lohu930/order", id, []byte("order "+id))
+				if got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests {
+					mu.Lock()
+					refused[id] = got.status
+					mu.Unlock()
+				}
+			})
+			time.Sleep(orderPause)
+		}
+		setSpoil(d.raw, 0)
+		time.Sleep(time.Second)
+	}
+	wg.Wait()
+	total := make(map[string]int)
+	for _, p := range d.raw {
+		for id, count := range p.runs() {
+			total[id] += count
+		}
+	}
+	twice, ranRefused := 0, 0
+	for id, count := range total {
+		if count > 1 {
+			twice++
+			r.add("request %s, which isn't idempotent, ran %d times", id, count)
+		}
+		if refused[id] != 0 {
+			ranRefused++
+			r.add("request %s was answered %d and ran", id, refused[id])
+		}
+	}
+	spoiled := 0
+	for _, p := range d.raw {
+		spoiled += p.spoiled
+	}
+	r.add("%d requests ran, %d were refused; %d answers were sent twice; %d requests ran twice, %d ran and were refused", len(total), len(refused), spoiled, twice, ranRefused)
+	if len(total) < 100 {
+		return false, fmt.Errorf("%w: only %d requests ran", errNotRun, len(total))
+	}
+	return twice > 0 || ranRefused > 0, nil
+}
--- a/review/trial/deployment.go
+++ b/review/trial/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -61,6 +62,7 @@
 	statusS  int
 	store    *fake.KeyedStore
 	replicas []*replica
+	raw      []*rawReplica
 	daemons  []*daemon
 
 	nextID atomic.Int64
@@ -142,6 +144,23 @@
 	return nil
 }
 
+// addRaw starts replicas of a plain service that serve their channels themselves.
+func (d *deployment) addRaw(service string, count, slots int, work time.Duration) error {
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		p := &rawReplica{
+			id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, address: listener.Addr().String(), born: time.Now().UnixMilli(), slots: slots, work: work,
+			record: d.record, listener: listener, ran: make(map[string]int),
+		}
+		go p.serve()
+		d.raw = append(d.raw, p)
+	}
+	return nil
+}
+
 // put writes a record as the operator or a replica does.
 func (d *deployment) put(topic gypsum.Topic, key string, value any) {
 	content, err := json.Marshal(value)
@@ -192,6 +211,11 @@
 				d.put("keyed.servers", id, entry)
 			}
 		}
+		for _, p := range d.raw {
+			d.put("keyed.servers", p.id, map[string]any{
+				"service": p.service, "addr": p.address, "zone": "genova", "version": "v1", "slots": p.slots, "state": "ready", "cold_left_ms": 0, "seq": seq, "born": p.born,
+			})
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -200,18 +224,25 @@
 	}
 }
 
+// The range of the daemons' ports is below the ephemeral ports, which the operating system gives to others.
+const (
+	firstPort = 11000
+	portRange = 9000
+)
+
 // freeAddresses returns addresses on which nothing listens.
-func freeAddresses(count int) ([]string, error) {
+func freeAddresses(count int) []string {
 	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portRange))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, fmt.Errorf("look for a free port: %w", err)
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return addresses
 }
 
 // settingsFormat is the settings file of a daemon.
@@ -264,10 +295,7 @@
 
 // startDaemon starts one daemon with the command of the deploy file.
 func (d *deployment) startDaemon(index int, store string) error {
-	addresses, err := freeAddresses(3)
-	if err != nil {
-		return err
-	}
+	addresses := freeAddresses(3)
 	started := &daemon{
 		name: fmt.Sprintf("edge-%d", index+1), zone: []string{"genova", "la-spezia"}[index%2], front: addresses[0], ready: addresses[1], inner: addresses[2],
 	}
@@ -332,6 +360,9 @@
 	for _, p := range d.replicas {
 		p.crash()
 	}
+	for _, p := range d.raw {
+		_ = p.listener.Close()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, listener := range d.listeners {
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -28,7 +28,7 @@
 
 // trials are the cases by their numbers.
 var trials = map[string]trial{
-	"open": tryOpenLot, "catchall": tryCatchAll, "crash": tryCrash, "poison": tryDarkPoison, "weights": tryWeights,
+	"open": tryOpenLot, "catchall": tryCatchAll, "crash": tryCrash, "poison": tryDarkPoison, "weights": tryWeights, "copy": trySecondCopy,
 }
 
 // timeLimit is how long a case may run.
