--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -400,7 +400,7 @@
 	garbleReplicas = 3 // a share of 0.6
 	garbleTime     = 5 * time.Second
 	garblePart     = 0.03
-	garbleRuns     = 6
+	garbleRuns     = 10
 )
 
 // setSpoil sets the share of the answers that replicas spoil.
