--- a/review/lab3/crash.go
+++ b/review/lab3/crash.go
@@ -34,18 +34,15 @@
 	*daemon
 	overLimit atomic.Int64
 	peak      atomic.Int64
-	kill      chan struct{}
 }
 
 // watch does for one daemon what the platform does, until stop is closed: it kills the process if it exceeds
-// memory_mb or if it is told to, and starts it again after a short delay.
+// memory_mb, and starts it again after a short delay.
 func (l *lab) watch(w *watched, limit int, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
-		case <-w.kill:
-			l.log("process killed", "daemon", w.name)
 		case <-time.After(5 * time.Millisecond):
 			used := anonymousMB(w.cmd.Process.Pid)
 			w.peak.Store(max(w.peak.Load(), int64(used)))
@@ -79,28 +76,32 @@
 	l.log("process started", "daemon", d.name)
 }
 
-// caseCrash: clients request the bodies of the items of a batch that waits for its weights. All processes are
-// killed once, and start again.
+// caseCrash: clients request the bodies of the items of batches that wait for their weights, each once a second:
+// one client after the other or, with the disruption, all at the same moment.
 func caseCrash(l *lab) bool {
-	const pause = 500 * time.Millisecond
-	limit, clients, daemons := env("MEM", 154), env("CLIENTS", 200), env("DAEMONS", 3)
-	l.memoryMB = limit
-	bigBody = strings.Repeat("b", env("BODY", 12000))
+	const (
+		pause   = time.Second
+		batches = 5
+	)
+	clients, daemons := 200, 3
+	limit := l.memoryMB
+	bigBody = strings.Repeat("b", 12000)
 	for i := range 3 {
-		l.newReplica(fmt.Sprint("m-", i+1), "models", []string{"genova", "la-spezia"}[i%2], "m0")
+		l.newReplica(fmt.Sprint("m-", i+1), "models", zoneOf(i), "m0")
 	}
-	long := route("train", "/train/", "rollout", "models")
-	long["retention_s"] = 100
-	l.putConfig(1, []any{long}, services())
+	l.putConfig(1, []any{route("train", "/train/", "rollout", "models")}, services())
 	l.startDaemons(daemons)
-	id, items := "7c41e09b52d6a3f8", itemIDs("e5b2907c14da", 150)
-	minVersion = 2 // the trainer asks for a step ahead: its version is not named yet
-	l.submit(id, items)
+	minVersion = 2 // the trainers ask for steps ahead: their version is not named yet
+	ids, items := make([]string, batches), make([][]string, batches)
+	for b := range batches {
+		ids[b], items[b] = fmt.Sprintf("7c41e09b52d6%04x", b), itemIDs(fmt.Sprintf("e5b2907c%04x", b), 150)
+		l.submit(ids[b], items[b])
+	}
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	var all []*watched
 	for _, d := range l.daemons {
-		w := &watched{daemon: d, kill: make(chan struct{})}
+		w := &watched{daemon: d}
 		all = append(all, w)
 		watching.Go(func() { l.watch(w, limit, stop) })
 	}
@@ -109,8 +110,8 @@
 	for _, w := range all {
 		for c := range clients {
 			calling.Go(func() {
-				for n := 0; ; n++ {
-					// Each client comes twice a second: all at the same moment or one after the other.
+				for {
+					// Each client comes once a second: all at the same moment or one after the other.
 					offset := time.Duration(c) * pause / time.Duration(clients)
 					if l.trouble {
 						offset = 0
@@ -121,8 +122,9 @@
 						return
 					case <-time.After(time.Until(next)):
 					}
-					item := items[(c+n)%len(items)]
-					a := l.call(w.daemon, http.MethodGet, "/items/"+id+"?id="+item, nil, nil, 3*time.Second)
+					b := int(next.Add(-offset).Unix()) % batches
+					item := items[b][c%len(items[b])]
+					a := l.call(w.daemon, http.MethodGet, "/items/"+ids[b]+"?id="+item, nil, nil, 3*time.Second)
 					switch {
 					case a.status == http.StatusOK && string(a.body) == "prompt "+item+bigBody:
 						got.Add(1)
@@ -142,7 +144,7 @@
 		}
 		l.log(what, "bodies", got.Swap(0), "other_answers", failed.Swap(0), "no_answer", unconnected.Swap(0), "peak_mb", peaks)
 	}
-	for range env("SECS", 40) {
+	for range 30 {
 		time.Sleep(time.Second)
 		report("second")
 	}
--- a/review/lab3/env.go
+++ b/review/lab3/env.go
@@ -7,12 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -21,24 +21,26 @@
 	"github.com/gypsumhook/gypsum/fake"
 )
 
-// Settings of a small deployment, as on the pages.
+// Settings of a small deployment: amtsa-swatch on the pages.
 const (
 	host        = "ficu95.example"
 	configApply = 3 * time.Second
 	contact     = 4 * time.Second
 	heartbeat   = 1200 * time.Millisecond
+	firstPort   = 10000
+	portRange   = 20000
 	settings    = `node = "%s"
 role = "gypsumhook"
 machine_class = "edge"
 serves = ["edge"]
 ip = "127.0.0.1"
 zone = "%s"
-region = "liguria"
+region = "greater-accra"
 internal_ports = [%d,%d]
 heartbeat_ms = 1200
 [zones]
-genova = "liguria"
-la-spezia = "liguria"
+makola = "greater-accra"
+tema = "greater-accra"
 [listen]
 front = "127.0.0.1:%d"
 ready = "127.0.0.1:%d"
@@ -112,7 +114,7 @@
 	if err != nil {
 		cannot("create a folder: %v", err)
 	}
-	l := &lab{trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), dir: dir, statusS: 120, memoryMB: env("MEM", 324), store: fake.NewKeyedStore(), record: record}
+	l := &lab{trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), dir: dir, statusS: 120, memoryMB: 154, store: fake.NewKeyedStore(), record: record}
 	l.store.Latency = 2 * time.Millisecond
 	l.log("case", "trouble", l.trouble)
 	return l
@@ -155,12 +157,16 @@
 
 // freePort returns a port that nothing listens on.
 func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannot("find a free port: %v", err)
+	for range 1000 {
+		// Below the range from which the operating system takes ports for connections.
+		port := firstPort + rand.IntN(portRange)
+		if listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
+			_ = listener.Close()
+			return port
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	cannot("no port is free")
+	return 0
 }
 
 // put writes a record as the platform does.
@@ -189,7 +195,7 @@
 	}
 	store := l.serve(l.storeHandler())
 	for i := range count {
-		d := &daemon{name: fmt.Sprint("edge-", i+1), zone: []string{"genova", "la-spezia"}[i%2], front: freePort(), ready: freePort(), inner: freePort()}
+		d := &daemon{name: fmt.Sprint("edge-", i+1), zone: zoneOf(i), front: freePort(), ready: freePort(), inner: freePort()}
 		path := filepath.Join(l.dir, d.name+".toml")
 		content := fmt.Sprintf(settings, d.name, d.zone, d.inner, d.inner, d.front, d.ready, l.memoryMB, l.statusS, store)
 		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
@@ -249,6 +255,12 @@
 
 // call sends one client attempt on a new channel.
 func (l *lab) call(d *daemon, method, target string, header map[string]string, body []byte, timeout time.Duration) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: timeout}
+	return l.callOn(client, d, method, target, header, body)
+}
+
+// callOn sends one client attempt on a channel of a client.
+func (l *lab) callOn(client *http.Client, d *daemon, method, target string, header map[string]string, body []byte) answer {
 	request, err := http.NewRequest(method, fmt.Sprintf("http://127.0.0.1:%d%s", d.front, target), bytes.NewReader(body))
 	if err != nil {
 		cannot("create a request: %v", err)
@@ -257,7 +269,6 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: timeout}
 	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
@@ -267,10 +278,5 @@
 	return answer{status: response.StatusCode, header: response.Header, body: content, err: err}
 }
 
-// env returns a number that the environment sets, or the usual one.
-func env(name string, usual int) int {
-	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return value
-	}
-	return usual
-}
+// zoneOf returns the zone of the machine or replica with a number.
+func zoneOf(i int) string { return []string{"makola", "tema"}[i%2] }
--- a/review/lab3/open.go
+++ b/review/lab3/open.go
@@ -63,9 +63,9 @@
 // caseOpen: a batch is accepted and done, and its client does not end it. Another client reads it
 // later, while it is still open.
 func caseOpen(l *lab) bool {
-	l.statusS = 30
+	l.statusS, retentionS = 30, 20
 	for i := range 3 {
-		l.newReplica(fmt.Sprint("m-", i+1), "models", []string{"genova", "la-spezia"}[i%2], "m0")
+		l.newReplica(fmt.Sprint("m-", i+1), "models", zoneOf(i), "m0")
 	}
 	l.putConfig(1, []any{route("train", "/train/", "rollout", "models")}, services())
 	l.startDaemons(3)
--- a/review/lab3/refused.go
+++ b/review/lab3/refused.go
@@ -16,12 +16,12 @@
 	const (
 		replicas = 7
 		clients  = 8
-		duration = 30 * time.Second
+		duration = 60 * time.Second
 		share    = 0.4
 	)
 	all := make([]*replica, 0, replicas)
 	for i := range replicas {
-		all = append(all, l.newReplica(fmt.Sprint("i-", i+1), "desk", []string{"genova", "la-spezia"}[i%2]))
+		all = append(all, l.newReplica(fmt.Sprint("i-", i+1), "desk", zoneOf(i)))
 	}
 	var ill atomic.Bool
 	all[0].answer = func(w http.ResponseWriter, _ *http.Request, id string) bool {
@@ -36,7 +36,15 @@
 	}
 	l.putConfig(1, []any{route("order", "/order-desk/", "non_idempotent", "desk")}, services())
 	l.startDaemons(3)
-	ill.Store(l.trouble)
+	go func() {
+		for l.trouble {
+			ill.Store(true)
+			l.log("a replica fails part of its requests", "replica", all[0].id, "for_s", 5)
+			time.Sleep(5 * time.Second)
+			ill.Store(false)
+			time.Sleep(3 * time.Second)
+		}
+	}()
 	var refusedAndRan, twice atomic.Int64
 	var wg sync.WaitGroup
 	for c := range clients {
--- a/review/lab3/replica.go
+++ b/review/lab3/replica.go
@@ -23,6 +23,7 @@
 	id, service string
 	zone        string
 	address     string
+	slots       int
 	models      []string
 	// answer, if it is set, answers a request that has begun to run. It returns false to go on as
 	// usual.
@@ -41,7 +42,13 @@
 	for _, model := range models {
 		p.versions[model] = 1
 	}
-	p.address = l.serve(p)
+	p.address, p.slots = l.serve(p), 16
+	l.keepRegistered(p)
+	return p
+}
+
+// keepRegistered registers a replica until the end of the case.
+func (l *lab) keepRegistered(p *replica) {
 	born := time.Now().UnixMilli()
 	stop := make(chan struct{})
 	l.cleanups = append(l.cleanups, func() { close(stop) })
@@ -56,13 +63,12 @@
 			}
 		}
 	}()
-	return p
 }
 
 // register writes the entry of the replica.
 func (p *replica) register(born int64, seq int) {
 	entry := map[string]any{
-		"service": p.service, "addr": p.address, "zone": p.zone, "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": seq, "born": born,
+		"service": p.service, "addr": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": "ready", "cold_left_ms": 0, "seq": seq, "born": born,
 	}
 	if len(p.models) > 0 {
 		entry["stage"], entry["models"] = "both", p.modelList()
@@ -174,15 +180,20 @@
 // eventCount is the number of events of an item's text.
 const eventCount = 10
 
-var bigEvent, bigBody string
+// bigBody is added to the bodies of items.
+var bigBody string
 
-var minVersion = 1
+// The oldest version that may generate a batch, and the retention of routes.
+var (
+	minVersion = 1
+	retentionS = 40
+)
 
 // itemText is the whole text of an item.
 func itemText(id string) string {
 	events := make([]string, 0, eventCount)
 	for n := 1; n <= eventCount; n++ {
-		events = append(events, fmt.Sprintf("%s-%d%s", id, n, bigEvent))
+		events = append(events, fmt.Sprintf("%s-%d", id, n))
 	}
 	return strings.Join(events, "\n")
 }
@@ -201,7 +212,7 @@
 			return
 		case <-time.After(eventTime):
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", n, id, n, bigEvent); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
@@ -218,7 +229,7 @@
 func route(name, prefix, kind, service string) map[string]any {
 	return map[string]any{
 		"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1,
-		"service": service, "max_attempts": 3, "retention_s": 20, "result_due_ms": 7500,
+		"service": service, "max_attempts": 3, "retention_s": retentionS, "result_due_ms": 7500,
 	}
 }
 
--- a/review/lab3/root.go
+++ b/review/lab3/root.go
@@ -9,8 +9,8 @@
 // caseRoot: a manifest adds a route for the whole host while a batch is open.
 func caseRoot(l *lab) bool {
 	for i := range 3 {
-		l.newReplica(fmt.Sprint("m-", i+1), "models", []string{"genova", "la-spezia"}[i%2], "m0")
-		l.newReplica(fmt.Sprint("i-", i+1), "desk", []string{"genova", "la-spezia"}[i%2])
+		l.newReplica(fmt.Sprint("m-", i+1), "models", zoneOf(i), "m0")
+		l.newReplica(fmt.Sprint("i-", i+1), "desk", zoneOf(i))
 	}
 	routes := []any{route("train", "/train/", "rollout", "models"), route("desk", "/desk/", "idempotent", "desk")}
 	l.putConfig(1, routes, services())
