--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build-3.sh first" >&2
   exit 2
 fi
-exec target/review3/lab3 open review/14
+exec target/review3/lab3 keys review/14
--- a/review/lab3/env.go
+++ b/review/lab3/env.go
@@ -59,7 +59,7 @@
 config_apply_ms = 3000
 recovery_s = 12
 status_s = %d
-cancel_ms = 3000
+%scancel_ms = 3000
 settle_ms = 1000
 require_fence = true
 lease_ms = 3000
@@ -84,6 +84,9 @@
 	statusS, memoryMB int
 	store             *fake.KeyedStore
 	daemons           []*daemon
+	// links are the ways of the daemons to the store, bounds further lines of their settings.
+	links  []*link
+	bounds string
 
 	mu       sync.Mutex
 	record   *os.File
@@ -194,10 +197,12 @@
 		cannot("find the program: %v", err)
 	}
 	store := l.serve(l.storeHandler())
+	l.links = make([]*link, count)
 	for i := range count {
 		d := &daemon{name: fmt.Sprint("edge-", i+1), zone: zoneOf(i), front: freePort(), ready: freePort(), inner: freePort()}
 		path := filepath.Join(l.dir, d.name+".toml")
-		content := fmt.Sprintf(settings, d.name, d.zone, d.inner, d.inner, d.front, d.ready, l.memoryMB, l.statusS, store)
+		l.links[i] = l.newLink(store)
+		content := fmt.Sprintf(settings, d.name, d.zone, d.inner, d.inner, d.front, d.ready, l.memoryMB, l.statusS, l.bounds, l.links[i].address)
 		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 			cannot("write settings: %v", err)
 		}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -7,7 +7,7 @@
 
 // cases are the cases by the names of their folders. They return whether the rule was broken.
 var cases = map[string]func(*lab) bool{
-	"refused": caseRefused, "open": caseOpen, "root": caseRoot, "crash": caseCrash, "late": caseLate,
+	"refused": caseRefused, "crash": caseCrash, "late": caseLate, "poison": casePoison, "keys": caseKeys,
 }
 
 func main() {
