--- a/review/lab3/env.go
+++ b/review/lab3/env.go
@@ -158,13 +158,20 @@
 	return listener.Addr().String()
 }
 
+// takenPorts are the ports that daemons of this run got.
+var takenPorts = make(map[int]bool)
+
 // freePort returns a port that nothing listens on.
 func freePort() int {
 	for range 1000 {
 		// Below the range from which the operating system takes ports for connections.
 		port := firstPort + rand.IntN(portRange)
+		if takenPorts[port] {
+			continue
+		}
 		if listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
 			_ = listener.Close()
+			takenPorts[port] = true
 			return port
 		}
 	}
@@ -190,18 +197,29 @@
 	l.log("manifest acknowledged", "version", version)
 }
 
-// startDaemons starts daemons and waits until they are ready.
+// startDaemons starts daemons, each once the one before is ready.
 func (l *lab) startDaemons(count int) {
 	binary, err := filepath.Abs("target/gypsumhook")
 	if err != nil {
 		cannot("find the program: %v", err)
 	}
 	store := l.serve(l.storeHandler())
-	l.links = make([]*link, count)
 	for i := range count {
-		d := &daemon{name: fmt.Sprint("edge-", i+1), zone: zoneOf(i), front: freePort(), ready: freePort(), inner: freePort()}
-		path := filepath.Join(l.dir, d.name+".toml")
-		l.links[i] = l.newLink(store)
+		l.links = append(l.links, l.newLink(store))
+		l.startDaemon(binary, i)
+	}
+}
+
+// startTries is how often a daemon is started. Another process may take a port before it does.
+const startTries = 3
+
+// startDaemon starts a daemon and waits until it is ready.
+func (l *lab) startDaemon(binary string, i int) {
+	d := &daemon{name: fmt.Sprint("edge-", i+1), zone: zoneOf(i)}
+	l.daemons = append(l.daemons, d)
+	path := filepath.Join(l.dir, d.name+".toml")
+	for range startTries {
+		d.front, d.ready, d.inner = freePort(), freePort(), freePort()
 		content := fmt.Sprintf(settings, d.name, d.zone, d.inner, d.inner, d.front, d.ready, l.memoryMB, l.statusS, l.bounds, l.links[i].address)
 		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 			cannot("write settings: %v", err)
@@ -218,16 +236,17 @@
 			cannot("start a daemon: %v", err)
 		}
 		_ = output.Close()
-		l.daemons = append(l.daemons, d)
-	}
-	for _, d := range l.daemons {
-		l.awaitReady(d)
+		if l.awaitReady(d) {
+			return
+		}
+		d.kill()
 	}
+	cannot("daemon %s is not ready", d.name)
 }
 
-// awaitReady waits until a daemon is ready.
-func (l *lab) awaitReady(d *daemon) {
-	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+// awaitReady waits until a daemon is ready, and reports whether it is.
+func (l *lab) awaitReady(d *daemon) bool {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/readyz", d.ready))
 		if err != nil {
 			continue
@@ -235,10 +254,10 @@
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK {
 			l.log("daemon ready", "daemon", d.name)
-			return
+			return true
 		}
 	}
-	cannot("daemon %s is not ready", d.name)
+	return false
 }
 
 // kill ends a daemon at once.
