--- a/review/lab3/replica.go
+++ b/review/lab3/replica.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -189,15 +188,6 @@
 	retentionS = 40
 )
 
-// itemText is the whole text of an item.
-func itemText(id string) string {
-	events := make([]string, 0, eventCount)
-	for n := 1; n <= eventCount; n++ {
-		events = append(events, fmt.Sprintf("%s-%d", id, n))
-	}
-	return strings.Join(events, "\n")
-}
-
 // serveStream sends the events of an item.
 func (p *replica) serveStream(w http.ResponseWriter, r *http.Request, id string) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -257,22 +247,3 @@
 	}
 	return content
 }
-
-// page is a page of results.
-type page struct {
-	Total   int `json:"total"`
-	Results []struct {
-		ID    string `json:"id"`
-		State string `json:"state"`
-		Text  string `json:"text"`
-	} `json:"results"`
-}
-
-// decodePage decodes a page of results, nil if it is none.
-func decodePage(a answer) *page {
-	var p page
-	if a.status != http.StatusOK || json.Unmarshal(a.body, &p) != nil || p.Total == 0 {
-		return nil
-	}
-	return &p
-}
