access: a host behind passes no key on

Cause: the key is removed if the configuration in force has accounts. That it has none was believed at any age.

Change: without accounts, a request that states a key or an account is served only if the store contained no configuration with accounts at a time after it arrived. The host reads the end of the operator topic, one read for all requests that wait; without a response they get 503 with a retry time. An end that lies before what was read earlier is rejected as an old page, also where a batch is looked for. Metrics count the requests that wait, the reads and those that fail.

TestDeploymentWithoutAccounts demanded that headers are passed on under a configuration that was never confirmed, which is the fault. It demands the same headers now from a host that can ask the store; that they are not passed on otherwise is demanded by TestKeyAtHostBehind.

--- a/access/access.go
+++ b/access/access.go
@@ -58,6 +58,9 @@
 // isYounger reports whether the configuration was known to be current less than an age ago.
 func (v *View) isYounger(age time.Duration) bool { return v.Confirmed && v.Now-v.ConfirmedAt <= age }
 
+// isConfirmedSince reports whether the configuration was known to be current at a time or later.
+func (v *View) isConfirmedSince(at time.Duration) bool { return v.Confirmed && v.ConfirmedAt >= at }
+
 // Credential is the key of a request, without the key itself.
 type Credential struct {
 	// Hash is that of the key. It is valid if Valid is set: the request has one key of an allowed
@@ -66,6 +69,10 @@
 	Valid bool
 	// Missing means that the request has no key.
 	Missing bool
+	// Unread means that the request states a key or an account, which was not read since the
+	// configuration had no accounts. It arrived at ArrivedAt, by the steady clock, or later.
+	Unread    bool
+	ArrivedAt time.Duration
 }
 
 // NewCredential returns the credential of a request with a key, empty for none. single means that
@@ -81,6 +88,8 @@
 // String identifies the key in logs.
 func (c Credential) String() string {
 	switch {
+	case c.Unread:
+		return "unread"
 	case c.Valid:
 		return c.Hash.String()
 	case c.Missing:
@@ -122,6 +131,9 @@
 	switch {
 	case view.Config == nil:
 		return Grant{}, view.refusal("no configuration was learned yet")
+	case view.Config.Accounts == nil && credential.Unread && !view.isConfirmedSince(credential.ArrivedAt):
+		// A newer configuration may have accounts, whose keys no replica may get.
+		return Grant{}, view.refusal("the request states a key or an account, and the configuration may have changed")
 	case view.Config.Accounts == nil:
 		return Grant{}, nil
 	case noAuth:
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -30,6 +30,11 @@
 // credentialOf returns the credential of a request with one key.
 func credentialOf(key string) access.Credential { return access.NewCredential(key, true) }
 
+// unread returns the credential of a request that states a key while there are no accounts, and arrived at a time.
+func unread(arrivedAt time.Duration) access.Credential {
+	return access.Credential{Unread: true, ArrivedAt: arrivedAt}
+}
+
 // TestAdmit checks the decision on arrival for each kind of request and age of the configuration.
 func TestAdmit(t *testing.T) {
 	with, without := newConfig(1, "a", key), &gypsum.RoutingConfig{Revision: 1}
@@ -47,7 +52,10 @@
 	}{
 		"no configuration":                  {strict, nil, 0, false, credentialOf(key), 503, "", false},
 		"no accounts":                       {strict, without, -1, false, credentialOf(""), 0, "", false},
-		"no accounts, a key":                {strict, without, time.Hour, false, credentialOf(key), 0, "", false},
+		"no accounts, a key":                {strict, without, 0, false, unread(time.Hour), 0, "", false},
+		"no accounts, a key, behind":        {strict, without, 0, false, unread(time.Hour + 1), 503, "", false},
+		"no accounts, a key, unconfirmed":   {lax, without, -1, false, unread(0), 503, "", false},
+		"open route, a key, behind":         {strict, without, 0, true, unread(time.Hour + 1), 503, "", false},
 		"valid":                             {strict, with, 0, false, credentialOf(key), 0, "a", true},
 		"valid, last moment":                {strict, with, strict.Validity(), false, credentialOf(key), 0, "a", true},
 		"valid, too old":                    {strict, with, strict.Validity() + 1, false, credentialOf(key), 503, "", false},
--- a/access/checker.go
+++ b/access/checker.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,9 @@
 	Clock    gypsum.SteadyClock
 	// StoreDowntime returns how long the store has not responded, zero if it does.
 	StoreDowntime func() time.Duration
-	Stats         Stats
+	// Confirmer reads the configuration for requests that state a key while there are no accounts.
+	Confirmer *Confirmer
+	Stats     Stats
 }
 
 // Stats counts the decisions of a Checker since its start.
@@ -43,6 +46,33 @@
 	return view
 }
 
+// ViewFor returns what the host knows of the configuration, for a request that may state a key or an
+// account and arrived at a time by the steady clock. Unless there are accounts, the store is asked whether
+// there have been any until then.
+func (c *Checker) ViewFor(ctx context.Context, arrivedAt time.Duration) *View {
+	view := c.View()
+	if view.Config != nil && view.Config.Accounts == nil && !view.isConfirmedSince(arrivedAt) {
+		// Without a confirmation the request is refused by the age of the configuration.
+		_ = c.Confirmer.Await(ctx)
+		view = c.View()
+		view.StoreDowntime = c.StoreDowntime()
+	}
+	return view
+}
+
+// ConfirmNoAccounts returns the refusal of a request that may run only without accounts, nil if there were
+// none at a time after the call.
+func (c *Checker) ConfirmNoAccounts(ctx context.Context) *gypsum.Refusal {
+	credential := Credential{Unread: true, ArrivedAt: c.Clock()}
+	view := c.ViewFor(ctx, credential.ArrivedAt)
+	if refusal := c.Policy.Recheck(view, &Grant{}); refusal != nil {
+		c.Stats.Outdated.Add(1)
+		return refusal
+	}
+	_, refusal := c.Admit(view, false, credential)
+	return refusal
+}
+
 // Admit decides on a request when it arrives, as Policy.Admit does.
 func (c *Checker) Admit(view *View, noAuth bool, credential Credential) (Grant, *gypsum.Refusal) {
 	grant, refusal := c.Policy.Admit(view, noAuth, credential)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -257,6 +257,7 @@
 	d.access = &access.Checker{
 		Policy:   access.Policy{StrictRevocation: d.Settings.StrictRevocation, RevocationDelay: d.Settings.RevocationDelay},
 		Registry: d.registry, Clock: clock.Steady, StoreDowntime: d.storeDowntime,
+		Confirmer: &access.Confirmer{Registry: d.registry, CatchUp: operator.CatchUpAt},
 	}
 	d.newFollower(platform.TopicReplicas, replicaReadInterval, d.applyReplicas)
 	d.batches = &batch.Manager{
@@ -353,6 +354,7 @@
 	d.tasks.start(ctx, d.reach.Run)
 	d.tasks.start(ctx, d.watchStore)
 	d.tasks.start(ctx, d.store.Run)
+	d.tasks.start(ctx, d.access.Confirmer.Run)
 	d.tasks.start(ctx, d.announceAddress)
 	d.duties.startTasks(ctx, &d.tasks)
 	d.tasks.start(ctx, d.countDaemons)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,6 +50,9 @@
 	Unauthenticated  int64            `json:"requests_unauthenticated"`
 	KeysOutdated     int64            `json:"requests_refused_keys_outdated"`
 	RefusedSends     int64            `json:"sends_refused_keys"`
+	ConfigAwaited    int64            `json:"requests_config_awaited"`
+	ConfigReads      int64            `json:"config_reads_for_requests"`
+	ConfigReadErrors int64            `json:"config_reads_for_requests_failed"`
 	BeyondShare      int64            `json:"requests_refused_share"`
 	SendsLimited     int              `json:"services_divided"`
 	BodiesRefused    int64            `json:"bodies_refused"`
@@ -185,6 +188,7 @@
 		PermitsGranted: d.limiter.Stats.Granted.Load(), PermitsDenied: d.limiter.Stats.Denied.Load(),
 		Authenticated: d.access.Stats.Authenticated.Load(), Unauthenticated: d.access.Stats.Unauthenticated.Load(),
 		KeysOutdated: d.access.Stats.Outdated.Load(), RefusedSends: d.access.Stats.RefusedSends.Load(),
+		ConfigAwaited: d.access.Confirmer.Stats.Requests.Load(), ConfigReads: d.access.Confirmer.Stats.Reads.Load(), ConfigReadErrors: d.access.Confirmer.Stats.Failed.Load(),
 		BeyondShare: relayStats.BeyondShare.Load(), SendsLimited: d.relay.Sends.Limited(time.Now()),
 		UnknownRoute: d.frontend.Stats.UnknownRoute.Load(), BadInput: d.frontend.Stats.BadInput.Load(),
 		RelayRequests: relayStats.Requests.Load(), RelayResponses: relayStats.Responses.Load(), RelayAttempts: relayStats.Attempts.Load(),
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -165,14 +166,14 @@
 }
 
 // TestDeploymentWithoutAccounts guards against headers of clients that are changed although the
-// deployment has no accounts, in which they mean nothing.
+// deployment has no accounts, in which they mean nothing. The host asks the store whether it has any.
 func TestDeploymentWithoutAccounts(t *testing.T) {
 	for name, start := range map[string]func(*testing.T, int) *testServer{"directly": newTestServer, "through another host": newCutOffServer} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := start(t, 1)
 			s.applyConfig()
-			s.clock.Store(int64(time.Hour)) // no configuration was confirmed
+			s.clock.Store(int64(time.Hour)) // no configuration was confirmed before the request
 			s.access.Policy = access.Policy{StrictRevocation: true, RevocationDelay: 5 * time.Second}
 			request, err := http.NewRequestWithContext(t.Context(), "POST", s.url+"/i/a", strings.NewReader("x"))
 			is.NoErr(err)
@@ -186,6 +187,44 @@
 	}
 }
 
+// setCatchUp sets what the host does to learn the newest configuration.
+func (s *testServer) setCatchUp(catchUp func(context.Context) error) { s.catchUp.Store(&catchUp) }
+
+// TestKeyAtHostBehind guards against a request that reaches a replica with the key, or without the name of its
+// account, at a host that has not read the first configuration with accounts.
+func TestKeyAtHostBehind(t *testing.T) {
+	const atOnce = 200 * time.Millisecond
+	for name, start := range map[string]func(*testing.T, int) *testServer{"directly": newTestServer, "through another host": newCutOffServer} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, 1)
+			s.applyConfig()
+			s.registry.ConfirmConfig(0)
+			s.clock.Store(int64(time.Millisecond))
+			s.setCatchUp(func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() })
+			targets := []string{"/i/a", "/n/a", "/i/stream/a", resumableTarget, openRoute + "a", "/t/b", "/none", mimic.ResultsTarget("b", 0), mimic.ItemTarget("b", "e")}
+			for i, target := range targets {
+				id := fmt.Sprint("q-", i)
+				startedAt := time.Now()
+				status, header, _ := s.sendWithKey(map[bool]string{true: "GET", false: "POST"}[i > 6], target, id, encodeTestBatch(t), huleKey)
+				is.Equal(status, http.StatusServiceUnavailable)
+				is.True(header.Get("Retry-After") != "")
+				is.True(time.Since(startedAt) < time.Second)
+				is.True(i == 0 || i > 3 || time.Since(startedAt) < atOnce) // the next after a read that failed
+				is.Equal(len(s.callers(id)), 0)
+			}
+			status, _, _ := s.sendRequest("POST", "/i/a", "without", "x")
+			is.Equal(status, http.StatusOK) // states no key
+			time.Sleep(300 * time.Millisecond)
+			s.setCatchUp(func(context.Context) error { s.applyAccounts(2, allKeys()); return nil })
+			status, _, _ = s.sendWithKey("POST", "/i/a", "learned", "x", huleKey)
+			is.Equal(status, http.StatusOK)
+			is.Equal(s.callers("learned"), []mimic.Caller{{Accounts: []string{"hule930"}}})
+			s.checkNoKeyLeft()
+		})
+	}
+}
+
 // TestRequestWithoutValidKey checks that a request without a valid key gets status 401 and reaches
 // no replica, whether or not its route exists.
 func TestRequestWithoutValidKey(t *testing.T) {
--- a/front/server.go
+++ b/front/server.go
@@ -77,17 +77,12 @@
 	if s.Stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	view := s.Access.View()
+	view, credential := s.readCredential(r)
 	config := view.Config
 	if config == nil {
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
-	var credential access.Credential
-	if config.Accounts != nil {
-		// The key is removed before anything else is done with the request.
-		credential = access.NewCredential(platform.TakeAPIKey(r.Header))
-	}
 	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
 	if route == nil {
 		s.serveUnrouted(w, r, view, credential)
@@ -106,6 +101,21 @@
 	}
 }
 
+// readCredential returns the credential of a request, and the view of the configuration by which it was read.
+// With accounts, the key is removed before anything else is done with the request. Without, the header is not
+// changed, once the configuration is known to have had none when the request arrived.
+func (s *Server) readCredential(r *http.Request) (*access.View, access.Credential) {
+	view, credential := s.Access.View(), access.Credential{}
+	if view.Config != nil && view.Config.Accounts == nil && platform.StatesAccount(r.Header) {
+		credential = access.Credential{Unread: true, ArrivedAt: s.Access.Clock()}
+		view = s.Access.ViewFor(r.Context(), credential.ArrivedAt)
+	}
+	if view.Config != nil && view.Config.Accounts != nil {
+		credential = access.NewCredential(platform.TakeAPIKey(r.Header))
+	}
+	return view, credential
+}
+
 // serveUnrouted serves a request that matches no route. It may be a request about a
 // batch.
 func (s *Server) serveUnrouted(w http.ResponseWriter, r *http.Request, view *access.View, credential access.Credential) {
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -38,8 +38,10 @@
 	t      *testing.T
 	access *access.Checker
 	logs   *logBuffer
-	// clock is the steady clock of the host.
+	// clock is the steady clock of the host. catchUp, unless it is nil, is what the host does to learn the newest
+	// configuration.
 	clock       atomic.Int64
+	catchUp     atomic.Pointer[func(context.Context) error]
 	url         string
 	stop        func()
 	frontend    *front.Server
@@ -152,6 +154,14 @@
 		return 0
 	}
 	s.access = &access.Checker{Registry: s.registry, Clock: func() time.Duration { return time.Duration(s.clock.Load()) }, StoreDowntime: storeDowntime}
+	s.access.Confirmer = &access.Confirmer{Registry: s.registry, CatchUp: func(ctx context.Context) (time.Duration, error) {
+		at := time.Duration(s.clock.Load())
+		if catchUp := s.catchUp.Load(); catchUp != nil {
+			return at, (*catchUp)(ctx)
+		}
+		return at, nil
+	}}
+	start(s.access.Confirmer.Run)
 	s.frontend = &front.Server{
 		Registry: s.registry, Relay: liveRelay, Batches: manager, BodyMemory: buffer.NewPool(1 << 20), Buffers: liveRelay.Buffers, Logger: logger, Access: s.access, StoreDowntime: storeDowntime,
 	}
--- a/soak/access_test.go
+++ b/soak/access_test.go
@@ -339,3 +339,60 @@
 		}
 	}
 }
+
+// TestFirstAccounts guards against a host that passes keys on, or omits the name of the account, while it does not know
+// yet that the deployment has accounts: it is cut off from the store when the first configuration with accounts is
+// stored.
+func TestFirstAccounts(t *testing.T) {
+	const (
+		cutTime = 5100 * time.Millisecond
+		// servedWithin is the time within which a configuration takes effect.
+		servedWithin = 3 * time.Second
+	)
+	env := startTestEnv(&testEnv{t: t}, 3)
+	time.Sleep(registrationTime)
+	cutOff := env.daemons[1]
+	cutOff.storeProxy.setFault(proxyHoldAll)
+	time.Sleep(100 * time.Millisecond)
+	env.accounts = map[gypsum.AccountName][]string{keptAccount: {keptKey}}
+	env.putRecord("keyed.op", "config", env.newConfiguration(2))
+	storedAt := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), cutTime)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	served := 0
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	for _, daemon := range env.daemons {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				id, sentAt := fmt.Sprintf("%s-%d", daemon.name, n), time.Now()
+				target := []string{"/i/x", "/n/x", streamPrefix + "x"}[n%3]
+				wg.Go(func() {
+					status, reason := sendKeyedCall(t, client, daemon, target, id, keptKey)
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case status == http.StatusOK:
+						served++
+					case status != http.StatusServiceUnavailable:
+						t.Errorf("request %s got status %d: %s", id, status, reason)
+					case sentAt.Sub(storedAt) > servedWithin:
+						t.Errorf("request %s, sent %v after the configuration was stored, was refused: %s", id, sentAt.Sub(storedAt), reason)
+					}
+				})
+				time.Sleep(tryPause)
+			}
+		})
+	}
+	wg.Wait()
+	if served == 0 {
+		t.Error("no request was served")
+	}
+	for _, violation := range callerViolations(env, func(string) gypsum.AccountName { return keptAccount }) {
+		t.Error(violation)
+	}
+	for _, violation := range keyTraces(env) {
+		t.Error(violation)
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -92,7 +92,8 @@
 // ApplyConfig applies a configuration unless one of the same or a newer revision is in
 // force.
 func (r *Registry) ApplyConfig(config *gypsum.RoutingConfig) {
-	r.configUnreadable.Store(false)
+	// The flag is cleared last: a confirmation may come from another goroutine meanwhile.
+	defer r.configUnreadable.Store(false)
 	if current := r.Current().Config; current != nil && current.Revision >= config.Revision {
 		return
 	}
@@ -110,9 +111,10 @@
 func (r *Registry) MarkConfigUnreadable() { r.configUnreadable.Store(true) }
 
 // ConfirmConfig records that the configuration in force was the current one at a time by the
-// steady clock. All configurations that the store had accepted by then must have been applied. It
-// must be called from the goroutine that applies configurations.
+// steady clock. All configurations that the store had accepted by then must have been applied.
 func (r *Registry) ConfirmConfig(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.configUnreadable.Load() || (r.configConfirmed.Load() && int64(at) <= r.configConfirmedAt.Load()) {
 		return
 	}
--- a/store/confirm_test.go
+++ b/store/confirm_test.go
@@ -107,6 +107,31 @@
 	})
 }
 
+// TestEndBeforeRecordsThatWereRead guards against an old page that is taken for the current end of a topic.
+func TestEndBeforeRecordsThatWereRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backing := fake.NewKeyedStore()
+		pages := &pageStore{KeyedStore: backing}
+		start := time.Now()
+		follower := &store.Follower{Store: pages, Topic: topic, Logger: discardLogger(), Handle: func(store.Update) {}, Clock: func() time.Duration { return time.Since(start) }}
+		appendRecord(t, backing, "a")
+		appendRecord(t, backing, "b")
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		t.Cleanup(func() { stop(); <-ended })
+		time.Sleep(time.Minute)
+		at, err := follower.CatchUpAt(t.Context())
+		is.NoErr(err)
+		is.Equal(at, time.Minute)
+		pages.setChange(func(page *gypsum.KeyedPage) { page.Next = 1 })
+		_, err = follower.CatchUpAt(t.Context())
+		is.True(err != nil)
+		is.True(follower.CatchUp(t.Context()) != nil)
+	})
+}
+
 // TestUnconfirmedReadsWait guards against a follower that reads without a pause because no page
 // reaches the end of the topic.
 func TestUnconfirmedReadsWait(t *testing.T) {
--- a/store/follower.go
+++ b/store/follower.go
@@ -305,14 +305,28 @@
 
 // CatchUp waits until all records that are in the store now have been handled.
 func (f *Follower) CatchUp(ctx context.Context) error {
+	_, err := f.CatchUpAt(ctx)
+	return err
+}
+
+// errEndBeforeRead means that a page ends before records that have been read: it is older than they are.
+var errEndBeforeRead = errors.New("topic ends before records that were read earlier")
+
+// CatchUpAt waits until all records have been handled that the store contained at a time after the call, and
+// returns that time by Clock.
+func (f *Follower) CatchUpAt(ctx context.Context) (at time.Duration, err error) {
 	f.mu.Lock()
 	from := f.nextOffset
 	f.mu.Unlock()
+	at = f.now()
 	page, err := f.Store.Read(ctx, gypsum.KeyedRead{Topic: f.Topic, From: from, Max: 1 << 10})
-	if err != nil {
-		return fmt.Errorf("read end offset of topic %s: %w", f.Topic, err)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("read end offset of topic %s: %w", f.Topic, err)
+	case page.Next < from:
+		return 0, fmt.Errorf("read end offset %d of topic %s from offset %d: %w", page.Next, f.Topic, from, errEndBeforeRead)
 	}
-	return f.WaitForOffset(ctx, page.Next)
+	return at, f.WaitForOffset(ctx, page.Next)
 }
 
 // WaitForOffset waits until the records before an offset have been handled.
