front: a host behind shows no batch of an account

Change: the account of a batch counts always. Without accounts in force, such a batch is accessible only if the store is known to contain none at a time after the call; otherwise 503.

Evidence: front.TestBatchAtHostBehind got 200 with the results before.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -164,6 +164,12 @@
 // daemon of an older version accepted.
 func mayAccess(caller, account gypsum.AccountName) bool { return account == "" || account == caller }
 
+// IsOfAccount reports whether a batch is known to belong to an account.
+func (m *Manager) IsOfAccount(id gypsum.BatchID) bool {
+	account, ok := m.State.AccountOf(id)
+	return ok && account != ""
+}
+
 // CheckAccess returns nil if a caller of an account, empty for none, may access a batch. Otherwise
 // it returns the same errors, after the same reads of the store, as for a batch that does not
 // exist: ErrNoBatch only if the whole topic contains no batch that the caller may access.
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -225,6 +225,37 @@
 	}
 }
 
+// TestBatchAtHostBehind guards against a batch of an account that can be read and ended without a key at a host that
+// has not read the first configuration with accounts.
+func TestBatchAtHostBehind(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 1)
+	s.applyAccounts(2, allKeys())
+	behind := s.startPeer("host-2")
+	behind.clock.Store(int64(time.Millisecond))
+	behind.setCatchUp(func(context.Context) error { return gypsum.ErrStoreRefused })
+	status, _, _ := s.sendWithKey("POST", "/t/b1", "b1", encodeTestBatch(t), huleKey)
+	is.Equal(status, http.StatusAccepted)
+	calls := []struct{ method, target string }{{"GET", mimic.ResultsTarget("b1", 0)}, {"GET", mimic.ItemTarget("b1", "e1")}, {"DELETE", mimic.BatchTarget("b1")}}
+	for _, call := range calls {
+		status, header, _ := behind.sendRequest(call.method, call.target, "c1", "")
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(header.Get("Retry-After") != "")
+	}
+	status, _, _ = behind.sendRequest("GET", mimic.ResultsTarget("b0", 0), "c2", "")
+	is.Equal(status, http.StatusNotFound)
+	status, _, _ = s.sendWithKey("GET", mimic.ItemTarget("b1", "e1"), "c3", "", huleKey)
+	is.Equal(status, http.StatusOK) // the batch was not ended
+	behind.checkNoKeyLeft()
+	// The configuration dropped all accounts: batches need no key.
+	time.Sleep(300 * time.Millisecond)
+	behind.setCatchUp(func(context.Context) error { return nil })
+	for _, call := range calls {
+		status, _, _ := behind.sendRequest(call.method, call.target, "c4", "")
+		is.Equal(status, http.StatusOK)
+	}
+}
+
 // TestRequestWithoutValidKey checks that a request without a valid key gets status 401 and reaches
 // no replica, whether or not its route exists.
 func TestRequestWithoutValidKey(t *testing.T) {
--- a/front/batch.go
+++ b/front/batch.go
@@ -52,11 +52,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if grant.AccountsInForce {
+	// The body may have taken long to arrive.
+	refusal := s.Access.Recheck(grant)
+	switch {
+	case refusal != nil:
+	case grant.AccountsInForce:
 		platform.TakeItemKeys(submitted.Items)
 	}
-	// The body may have taken long to arrive.
-	if refusal := s.Access.Recheck(grant); refusal != nil {
+	if refusal != nil {
 		s.logAndRefuse(w, r, refusal)
 		return
 	}
@@ -113,9 +116,15 @@
 // serveBatchRequest serves a request about a submitted batch.
 func (s *Server) serveBatchRequest(w http.ResponseWriter, r *http.Request, batchRequest *platform.BatchRequest, grant *access.Grant) {
 	startedAt := time.Now()
-	var err error
-	if grant.AccountsInForce {
-		err = s.checkBatchAccess(r, batchRequest.ID, grant.AccountName())
+	err := s.checkBatchAccess(r, batchRequest.ID, grant.AccountName())
+	if !grant.AccountsInForce && s.Batches.IsOfAccount(batchRequest.ID) {
+		// There were accounts when the batch was accepted. Only a configuration that dropped them since makes it
+		// accessible without a key.
+		if refusal := s.Access.ConfirmNoAccounts(r.Context()); refusal != nil {
+			s.logAndRefuse(w, r, refusal)
+			return
+		}
+		err = nil
 	}
 	if err == nil {
 		err = s.runBatchRequest(w, r, batchRequest, grant.AccountName(), startedAt)
