front: items are stored with no key at a host behind

A submission whose items state a key in their own headers was stored with it at a host that had not read the first configuration with accounts, and its holder could pass the key on to replicas.

Change: it is treated as a request that states a key.

Evidence: front.TestItemKeysAtHostBehind got 202 before.

--- a/front/access_test.go
+++ b/front/access_test.go
@@ -256,6 +256,27 @@
 	}
 }
 
+// TestItemKeysAtHostBehind guards against items that are stored with a key in their headers, with which they would
+// reach replicas, at a host that has not read the first configuration with accounts.
+func TestItemKeysAtHostBehind(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 1)
+	s.applyConfig()
+	s.registry.ConfirmConfig(0)
+	s.clock.Store(int64(time.Millisecond))
+	for i, catchUp := range []func(context.Context) error{
+		func(context.Context) error { return gypsum.ErrStoreRefused },
+		func(context.Context) error { s.applyAccounts(2, allKeys()); return nil },
+	} {
+		time.Sleep(300 * time.Millisecond) // longer than the pause after a read that failed
+		s.setCatchUp(catchUp)
+		status, header, _ := s.sendRequest("POST", "/t/b", fmt.Sprint("b", i), encodeTestBatch(t))
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(header.Get("Retry-After") != "")
+	}
+	s.checkNoKeyLeft()
+}
+
 // TestRequestWithoutValidKey checks that a request without a valid key gets status 401 and reaches
 // no replica, whether or not its route exists.
 func TestRequestWithoutValidKey(t *testing.T) {
--- a/front/batch.go
+++ b/front/batch.go
@@ -58,6 +58,8 @@
 	case refusal != nil:
 	case grant.AccountsInForce:
 		platform.TakeItemKeys(submitted.Items)
+	case platform.ItemsStateAccount(submitted.Items):
+		refusal = s.Access.ConfirmNoAccounts(r.Context())
 	}
 	if refusal != nil {
 		s.logAndRefuse(w, r, refusal)
