Tests: heads that are cut short, at every reader of responses

Users reported a replica that stopped in the middle of the head of its answer and closed; clients got a 200 with an empty or short body.

It can't happen here: the end of a connection within a head is an error of the read, which nothing replaces.

--- a/adapt/broken_test.go
+++ b/adapt/broken_test.go
@@ -117,6 +117,52 @@
 	}
 }
 
+// TestCutHead guards against a response whose head stops in the middle, at any byte, and that is taken for one with a
+// short body, by any reader.
+func TestCutHead(t *testing.T) {
+	const cutStep = 7
+	dialer, cleanup := adapt.NewDialer()
+	t.Cleanup(cleanup)
+	client, cleanup := adapt.NewClient()
+	t.Cleanup(cleanup)
+	calls := uploadCalls(t, 100)
+	calls["load report"] = func(address string) (string, error) {
+		_, err := dialer.PlainService(gypsum.Host{Address: address}).FetchLoadReport(t.Context())
+		return "", err
+	}
+	calls["load order"] = func(address string) (string, error) {
+		return "", dialer.Engine(gypsum.Host{Address: address}).SendLoadOrder(t.Context(), gypsum.LoadOrder{})
+	}
+	calls["generation"] = func(address string) (string, error) {
+		return "", dialer.Engine(gypsum.Host{Address: address}).Generate(t.Context(), &gypsum.Generation{ID: "g", MaxTokens: 1}, func(*gypsum.Chunk) error { return nil })
+	}
+	calls["read"] = func(address string) (string, error) {
+		_, err := adapt.NewLog(client, "http://"+address).Read(t.Context(), gypsum.LogRead{Stream: "s"})
+		return "", err
+	}
+	calls["hosts"] = func(address string) (string, error) {
+		_, err := adapt.NewHostList(client, "http://"+address).Hosts(t.Context())
+		return "", err
+	}
+	calls["weights"] = func(address string) (string, error) {
+		_, err := adapt.NewWeightStore(client, "http://"+address).LatestVersion(t.Context(), "m")
+		return "", err
+	}
+	for kind, head := range fake.SoundHeads {
+		for name, call := range calls {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				cuts := fake.EveryCut(fake.CutHeads(head, "X-Request-Id: r\r\n"), cutStep)
+				server := startRaw(t, &fake.RawServer{Responses: cuts})
+				for _, cut := range cuts {
+					if _, err := call(server.Address()); err == nil {
+						t.Errorf("the head %q was taken for a response", cut)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestUnusualHead checks that valid responses with an unusual head are passed on.
 func TestUnusualHead(t *testing.T) {
 	for name, head := range fake.UnusualHeads {
--- a/fake/heads.go
+++ b/fake/heads.go
@@ -59,3 +59,45 @@
 	}
 	return head + "\r\n" + body
 }
+
+// SoundHeads are heads of valid responses, without the empty line at their end, for each framing of a body.
+var SoundHeads = map[string]string{
+	"length":            "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n",
+	"length first":      "HTTP/1.1 200 OK\r\nContent-Length: 24\r\nX-Header: value: 1\r\n",
+	"chunks":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"end of connection": "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+	"HTTP/1.0":          "HTTP/1.0 200 OK\r\nX-Header: 1\r\n",
+	"no body":           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+	"line feeds":        "HTTP/1.1 200 OK\nContent-Length: 24\n",
+	"interim responses": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 24\r\n",
+	"not run":           "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n",
+}
+
+// CutHeads returns the beginnings of the head of a response, each shorter by a byte, down to nothing. The longest is
+// short of the line feed that ends the head. fields are added to the head at its end and, in further beginnings, behind
+// the status line.
+func CutHeads(head, fields string) []string {
+	end := "\r\n"
+	if !strings.Contains(head, "\r") {
+		fields, end = strings.ReplaceAll(fields, "\r", ""), "\n"
+	}
+	status := strings.LastIndex(head, "HTTP/1.")
+	status += strings.Index(head[status:], "\n") + 1
+	var cuts []string
+	for _, whole := range []string{head + fields + end, head[:status] + fields + head[status:] + end} {
+		for i := range len(whole) {
+			cuts = append(cuts, whole[:i])
+		}
+	}
+	return cuts
+}
+
+// EveryCut returns each step-th of the beginnings of a head and the last. Each takes a connection, of which a host has a
+// limited number a minute.
+func EveryCut(cuts []string, step int) []string {
+	var some []string
+	for i := 0; i < len(cuts); i += step {
+		some = append(some, cuts[i])
+	}
+	return append(some, cuts[len(cuts)-1])
+}
--- a/fake/raw.go
+++ b/fake/raw.go
@@ -30,6 +30,10 @@
 	// Response is sent after each request. "{id}" stands for the header IDHeader of the request.
 	Response string
 	IDHeader string
+	// Responses, unless there are none, are sent instead, one after each request.
+	Responses []string
+	// First, unless it is empty, is sent instead after the first request of a connection, which is kept.
+	First string
 	// Copy is sent CopyDelay after the response, as a second response that nobody asked for.
 	Copy      string
 	CopyDelay time.Duration
@@ -50,19 +54,30 @@
 // serve serves one connection.
 func (s *RawServer) serve(conn net.Conn) {
 	reader := bufio.NewReader(conn)
-	for {
+	for i := 0; ; i++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		s.requests.Add(1)
+		number := s.requests.Add(1) - 1
 		if !s.UnreadBody {
 			if _, err := io.Copy(io.Discard, request.Body); err != nil {
 				return
 			}
 		}
 		id := request.Header.Get(s.IDHeader)
-		if _, err := io.WriteString(conn, strings.ReplaceAll(s.Response, "{id}", id)); err != nil {
+		if i == 0 && s.First != "" {
+			if _, err := io.WriteString(conn, strings.ReplaceAll(s.First, "{id}", id)); err != nil {
+				return
+			}
+			s.requests.Add(-1)
+			continue
+		}
+		content := s.Response
+		if len(s.Responses) > 0 {
+			content = s.Responses[number%int64(len(s.Responses))]
+		}
+		if _, err := io.WriteString(conn, strings.ReplaceAll(content, "{id}", id)); err != nil {
 			return
 		}
 		if s.Copy != "" {
--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -58,6 +58,46 @@
 	rawEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 )
 
+// TestCutHead guards against a response of a replica whose head stops in the middle, and that clients get as one with a
+// short body: on each kind of route, directly and through another host.
+func TestCutHead(t *testing.T) {
+	const cutStep = 23
+	for name, connect := range map[string]func(*testing.T, *testServer, string) *testServer{
+		"directly": func(_ *testing.T, s *testServer, _ string) *testServer { return s },
+		"through another host": func(t *testing.T, s *testServer, address string) *testServer {
+			s.replicas, s.addresses = []*mimic.Replica{{ID: "r-1"}}, []string{address}
+			s.startPeer("host-2")
+			s.addresses = []string{refusedAddress(t)}
+			s.registerReplicas()
+			s.awaitDetour()
+			return s
+		},
+	} {
+		for kind, head := range fake.SoundHeads {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				cuts := fake.EveryCut(fake.CutHeads(head, mimic.IDLine+mimic.SignatureLine+"Content-Type: text/event-stream\r\n"), cutStep)
+				server := &fake.RawServer{Responses: cuts}
+				s := connect(t, newRawServer(t, server), server.Address())
+				for i := range cuts {
+					for _, target := range []string{"/i/", "/n/", "/i/stream/", "/i/resumed/stream/"} {
+						status, header, body := s.sendRequest("POST", fmt.Sprint(target, i), fmt.Sprint("q", i), "x")
+						if status == http.StatusServiceUnavailable && header.Get("Retry-After") != "" {
+							continue // the replica fails too often
+						}
+						if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
+							t.Errorf("%s: status %d, %q", target, status, body)
+						}
+					}
+				}
+				if server.Requests() < 4 {
+					t.Errorf("%d requests reached the replica", server.Requests())
+				}
+			})
+		}
+	}
+}
+
 // TestContinuedStream guards against parts of another response in a stream that broke off: whatever the next replica
 // answers, the client gets the events of its stream, and a stream that can't go on ends visibly broken.
 func TestContinuedStream(t *testing.T) {
@@ -93,6 +133,18 @@
 			is.True(err != nil) // the stream is visibly broken
 		})
 	}
+	for kind, head := range fake.SoundHeads {
+		t.Run("cut head/"+kind, func(t *testing.T) {
+			for _, cut := range fake.EveryCut(fake.CutHeads(head, named+"Content-Type: text/event-stream\r\n"), 13) {
+				is := is.New(t)
+				s := newRawServer(t, &fake.RawServer{Response: rawHead + "\r\n" + rawEvents, End: fake.RawReset}, &fake.RawServer{Response: cut})
+				status, body, err := s.readPart("q")
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, rawEvents)
+				is.True(err != nil) // the stream is visibly broken
+			}
+		})
+	}
 	for name, rest := range map[string]string{
 		"rest": "id: 3\ndata: c\n\n", "comment first": ": resumed\n\nid: 3\ndata: c\n\n", "event without a number later": "id: 3\ndata: c\n\ndata: d\n\n",
 	} {
--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -102,13 +102,19 @@
 	if replicaCount == 0 {
 		return s, peer
 	}
+	s.awaitDetour()
+	return s, peer
+}
+
+// awaitDetour waits until a host without a path to its replicas has found another one.
+func (s *testServer) awaitDetour() {
+	s.t.Helper()
 	// The first failure starts the check that finds the other host.
 	s.reach.RecordFailure("desk", time.Now())
-	s.reach.AwaitCheck(t.Context(), "desk")
+	s.reach.AwaitCheck(s.t.Context(), "desk")
 	if s.reach.Detour("desk") == nil {
-		t.Fatal("the other host was not found")
+		s.t.Fatal("the other host was not found")
 	}
-	return s, peer
 }
 
 // TestReplicaFaultsOnDetour checks that requests through another host get the same responses as
--- a/procs/harness_test.go
+++ b/procs/harness_test.go
@@ -50,6 +50,9 @@
 // testEnv is a deployment: stand-ins of the platform and of backend servers, served over
 // TCP by the test process, and daemons as separate processes.
 type testEnv struct {
+	// intercept, unless it is nil, may respond in place of a backend server. It reports whether it has.
+	intercept atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
+
 	t             testing.TB
 	log           *fake.Log
 	hostList      *fake.HostList
@@ -115,7 +118,11 @@
 
 // addBackend serves a backend server's stand-in and adds it to the host list.
 func (env *testEnv) addBackend(host gypsum.Host, handler http.Handler) {
-	host.Address = env.startServer(handler)[len("http://"):]
+	host.Address = env.startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if intercept := env.intercept.Load(); intercept == nil || !(*intercept)(w, r) {
+			handler.ServeHTTP(w, r)
+		}
+	}))[len("http://"):]
 	env.listedHosts = append(env.listedHosts, host)
 }
 
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -401,3 +402,55 @@
 	}
 	is.True(time.Since(signalled) < 3*time.Second) // drain_wait and drain_timeout are 2.5 s
 }
+
+// TestCutHeads guards against a response of a backend server whose head stops in the middle, and that callers get as one
+// with a short body, from each kind of service.
+func TestCutHeads(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.startCluster()
+	var cuts []string
+	for _, kind := range []string{"length", "chunks", "end of connection", "HTTP/1.0", "interim responses"} {
+		cuts = append(cuts, fake.EveryCut(fake.CutHeads(fake.SoundHeads[kind], "Content-Type: text/event-stream\r\n"), 9)...)
+	}
+	var sent atomic.Int64
+	intercept := func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Method != http.MethodPost || strings.HasSuffix(r.URL.Path, "/order") {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return true
+		}
+		_, _ = io.WriteString(conn, cuts[int(sent.Add(1)-1)%len(cuts)])
+		_ = conn.Close()
+		return true
+	}
+	env.intercept.Store(&intercept)
+	base := "http://" + env.daemons["genova-1"].callerAddress
+	for i := range cuts {
+		for kind, row := range map[string]struct{ target, key, body string }{
+			"plain":      {"/services/" + string(check.PlainService) + "/x", "", fmt.Sprint(i)},
+			"plain, key": {"/services/" + string(check.PlainService) + "/x", fmt.Sprint("key-", i), fmt.Sprint(i)},
+			"completion": {"/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":"%d","max_tokens":4,"stream":true}`, check.ModelService, i)},
+		} {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, base+row.target, strings.NewReader(row.body))
+			is.NoErr(err)
+			request.Header.Set(client.TimeoutHeader, "1000")
+			if row.key != "" {
+				request.Header.Set(client.IdempotencyKeyHeader, row.key)
+			}
+			response, err := env.httpClient.Do(request)
+			is.NoErr(err)
+			content, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK && err == nil && !strings.Contains(string(content), "event: error") {
+				t.Errorf("%s: status 200 with %q", kind, content)
+			}
+		}
+	}
+	is.True(sent.Load() > int64(len(cuts)))
+	t.Logf("%d cut heads were sent", sent.Load())
+}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -95,6 +95,10 @@
 			check(fault+"/"+kind, 10, &fake.RawServer{Response: fake.CompleteResponse(head+named+eventStream, part)})
 		}
 	}
+	for _, kind := range []string{"length", "chunks", "end of connection", "HTTP/1.0"} {
+		cuts := fake.EveryCut(fake.CutHeads(fake.SoundHeads[kind], named+eventStream), 17)
+		check("cut head/"+kind, 10, &fake.RawServer{Responses: cuts})
+	}
 	respond(&fake.RawServer{Response: fake.CompleteResponse("HTTP/1.1 200 OK\r\n"+named+eventStream, "id: 1\ndata: whole\n\n")})
 	for _, target := range targets {
 		status, body := send(target, 10)
