front: tests hold the ports at which nothing listens

Traced: when the other host died, the check of the direct path connected to an address at which nothing listens, so that the service counted as in reach, and the retry went there. The test had freed the port; the system gave it to a server of another test, or to the connection itself.

--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/buffer"
@@ -72,14 +73,22 @@
 	s.hosts.add(gypsum.Peer{Host: name, Address: strings.TrimPrefix(server.URL, "http://")})
 }
 
-// refusedAddress returns an address at which nothing listens.
+// refusedAddress returns an address at which nothing listens. A socket that does not listen holds the port until the end
+// of the test: the system would give a free one to a server of another test, or to the connection to it itself.
 func refusedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = listener.Close()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprint("127.0.0.1:", bound.(*unix.SockaddrInet4).Port)
 }
 
 // newCutOffServer starts a frontend that reaches its replicas only through another host.
