platform: connections of requests that run once end with a rejection

Cause: a response was taken for proof that a request has not run although it may have been sent before the request arrived: one without a name to an earlier request on the connection, one with the name to an earlier send of the same request on it.

Change: such requests have connections of their own, which carry no further request after a response with an error status. What came on them before were successes with names, of which a rejection can't be a copy. Requests through another daemon state it in a new field.

--- a/front/server.go
+++ b/front/server.go
@@ -183,6 +183,7 @@
 		LiveRequest: gypsum.LiveRequest{
 			ID: gypsum.RequestID(r.Header.Get(platform.HeaderRequestID)), Method: r.Method, Target: r.RequestURI,
 			HostName: r.Host, Header: header, Body: body, Account: grant.AccountName(), AccountsInForce: grant.AccountsInForce,
+			RunsOnce: !route.Retryable(),
 		},
 		Route: route, Service: route.PickService(), Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, route)),
 		Priority: grant.Priority(route), Recheck: func() *gypsum.Refusal { return s.Access.Recheck(grant) },
--- a/remote.go
+++ b/remote.go
@@ -17,6 +17,8 @@
 	Body        []byte      `cbor:"7,keyasint,omitempty"`
 	// ID is that of the client's request, which Header has as well. It is for logs.
 	ID RequestID `cbor:"8,keyasint"`
+	// RunsOnce is that of the LiveRequest.
+	RunsOnce bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ForwardedResponse is a replica's response as another daemon receives it. The receiver must
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -16,8 +17,15 @@
 // of its connection delimits must be followed by an orderly close.
 type ResponseTransport struct {
 	transport *http.Transport
+	// EndsAfterError means that a connection carries no further request after a response with an error
+	// status. It must be set before use.
+	EndsAfterError bool
 }
 
+// ErrConnEnded is returned for a request that was given a connection after its last response. No byte of the request was
+// sent, nor will be.
+var ErrConnEnded = errors.New("connection has carried its last response")
+
 // NewResponseTransport returns a transport that sends requests with another one, of which it takes ownership.
 // Its dialer is Dial if it has none.
 func NewResponseTransport(transport *http.Transport) *ResponseTransport {
@@ -26,14 +34,15 @@
 		dial = Dial
 	}
 	transport.MaxResponseHeaderBytes = MaxResponseHeaderBytes
+	responses := &ResponseTransport{transport: transport}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &responseConn{Conn: conn}, nil
+		return &responseConn{Conn: conn, endsAfterError: responses.EndsAfterError}, nil
 	}
-	return &ResponseTransport{transport: transport}
+	return responses
 }
 
 // Client returns an HTTP client that returns redirects instead of following them: another server, or another call, would
@@ -47,28 +56,54 @@
 
 // RoundTrip implements http.RoundTripper. The error of an invalid response is ErrInvalidResponse.
 func (t *ResponseTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*responseConn).expectHead() }}
+	hasEnded := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { hasEnded = !info.Conn.(*responseConn).expectHead() }}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil {
+	switch {
+	case err != nil && hasEnded:
+		return nil, fmt.Errorf("exchange request and response: %w: %w", ErrConnEnded, err)
+	case err != nil:
 		return nil, fmt.Errorf("exchange request and response: %w", err)
 	}
 	return response, nil
 }
 
+// minErrorStatus is the lowest status of an error (RFC 9110, 15.5).
+const minErrorStatus = "400"
+
 // responseConn is a connection on which responses are read.
 type responseConn struct {
 	net.Conn
+	endsAfterError bool
 
 	mu sync.Mutex
+	// hasEnded means that the last response on the connection has begun. Nothing more is written.
+	hasEnded bool
 	// head checks the head of the response that is expected, nil before the first request.
 	head *headScanner
 }
 
-// expectHead begins to check the head of the response to a request that is about to be written.
-func (c *responseConn) expectHead() {
+// expectHead begins to check the head of the response to a request that is about to be written. It returns false if
+// the connection has carried its last response.
+func (c *responseConn) expectHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hasEnded {
+		return false
+	}
 	c.head = &headScanner{}
+	return true
+}
+
+// Write implements net.Conn.
+func (c *responseConn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	hasEnded := c.hasEnded
+	c.mu.Unlock()
+	if hasEnded {
+		return 0, ErrConnEnded
+	}
+	return c.Conn.Write(data)
 }
 
 // scan checks bytes that were read.
@@ -78,7 +113,10 @@
 	if c.head == nil {
 		return nil
 	}
-	return c.head.scan(data)
+	err := c.head.scan(data)
+	// The transport sees the response, and may use the connection for another request, only after this.
+	c.hasEnded = c.hasEnded || (c.endsAfterError && c.head.status >= minErrorStatus)
+	return err
 }
 
 // Read implements net.Conn. It checks the heads of responses, and fails at the end of a connection that was reset. The
