batch: only an ended batch is removed

Cause: a batch counted as closed once it had a result for every item. By the platform's documentation only its client's call ends it, and results stay readable while it is open.

--- a/batch/clean.go
+++ b/batch/clean.go
@@ -32,16 +32,16 @@
 }
 
 // expiredBatches returns the batches that no client may read any more. A batch expires
-// when it has ended or has a result for every item, the retention since its submission
-// is over, and its items can no longer be attempted.
+// when it has ended, the retention since its submission is over, and its items can no
+// longer be attempted. One that has a result for every item may still be read until it
+// is ended.
 func (s *State) expiredBatches(retention time.Duration, now time.Time) []expiredBatch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var expired []expiredBatch
 	for id, entry := range s.batches {
 		header := &entry.header
-		closed := entry.ended || len(entry.hasResult) == header.ItemCount
-		if closed && now.After(header.SubmittedAt().Add(retention+maxClockSkew)) && now.After(header.ExpiresAt().Add(maxClockSkew)) {
+		if entry.ended && now.After(header.SubmittedAt().Add(retention+maxClockSkew)) && now.After(header.ExpiresAt().Add(maxClockSkew)) {
 			expired = append(expired, expiredBatch{id: id, bodies: header.Bodies, texts: entry.texts, keys: entry.keys})
 		}
 	}
@@ -76,7 +76,7 @@
 	return keys
 }
 
-// RemoveObsolete removes obsolete records from the store: closed batches submitted longer ago
+// RemoveObsolete removes obsolete records from the store: ended batches submitted longer ago
 // than the retention, superseded claims, and old crashes and rate limits. Values are removed before the
 // records that refer to them, so that an interrupted cleanup is repeated.
 func (m *Manager) RemoveObsolete(ctx context.Context, retention time.Duration) error {
