front: no route takes the calls about batches

Cause: routes were looked up first, and calls about batches recognized only without one. The longest prefix decides about requests; these calls are the daemons' own.

Change: a call about a batch goes before all routes if it has no request ID, or names a known batch.

Evidence: front.TestRouteHidesNoBatch failed with the prefixes /, /lots/ and /items/ before.

--- a/front/access_test.go
+++ b/front/access_test.go
@@ -277,6 +277,53 @@
 	s.checkNoKeyLeft()
 }
 
+// TestRouteHidesNoBatch guards against a route whose prefix takes the calls about batches, which then can't be read or
+// ended, and checks that it takes the requests under the same paths.
+func TestRouteHidesNoBatch(t *testing.T) {
+	for _, prefix := range []string{"/", "/lots/", "/items/"} {
+		t.Run(prefix, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, 1)
+			s.applyConfig()
+			status, _, _ := s.sendRequest("POST", "/t/b1", "b1", encodeTestBatch(t))
+			is.Equal(status, http.StatusAccepted)
+			config := newConfig(2)
+			added := config.Routes[0]
+			added.Name, added.PathPrefix = "added", prefix
+			config.Routes = append(config.Routes, added)
+			s.registry.ApplyConfig(config)
+			call := func(method, target, id string) (int, string) {
+				request, err := http.NewRequestWithContext(t.Context(), method, s.url+target, nil)
+				is.NoErr(err)
+				request.Host = "a.example"
+				if id != "" {
+					mimic.SetRequestHeaders(request.Header, id, time.Second, 0)
+				}
+				status, _, body := exchange(request)
+				return status, body
+			}
+			for _, id := range []string{"", "c1"} { // clients may name their calls
+				status, body := call("GET", mimic.ItemTarget("b1", "e1"), id)
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, "\xab\xcd\xef")
+				status, body = call("GET", mimic.ResultsTarget("b1", 0), id)
+				is.Equal(status, http.StatusOK)
+				is.True(strings.Contains(body, `"total":1`))
+				status, _ = call("DELETE", mimic.BatchTarget("b1"), id)
+				is.Equal(status, http.StatusOK)
+			}
+			status, _ = call("GET", mimic.ResultsTarget("b0", 0), "")
+			is.Equal(status, http.StatusNotFound)
+			is.Equal(len(s.callers("")), 0)
+			status, body := call("GET", prefix+"x", "q1")
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, mimic.PlainResponseBody("q1", prefix+"x", nil))
+			status, _ = call("POST", prefix+"x", "q2")
+			is.Equal(status, http.StatusOK)
+		})
+	}
+}
+
 // TestRequestWithoutValidKey checks that a request without a valid key gets status 401 and reaches
 // no replica, whether or not its route exists.
 func TestRequestWithoutValidKey(t *testing.T) {
--- a/front/explain.go
+++ b/front/explain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
 	"github.com/gypsumhook/gypsum/wire"
 )
@@ -41,6 +42,11 @@
 		r.Header = request.Header
 	}
 	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
+	batchRequest, batchErr := platform.DecodeBatchRequest(r)
+	if s.isBatchCall(r.Header, batchRequest, batchErr) {
+		explanation.Verdict = "a request about a batch, which no route takes"
+		return explanation, nil
+	}
 	switch {
 	case route == nil && s.ConfigAge() > maxConfigAge:
 		explanation.Verdict = "refused with status 503: no route is known, and the configuration may have changed"
--- a/front/server.go
+++ b/front/server.go
@@ -84,8 +84,9 @@
 		return
 	}
 	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
-	if route == nil {
-		s.serveUnrouted(w, r, view, credential)
+	batchRequest, err := platform.DecodeBatchRequest(r)
+	if route == nil || s.isBatchCall(r.Header, batchRequest, err) {
+		s.serveUnrouted(w, r, view, credential, batchRequest, err)
 		return
 	}
 	grant, refusal := s.Access.Admit(view, route.NoAuth, credential)
@@ -116,10 +117,22 @@
 	return view, credential
 }
 
-// serveUnrouted serves a request that matches no route. It may be a request about a
-// batch.
-func (s *Server) serveUnrouted(w http.ResponseWriter, r *http.Request, view *access.View, credential access.Credential) {
-	batchRequest, err := platform.DecodeBatchRequest(r)
+// isBatchCall reports whether a request with a header, which was decoded as one about a batch, or is an invalid one, goes
+// before any route: whatever prefixes routes have, batches can be read and ended. A request to a replica has an ID; one
+// with an ID is about a batch only if that is known.
+func (s *Server) isBatchCall(header http.Header, batchRequest *platform.BatchRequest, err error) bool {
+	switch {
+	case batchRequest == nil && err == nil:
+		return false
+	case header.Get(platform.HeaderRequestID) == "":
+		return true
+	}
+	return batchRequest != nil && s.Batches.State.HasBatch(batchRequest.ID)
+}
+
+// serveUnrouted serves a request that goes to no route. It may be a request about a
+// batch, as decoded or with the error of that.
+func (s *Server) serveUnrouted(w http.ResponseWriter, r *http.Request, view *access.View, credential access.Credential, batchRequest *platform.BatchRequest, err error) {
 	grant, refusal := s.Access.Admit(view, false, credential)
 	switch {
 	case refusal != nil && batchRequest != nil && isAnonymous(view.Config, credential):
