platform: a late copy of an error counts as no further failure

An item, or a reward call, whose replica sent its error a second time, late, lost an attempt: the copy names the request and was taken for the response to its next attempt on the connection. Failures are counted, and after the last one the item is listed as errored.

Change: the connection of an item ends after an error, and reward calls use the connections that do.

--- a/live.go
+++ b/live.go
@@ -19,8 +19,8 @@
 	// AccountsInForce means that the deployment has accounts. What a client states about its key
 	// and its account in Header is then not passed on.
 	AccountsInForce bool
-	// RunsOnce means that the request must not run more than once. A response that it has not run is then
-	// accepted only where it cannot be the copy of an earlier response.
+	// RunsOnce means that the request must not run more than once, or that its failures are counted. An error, or a
+	// response that it has not run, is then accepted only where it cannot be the copy of an earlier response.
 	RunsOnce bool
 }
 
--- a/runner/scoring.go
+++ b/runner/scoring.go
@@ -228,6 +228,7 @@
 		LiveRequest: gypsum.LiveRequest{
 			ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, HostName: scorer.HostName, Header: make(http.Header), Body: scorer.Body,
 			Account: a.batch.header.Account, AccountsInForce: s.runner.accountsInForce(),
+			RunsOnce: true, // its failures are counted
 		},
 		Route: route, Service: service, Priority: route.Priority, Arrived: a.scoring.completedAt, Deadline: deadline,
 	}
