batch: readers of bodies share reads, which count

Cause: until the first read of a batch's items had ended, each request made one of its own, and nothing counted what they hold.

Change: concurrent reads of a batch are one, which goes on if its first caller leaves. A read counts three times the bodies in an eighth of the memory; one that does not fit is refused at once (503 with Retry-After), unless it is alone. Bodies in the cache are bounded too.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -11,7 +11,10 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/store"
 )
 
@@ -28,6 +31,8 @@
 	ErrNoBatch = errors.New("no such batch")
 	// ErrNoItem means that the batch has no item with the id.
 	ErrNoItem = errors.New("no such item")
+	// ErrReadsFull means that there is no memory for the read of a batch until others have ended.
+	ErrReadsFull = errors.New("too many bytes of batches are being read")
 	// ErrBatchTaken means that a batch of another account has the id.
 	ErrBatchTaken = errors.New("another batch has the id")
 )
@@ -58,6 +63,8 @@
 	WriterFor   func(gypsum.Topic, gypsum.Partition) *store.Writer
 	// Memory bounds the estimated memory of the known batches, 0 for no bound.
 	Memory gypsum.Bytes
+	// ReadMemory bounds what reads of items hold at one time, nil for no bound.
+	ReadMemory *buffer.Pool
 	// Clock dates the daemon's own heartbeats. It may be nil if nothing asks for them.
 	Clock  gypsum.SteadyClock
 	Logger *slog.Logger
@@ -66,6 +73,7 @@
 	lastHeartbeat atomic.Pointer[OwnHeartbeat]
 	texts         textCache
 	items         *lru.Cache[gypsum.BatchID, cachedItems]
+	itemReads     singleflight.Group
 	pending       pendingBatches
 }
 
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -16,7 +16,8 @@
 	// finishedItemBytes that of one with a result.
 	openItemBytes     = 1280
 	finishedItemBytes = 640
-	// cacheDivisor limits the items in the cache to 1/cacheDivisor of the memory for batches.
+	// cacheDivisor limits the items in the cache, without their bodies, to 1/cacheDivisor of the memory for batches. The
+	// bodies may take as much as that memory.
 	cacheDivisor = 2
 	// pendingTime is how long a batch that may be stored counts before it is known.
 	pendingTime = 10 * time.Second
@@ -110,11 +111,12 @@
 func (m *Manager) cacheItems(id gypsum.BatchID, items cachedItems) {
 	m.items.Add(id, items)
 	for m.Memory > 0 && m.items.Len() > 1 {
-		held := gypsum.Bytes(0)
+		held, bodies := gypsum.Bytes(0), gypsum.Bytes(0)
 		for _, cached := range m.items.Values() {
 			held += batchMemory(len(cached.items), 0, 0)
+			bodies += cached.size()
 		}
-		if held <= m.Memory/cacheDivisor {
+		if held <= m.Memory/cacheDivisor && bodies <= m.Memory {
 			return
 		}
 		m.items.RemoveOldest()
--- a/batch/values.go
+++ b/batch/values.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -109,11 +110,51 @@
 	items  []gypsum.BatchItem
 }
 
-// Items returns the items of an accepted batch.
+// size returns the size of the bodies.
+func (c *cachedItems) size() (size gypsum.Bytes) {
+	for i := range c.items {
+		size += gypsum.Bytes(len(c.items[i].Body))
+	}
+	return size
+}
+
+const (
+	// itemCopies is how many times a read of items holds them: as read, joined, and decoded.
+	itemCopies = 3
+	// itemsTimeout bounds a read of items, which continues after its callers have left, so that the next one finds
+	// them in the cache.
+	itemsTimeout = 4 * time.Second
+)
+
+// Items returns the items of an accepted batch. Concurrent calls for one batch share a read. The error is
+// ErrReadsFull if others have to end before.
 func (m *Manager) Items(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
 	if cached, ok := m.items.Get(header.ID); ok && cached.bodies == header.Bodies.Key {
 		return cached.items, nil
 	}
+	read := m.itemReads.DoChan(header.Bodies.Key, func() (any, error) {
+		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), itemsTimeout)
+		defer cancel()
+		return m.readItems(readCtx, header)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("read items of batch %s: %w", header.ID, ctx.Err())
+	case result := <-read:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.([]gypsum.BatchItem), nil
+	}
+}
+
+// readItems reads the items of a batch from the store and caches them.
+func (m *Manager) readItems(ctx context.Context, header *Header) ([]gypsum.BatchItem, error) {
+	release, err := m.reserveRead(gypsum.Bytes(itemCopies * header.Bodies.Size))
+	if err != nil {
+		return nil, fmt.Errorf("read items of batch %s: %w", header.ID, err)
+	}
+	defer release()
 	values, err := m.fetchValues(ctx, m.Topics.Bodies, header.ID, header.Bodies)
 	if err != nil {
 		return nil, err
@@ -126,6 +167,21 @@
 	return items, nil
 }
 
+// reserveRead counts the bytes that a read holds until release is called. A read that alone is larger than all of the
+// memory takes all of it.
+func (m *Manager) reserveRead(size gypsum.Bytes) (release func(), err error) {
+	if m.ReadMemory == nil {
+		return func() {}, nil
+	}
+	size = min(size, m.ReadMemory.Usage().Limit)
+	holder := m.ReadMemory.Open("", size, nil, time.Now())
+	if err := holder.Add(size); err != nil {
+		holder.Close()
+		return nil, fmt.Errorf("%w: %w", ErrReadsFull, err)
+	}
+	return holder.Close, nil
+}
+
 // EvictItems removes the items of a batch from the cache.
 func (m *Manager) EvictItems(id gypsum.BatchID) { m.items.Remove(id) }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -85,6 +85,8 @@
 	// batchMemoryDivisor limits the memory for the known batches to 1/batchMemoryDivisor of the memory
 	// limit.
 	batchMemoryDivisor = 8
+	// readMemoryDivisor limits the memory for reads of items to 1/readMemoryDivisor of the memory limit.
+	readMemoryDivisor = 8
 	// messageMemoryDivisor limits the memory for messages of other daemons to 1/messageMemoryDivisor
 	// of the memory limit.
 	messageMemoryDivisor = 8
@@ -262,7 +264,7 @@
 	d.newFollower(platform.TopicReplicas, replicaReadInterval, d.applyReplicas)
 	d.batches = &batch.Manager{
 		Host: d.Settings.Host, Incarnation: d.incarnation, State: d.batchState, Follower: follower, Store: d.store, Topics: topics,
-		Memory: memory / batchMemoryDivisor, Partitions: d.Settings.Partitions, RecordSize: d.Settings.MaxRecordSize, StateWriter: d.writers[writerKey{topic: topics.State}],
+		Memory: memory / batchMemoryDivisor, ReadMemory: d.payload.NewPool(memory/readMemoryDivisor, 0), Partitions: d.Settings.Partitions, RecordSize: d.Settings.MaxRecordSize, StateWriter: d.writers[writerKey{topic: topics.State}],
 		WriterFor: func(topic gypsum.Topic, partition gypsum.Partition) *store.Writer {
 			return d.writers[writerKey{topic, partition}]
 		}, Logger: d.Logger,
--- a/front/batch.go
+++ b/front/batch.go
@@ -26,6 +26,9 @@
 	storeReadTimeout = 1200 * time.Millisecond
 	// itemsRetryAfter is the retry delay of a batch that there is no memory for.
 	itemsRetryAfter = time.Second
+	// readsRetryAfter is the retry delay of a read that there is no memory for. Others end within fractions of a
+	// second.
+	readsRetryAfter = 500 * time.Millisecond
 	// uncertainRetryAfter is the retry delay of requests that are refused because the
 	// daemon cannot be sure whether a batch or a route exists.
 	uncertainRetryAfter = 250 * time.Millisecond
@@ -141,6 +144,10 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
+	if errors.Is(err, batch.ErrReadsFull) {
+		writeRefusal(w, gypsum.NotRunRefusal(gypsum.ReasonOverloaded, http.StatusServiceUnavailable, readsRetryAfter, "too much of batches is being read"))
+		return
+	}
 	if batchRequest.Kind == platform.BatchRequestEndBatch && !errors.Is(err, gypsum.ErrStoreRefused) {
 		writeRefusal(w, gypsum.UnknownRefusal(gypsum.ReasonLogUnavailable, http.StatusGatewayTimeout, 0, "it is not known whether the end was stored"))
 		return
