batch: what readers of results make a daemon hold counts

Change: what a response of results holds, three times its texts, counts in the memory for responses before the texts are read, until the client has taken it. What does not fit is refused at once (503 with Retry-After).

--- a/batch/texts.go
+++ b/batch/texts.go
@@ -8,6 +8,8 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
+	"github.com/gypsumhook/gypsum/intake"
 )
 
 // Sizes and timeouts of reads, and sizes of the cache.
@@ -84,7 +86,14 @@
 // read within maxTextWait, but at least the first. Without the limit, a daemon far from the
 // store that is asked for the long texts of a batch would need longer than its reader
 // waits, on every retry.
+//
+// The texts count toward the share of the request of ctx. The error is ErrReadsFull if there is no memory
+// for them.
 func (m *Manager) readTexts(ctx context.Context, id gypsum.BatchID, results []Result) ([]gypsum.BatchResult, error) {
+	results = fittingResults(results)
+	if err := buffer.Reserve(ctx, resultsMemory(results), intake.StallGrace); err != nil {
+		return nil, fmt.Errorf("read texts of batch %s: %w: %w", id, ErrReadsFull, err)
+	}
 	chunks := m.splitChunks(results)
 	m.readChunks(ctx, id, chunks)
 	timer := time.NewTimer(maxTextWait)
@@ -126,16 +135,39 @@
 	return read, nil
 }
 
-// splitChunks divides the results that fit into one response by the texts that must be
-// read for them.
+// fittingResults returns the first results, as many as fit into one response, but at least one.
+func fittingResults(results []Result) []Result {
+	total := 0
+	for i := range results {
+		if total += results[i].Text.Size; i > 0 && total > maxResponseTextBytes {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+const (
+	// textCopies is how many times the texts of a response are held: as read, as text, and encoded.
+	textCopies = 3
+	// resultBytes is the memory of a result without its text.
+	resultBytes = 512
+)
+
+// resultsMemory returns an estimate of the memory of a response with results, from the read of their texts on.
+func resultsMemory(results []Result) gypsum.Bytes {
+	size := len(results) * resultBytes
+	for i := range results {
+		size += textCopies * results[i].Text.Size
+	}
+	return gypsum.Bytes(size)
+}
+
+// splitChunks divides results by the texts that must be read for them.
 func (m *Manager) splitChunks(results []Result) []*textChunk {
 	var chunks []*textChunk
-	current, size, total := (*textChunk)(nil), 0, 0
+	current, size := (*textChunk)(nil), 0
 	for i := range results {
 		ref := results[i].Text
-		if total += ref.Size; i > 0 && total > maxResponseTextBytes {
-			break
-		}
 		text, cached := m.texts.get(ref.Key)
 		missing := ref.Count > 0 && !cached
 		if current == nil || (missing && size > 0 && size+ref.Size > textChunkBytes) {
--- a/front/batch.go
+++ b/front/batch.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumhook/gypsum"
 	"github.com/gypsumhook/gypsum/access"
 	"github.com/gypsumhook/gypsum/batch"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/platform"
 	"github.com/gypsumhook/gypsum/relay"
 )
@@ -177,6 +178,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait+storeReadTimeout)
 	defer cancel()
+	// What is read for the response counts until the client has taken it.
+	holder := s.Buffers.Open(account, s.Buffers.Usage().Limit, nil, time.Now())
+	defer holder.Close()
+	ctx = buffer.NewContext(ctx, holder)
 	total, results, err := s.Batches.ReadResults(ctx, batchRequest.ID, batchRequest.After, wait)
 	if err != nil {
 		return err
@@ -186,7 +191,7 @@
 		return err
 	}
 	w.Header().Set("Content-Type", "application/json")
-	s.writeBody(w, http.StatusOK, content, gypsum.RequestID(batchRequest.ID), account)
+	s.writeCounted(w, http.StatusOK, content, gypsum.RequestID(batchRequest.ID), account, holder, stallTimeout)
 	if len(results) > 0 {
 		s.Logger.Info("batch results read", "batch", batchRequest.ID, "after", batchRequest.After, "results", len(results), "total", total)
 	}
--- a/front/write.go
+++ b/front/write.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumhook/gypsum"
+	"github.com/gypsumhook/gypsum/buffer"
 	"github.com/gypsumhook/gypsum/relay"
 )
 
@@ -72,12 +73,8 @@
 // for responses until the client has read it. A client that reads nothing for long loses the response,
 // and loses it sooner if others need the memory.
 func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte, request gypsum.RequestID, account gypsum.AccountName) {
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	deadline, now := newWriteDeadline(w), time.Now()
-	defer deadline.clear()
-	size := gypsum.Bytes(len(body))
-	holder := s.Buffers.Open(account, size, deadline.abort, now)
+	now, size := time.Now(), gypsum.Bytes(len(body))
+	holder := s.Buffers.Open(account, size, nil, now)
 	defer holder.Close()
 	timeout := stallTimeout
 	if err := holder.AddEvicting(size, shortStallTimeout, now); err != nil {
@@ -86,13 +83,27 @@
 		timeout = shortStallTimeout
 		s.Logger.Info("memory for responses is used up", "request", request, "account", account, "bytes", size, "error", err)
 	}
+	s.writeCounted(w, status, body, request, account, holder, timeout)
+}
+
+// writeCounted writes a response with a body that counts in holder, to a client that may take nothing for up to a timeout.
+func (s *Server) writeCounted(w http.ResponseWriter, status int, body []byte, request gypsum.RequestID, account gypsum.AccountName, holder *buffer.Holder, timeout time.Duration) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	deadline, now := newWriteDeadline(w), time.Now()
+	holder.Abortable(deadline.abort, now)
+	defer func() {
+		// Nobody may abort the connection once it can be used for another request.
+		holder.Keep()
+		deadline.clear()
+	}()
 	for rest := body; len(rest) > 0; {
 		deadline.extend(timeout)
 		written, err := w.Write(rest[:min(len(rest), writeChunkBytes)])
 		if err != nil {
 			// The client has disconnected or reads too slowly, which is no failure of this daemon.
 			s.Stats.WritesFailed.Add(1)
-			s.Logger.Info("response not read by client", "request", request, "account", account, "bytes", size,
+			s.Logger.Info("response not read by client", "request", request, "account", account, "bytes", len(body),
 				"unread", len(rest), "took_ms", time.Since(now).Milliseconds(), "error", err)
 			return
 		}
