relay: a request that was served is not blamed for a crash

Cause: each crash counted against whatever the replica ran. Only a later success cleared the count, and none was sent any more.

What crashes the replicas that run it is never served by them.

--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -105,3 +105,63 @@
 	status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "last", "")
 	is.Equal(status, http.StatusServiceUnavailable)
 }
+
+// TestThreeCrashesAtOnce guards against a page that many ask for and that is refused at all hosts, since all replicas of
+// its service fell together while they ran it: it was served until then, and crashes nothing.
+func TestThreeCrashesAtOnce(t *testing.T) {
+	const replicas = 3
+	for _, wasServed := range []bool{true, false} {
+		t.Run(fmt.Sprint("served before ", wasServed), func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, 0)
+			s.applyConfig()
+			other := httptest.NewServer(http.NotFoundHandler()) // shows that the host is not cut off
+			t.Cleanup(other.Close)
+			s.registry.ApplyReplica(&gypsum.Replica{ID: "other", Service: "other", Address: strings.TrimPrefix(other.URL, "http://"), State: gypsum.ReplicaReady, Slots: 1})
+			var isFalling atomic.Bool
+			var running sync.WaitGroup
+			running.Add(replicas)
+			for i := range replicas {
+				replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("old-", i)), Software: "v1"}
+				var once sync.Once
+				var server *httptest.Server
+				server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if !isFalling.Load() {
+						replica.Handler().ServeHTTP(w, r)
+						return
+					}
+					once.Do(running.Done)
+					running.Wait()
+					_ = server.Listener.Close()
+					panic(http.ErrAbortHandler)
+				}))
+				t.Cleanup(server.Close)
+				s.registry.ApplyReplica(&gypsum.Replica{ID: replica.ID, Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), State: gypsum.ReplicaReady, Slots: 8, Software: "v1", Incarnation: 1})
+			}
+			if wasServed {
+				for i := range 5 {
+					status, _, _ := s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("before", i), "")
+					is.Equal(status, http.StatusOK)
+				}
+			}
+			isFalling.Store(true)
+			var requests sync.WaitGroup
+			for i := range 4 * replicas {
+				requests.Go(func() { s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("falling", i), "") })
+			}
+			requests.Wait()
+			time.Sleep(300 * time.Millisecond) // until the replicas have been probed
+			for i := range replicas {
+				replica := &mimic.Replica{ID: gypsum.BackendID(fmt.Sprint("new-", i)), Software: "v1"}
+				server := httptest.NewServer(replica.Handler())
+				t.Cleanup(server.Close)
+				s.registry.RemoveReplica(gypsum.BackendID(fmt.Sprint("old-", i)))
+				s.registry.ApplyReplica(&gypsum.Replica{ID: replica.ID, Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), State: gypsum.ReplicaReady, Slots: 8, Software: "v1", Incarnation: 2})
+			}
+			status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "after", "")
+			is.Equal(status == http.StatusOK, wasServed) // a request that was never served may have crashed them
+			status, _, _ = s.sendRequest(http.MethodGet, "/i/other", "other", "")
+			is.Equal(status, http.StatusOK)
+		})
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,6 +58,7 @@
 	probes        chan crashProbe
 	// served are requests with counted crashes that a replica has served.
 	served   chan servedRequest
+	serving  servedRequests
 	transits TransitEstimator
 }
 
@@ -87,6 +88,7 @@
 		HostCount: func() int { return 1 },
 		Policy:    shed.NewCostPolicy(), Buffers: buffer.NewPool(defaultBufferMemory), replicaStates: make(map[gypsum.BackendID]*replicaState), queues: make(map[gypsum.ServiceName]*waitQueue),
 		probes: make(chan crashProbe, maxQueuedProbes), served: make(chan servedRequest, maxQueuedProbes),
+		serving: newServedRequests(),
 	}
 }
 
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -242,11 +242,15 @@
 	software    gypsum.SoftwareVersion
 }
 
-// recordServed forgets the crashes counted for a request that a replica has served: what crashes the
-// replicas of a version gets no response from them. It may crash those of another version, whose
-// crashes stay. Reward calls are not counted.
+// recordServed takes note that a replica has served a request, and forgets the crashes counted for it:
+// what crashes the replicas of a version gets no response from them. It may crash those of another
+// version, whose crashes stay. Reward calls are not counted.
 func (r *Relay) recordServed(request *Request, replica *gypsum.Replica) {
-	if request.isReward || r.Crashes.CrashCount(request.fingerprint) == 0 {
+	if request.isReward {
+		return
+	}
+	r.serving.record(servedRequest{request.fingerprint, replica.Software}, time.Now())
+	if r.Crashes.CrashCount(request.fingerprint) == 0 {
 		return
 	}
 	select {
@@ -274,6 +278,12 @@
 	if (!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
 		return
 	}
+	evidence := r.serving.evidence(probe.fingerprint, probe.replica, time.Now())
+	if !evidence.BlamesRequest() {
+		r.Logger.Warn("replica crashed while running a request that others have served", "request", probe.request, "fingerprint", probe.fingerprint,
+			"replica", probe.replica.ID, "served_ago_ms", evidence.ServedAgo.Milliseconds())
+		return
+	}
 	err := r.Crashes.RecordCrash(ctx, probe.fingerprint, probe.replica)
 	r.Logger.Warn("replica crashed while running a request", "request", probe.request, "fingerprint", probe.fingerprint,
 		"replica", probe.replica.ID, "error", err)
