relay: silent replicas are probed for a crash

Cause: a replica was probed only if the connection of an attempt broke. The time-out of an attempt showed nothing, and the crash was never recorded.

Change: a replica that sent nothing to a request in time, nor to any other in the second half of that time, is probed. It has crashed if no host can connect, or if it has started again since the send.

--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -165,3 +165,46 @@
 		})
 	}
 }
+
+// TestSilentCrash guards against a request that takes its replicas down silently, without an end of their connections, and
+// that is passed on without end, as its crashes are not counted. A replica that is only slow has not crashed.
+func TestSilentCrash(t *testing.T) {
+	for name, row := range map[string]struct {
+		end     func(server *httptest.Server, s *testServer, registration *gypsum.Replica)
+		crashes int
+	}{
+		"takes no connections": {func(server *httptest.Server, _ *testServer, _ *gypsum.Replica) { _ = server.Listener.Close() }, 1},
+		"has started again": {func(_ *httptest.Server, s *testServer, registration *gypsum.Replica) {
+			restarted := *registration
+			restarted.Incarnation++
+			s.registry.ApplyReplica(&restarted)
+		}, 1},
+		"is slow": {func(*httptest.Server, *testServer, *gypsum.Replica) {}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, 1)
+			s.applyConfig()
+			ended := make(chan struct{})
+			var server *httptest.Server
+			registration := &gypsum.Replica{ID: "r-silent", Service: "desk", State: gypsum.ReplicaReady, Slots: 4, Incarnation: 5, Software: "v2"}
+			server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				row.end(server, s, registration)
+				<-ended
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(server.Close)
+			t.Cleanup(func() { close(ended) })
+			registration.Address = strings.TrimPrefix(server.URL, "http://")
+			s.registry.ApplyReplica(registration)
+			s.moveFar(func(id gypsum.BackendID) bool { return id != "r-silent" })
+			status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "q1", "")
+			is.Equal(status, http.StatusOK) // by the other replica
+			fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+			for began := time.Now(); time.Since(began) < 2*time.Second && s.frontend.Batches.CrashCount(fingerprint) == 0; {
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(s.frontend.Batches.CrashCount(fingerprint), row.crashes)
+		})
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -493,7 +493,7 @@
 		"open", candidate.InFlight, "latency_ms", candidate.Latency.Milliseconds(), "failing", candidate.FailureRate, "patience_ms", timeout.Milliseconds(),
 		"took_ms", elapsed.Milliseconds(), "status", status, "error", err)
 	r.recordReach(ctx, request, candidate, startedAt, response, err)
-	r.recordAttempt(request, replica, err)
+	r.recordAttempt(request, replica, startedAt, err)
 	return response, err
 }
 
@@ -514,9 +514,9 @@
 	}
 }
 
-// recordAttempt updates the state of the request after an attempt. If the connection
-// broke, it queues a probe of the replica.
-func (r *Relay) recordAttempt(request *Request, replica *gypsum.Replica, err error) {
+// recordAttempt updates the state of the request after an attempt that began at startedAt. If the
+// connection broke, or the replica was silent, it queues a probe of the replica.
+func (r *Relay) recordAttempt(request *Request, replica *gypsum.Replica, startedAt time.Time, err error) {
 	request.lastUnconnected = errors.Is(err, gypsum.ErrNotSent)
 	request.lastUnanswered = errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gypsum.ErrPeerFailed)
 	if !request.lastUnconnected {
@@ -539,8 +539,12 @@
 		request.lastReason = gypsum.ReasonBackendFailed
 		connectionBroke := err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) &&
 			!errors.Is(err, errClientDisconnected) && !errors.Is(err, gypsum.ErrResponseMismatch) && !errors.Is(err, gypsum.ErrIncompleteResponse) && !errors.Is(err, gypsum.ErrPeerFailed)
-		if connectionBroke && !request.isReward {
-			r.queueProbe(request, replica)
+		switch {
+		case request.isReward:
+		case connectionBroke:
+			r.queueProbe(request, replica, false)
+		case errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, gypsum.ErrPeerFailed):
+			r.probeSilent(request, replica, startedAt)
 		}
 	}
 }
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -24,7 +24,9 @@
 	refusals int
 	// bodyBytes is the size of the request bodies in flight and of those with a reserved slot.
 	bodyBytes int
-	estimator ReplicaEstimator
+	// answeredAt is when the replica last responded to a request, whatever it was.
+	answeredAt time.Time
+	estimator  ReplicaEstimator
 }
 
 // crashLimit is the number of replicas that a request may crash before it is refused, by
@@ -116,6 +118,9 @@
 	defer r.mu.Unlock()
 	tracked.inFlight--
 	tracked.bodyBytes -= len(request.Body)
+	if result == resultSucceeded || result == resultFull {
+		tracked.answeredAt = now
+	}
 	if result != resultFull {
 		// The request leaves a free slot.
 		tracked.nextProbe, tracked.refusals = now, 0
@@ -206,13 +211,15 @@
 	request     gypsum.RequestID
 	fingerprint gypsum.Fingerprint
 	replica     *gypsum.Replica
+	// wasSilent means that the connection did not break, but the replica sent nothing in time.
+	wasSilent bool
 }
 
-// queueProbe queues a probe that finds out whether a replica whose connection broke has
-// crashed.
-func (r *Relay) queueProbe(request *Request, replica *gypsum.Replica) {
+// queueProbe queues a probe that finds out whether a replica whose connection broke, or that was
+// silent, has crashed.
+func (r *Relay) queueProbe(request *Request, replica *gypsum.Replica, wasSilent bool) {
 	select {
-	case r.probes <- crashProbe{request: request.ID, fingerprint: request.fingerprint, replica: replica}:
+	case r.probes <- crashProbe{request: request.ID, fingerprint: request.fingerprint, replica: replica, wasSilent: wasSilent}:
 	default:
 		r.Logger.Warn("replica not probed: probe queue is full", "request", request.ID, "replica", replica.ID)
 	}
@@ -270,12 +277,35 @@
 	}
 }
 
-// checkCrash records a crash if the replica no longer accepts connections.
+// IsSilent reports whether a replica that sent no response to a request from its send until now sent none to any other in
+// the second half of that time. One that did is slow, or overloaded.
+func IsSilent(sentAt, answeredAt, now time.Time) bool {
+	return answeredAt.Before(sentAt.Add(now.Sub(sentAt) / 2))
+}
+
+// probeSilent queues a probe of a replica that sent nothing to a request in time, if it may have crashed without an end
+// of its connections.
+func (r *Relay) probeSilent(request *Request, replica *gypsum.Replica, sentAt time.Time) {
+	r.mu.Lock()
+	tracked := r.replicaStates[replica.ID]
+	answeredAt := time.Time{}
+	if tracked != nil && tracked.incarnation == replica.Incarnation {
+		answeredAt = tracked.answeredAt
+	}
+	r.mu.Unlock()
+	if IsSilent(sentAt, answeredAt, time.Now()) {
+		r.queueProbe(request, replica, true)
+	}
+}
+
+// checkCrash records a crash if the replica no longer accepts connections, or was silent and has started again.
 func (r *Relay) checkCrash(ctx context.Context, probe crashProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	current := r.Registry.Current().Replicas[probe.replica.ID]
+	hasRestarted := probe.wasSilent && current != nil && current.Incarnation > probe.replica.Incarnation
 	outOfReach := r.Reach.Detour(probe.replica.Service) != nil
-	if (!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica) {
+	if !hasRestarted && ((!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica)) {
 		return
 	}
 	evidence := r.serving.evidence(probe.fingerprint, probe.replica, time.Now())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -170,7 +170,7 @@
 	}
 	r.endAttempt(tracked, request, firstEvent, attemptResultOf(ctx, candidate, response, err))
 	r.recordReach(ctx, request, candidate, startedAt, response, err)
-	r.recordAttempt(request, replica, err)
+	r.recordAttempt(request, replica, startedAt, err)
 	if err == nil && response.Status/100 == 2 {
 		r.recordServed(request, replica)
 	}
