relay: crashes count wherever the route of a request moves

Cause: the fingerprint by which crashes are counted contained the service.

Change: it contains the host name that the client names instead. A success excuses a request only at the service and version that served it.

Evidence: front.TestCrashesAfterMove ran the request at the new service before, also with only this line changed back. Other tests name the host in place of the service for the fingerprints that they record.

--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -45,7 +45,7 @@
 	}
 	requests.Wait()
 	is.Equal(waiting.Load(), int64(inFlight))
-	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	fingerprint := gypsum.FingerprintOf("a.example", "/i/page", nil)
 	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(5 * time.Millisecond) {
 		is.True(s.frontend.Batches.CrashCount(fingerprint) <= 1)
 	}
@@ -63,7 +63,7 @@
 	s := newTestServer(t, 2)
 	s.applyConfig()
 	other := s.startPeer("host-2")
-	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	fingerprint := gypsum.FingerprintOf("a.example", "/i/page", nil)
 	for i := range 5 {
 		crashed := &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("gone-", i)), Incarnation: 1}
 		is.NoErr(s.frontend.Batches.RecordCrash(t.Context(), fingerprint, crashed))
@@ -94,7 +94,7 @@
 func TestRequestCrashesOneSoftwareVersion(t *testing.T) {
 	is := is.New(t)
 	s := newMixedServer(t, "v1")
-	fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+	fingerprint := gypsum.FingerprintOf("a.example", "/i/page", nil)
 	for i := range 3 {
 		crashed := &gypsum.Replica{ID: gypsum.BackendID(fmt.Sprint("gone-", i)), Incarnation: 1, Software: "v2"}
 		status, _, _ := s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("p", i), "")
@@ -200,7 +200,7 @@
 			s.moveFar(func(id gypsum.BackendID) bool { return id != "r-silent" })
 			status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "q1", "")
 			is.Equal(status, http.StatusOK) // by the other replica
-			fingerprint := gypsum.FingerprintOf("desk", "/i/page", nil)
+			fingerprint := gypsum.FingerprintOf("a.example", "/i/page", nil)
 			for began := time.Now(); time.Since(began) < 2*time.Second && s.frontend.Batches.CrashCount(fingerprint) == 0; {
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -208,3 +208,43 @@
 		})
 	}
 }
+
+// TestCrashesAfterMove guards against a request that crashes replicas, is refused, and crashes those of each service to
+// which its route moves.
+func TestCrashesAfterMove(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 2)
+	s.applyConfig()
+	for _, replica := range s.registry.Current().Services["desk"] {
+		moved := *replica
+		moved.Service = "moved"
+		s.registry.ApplyReplica(&moved)
+	}
+	crashes := 0
+	for i := range 3 {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			crashes++
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(server.Close)
+		id := gypsum.BackendID(fmt.Sprint("crashing-", i))
+		s.registry.ApplyReplica(&gypsum.Replica{ID: id, Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), State: gypsum.ReplicaReady, Slots: 4, Software: "v1", Incarnation: 1})
+		s.sendRequest(http.MethodGet, "/i/page", fmt.Sprint("crash", i), "")
+		time.Sleep(300 * time.Millisecond) // until the replica has been probed
+		s.registry.RemoveReplica(id)
+	}
+	is.Equal(crashes, 3)
+	config := newConfig(2)
+	for i := range config.Routes {
+		config.Routes[i].Services = []gypsum.WeightedService{{Service: "moved", Weight: 1}}
+	}
+	config.Services["moved"] = gypsum.ServiceConfig{Name: "moved"}
+	s.registry.ApplyConfig(config)
+	status, _, _ := s.sendRequest(http.MethodGet, "/i/page", "after", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(s.executionCount("after"), 0)
+	status, _, _ = s.sendRequest(http.MethodGet, "/i/other", "other", "")
+	is.Equal(status, http.StatusOK)
+}
--- a/gypsum.go
+++ b/gypsum.go
@@ -91,10 +91,11 @@
 	return digest.Sum64()
 }
 
-// FingerprintOf returns the fingerprint of a request to a service. The target is what the
-// request addresses within the service, such as its method and path.
-func FingerprintOf(service ServiceName, target string, body []byte) Fingerprint {
-	return Fingerprint(Hash64(string(service), target, string(body)))
+// FingerprintOf returns the fingerprint of a request. The scope is what its caller addresses: a
+// service, or a host name if routes decide which service runs the request. The target is what the
+// request addresses within it, such as its method and path.
+func FingerprintOf[Scope ~string](scope Scope, target string, body []byte) Fingerprint {
+	return Fingerprint(Hash64(string(scope), target, string(body)))
 }
 
 // RendezvousScore returns the score of a candidate for an item in rendezvous hashing.
--- a/relay/blame.go
+++ b/relay/blame.go
@@ -46,6 +46,6 @@
 
 // evidence returns what is known of a request that a replica ran when it crashed.
 func (s servedRequests) evidence(fingerprint gypsum.Fingerprint, replica *gypsum.Replica, now time.Time) CrashEvidence {
-	at, ok := s.times.Get(servedRequest{fingerprint, replica.Software})
+	at, ok := s.times.Get(servedRequest{fingerprint, replica.Service, replica.Software})
 	return CrashEvidence{WasServed: ok, ServedAgo: now.Sub(at)}
 }
--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -243,9 +243,10 @@
 // forgetTimeout bounds the removal of the crashes of a request.
 const forgetTimeout = 1500 * time.Millisecond
 
-// servedRequest is a request that a replica of a software version has served.
+// servedRequest is a request that a replica of a service and software version has served.
 type servedRequest struct {
 	fingerprint gypsum.Fingerprint
+	service     gypsum.ServiceName
 	software    gypsum.SoftwareVersion
 }
 
@@ -256,12 +257,12 @@
 	if request.isReward {
 		return
 	}
-	r.serving.record(servedRequest{request.fingerprint, replica.Software}, time.Now())
+	r.serving.record(servedRequest{request.fingerprint, replica.Service, replica.Software}, time.Now())
 	if r.Crashes.CrashCount(request.fingerprint) == 0 {
 		return
 	}
 	select {
-	case r.served <- servedRequest{request.fingerprint, replica.Software}:
+	case r.served <- servedRequest{request.fingerprint, replica.Service, replica.Software}:
 	default: // a later response of the request does the same
 	}
 }
--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -56,7 +56,7 @@
 		// A live request with the same target and body may have crashed replicas before.
 		scorer := submitted.Items[1].Scorer
 		for _, replica := range d.rewards.Replicas() {
-			is.NoErr(d.daemons[0].batches.RecordCrash(t.Context(), gypsum.FingerprintOf(rewardService, scorer.Path, scorer.Body), replica))
+			is.NoErr(d.daemons[0].batches.RecordCrash(t.Context(), gypsum.FingerprintOf(scorer.HostName, scorer.Path, scorer.Body), replica))
 		}
 		d.submitBatch(0, submitted)
 		results, took := d.awaitResults(1, submitted, 30*time.Second)
