relay: an unproven status that promises is not passed on

Cause: the response of a request that may not be repeated was passed on whatever its status.

Change: 408, 421, 429 and 503 of a replica that do not confirm it become 502 without the replica's headers, for requests that must not run more than once.

--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -98,6 +98,31 @@
 	}
 }
 
+// TestStatusThatPromises guards against a replica's own status that clients read as the promise that a request has not run,
+// although it may have and must not run more than once.
+func TestStatusThatPromises(t *testing.T) {
+	for _, status := range []string{"408 Timeout", "429 Too Many", "503 Unavailable"} {
+		response := fake.CompleteResponse("HTTP/1.1 "+status+"\r\nContent-Length: 6\r\nRetry-After: 1\r\n"+mimic.IDLine+mimic.SignatureLine, "failed")
+		for target, isPassedOn := range map[string]bool{"/n/x": false, "/i/stream/x": false, "/i/x": true, "/i/resumed/stream/x": true} {
+			t.Run(status+target, func(t *testing.T) {
+				is := is.New(t)
+				s := newRawServer(t, &fake.RawServer{Response: response})
+				got, header, body := s.sendRequest("POST", target, "q", "x")
+				if isPassedOn {
+					// It may run again in any case.
+					is.Equal(fmt.Sprint(got), status[:3])
+					is.Equal(body, "failed")
+					return
+				}
+				is.Equal(got, http.StatusBadGateway)
+				is.Equal(header.Get(mimic.HeaderSignature), "")
+				is.Equal(header.Get("Retry-After"), "")
+				is.True(body != "failed")
+			})
+		}
+	}
+}
+
 // TestContinuedStream guards against parts of another response in a stream that broke off: whatever the next replica
 // answers, the client gets the events of its stream, and a stream that can't go on ends visibly broken.
 func TestContinuedStream(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -406,6 +406,8 @@
 		case response.Status >= http.StatusInternalServerError && request.Route.Retryable():
 			failed = response
 			continue
+		case request.mayNotPassOn(response.Status):
+			return nil, r.recordRefusal(request, r.failureRefusal(gypsum.ReasonBackendFailed, http.StatusBadGateway, unprovenDetail))
 		case response.Status/100 == 2:
 			r.recordServed(request, candidate.Replica)
 		}
@@ -414,6 +416,19 @@
 	}
 }
 
+// unprovenDetail is the detail of a failure in place of a status that may not be passed on.
+const unprovenDetail = "the replica's status would promise that the request has not run"
+
+// mayNotPassOn reports whether the status of a replica's response, which does not confirm that the request has not run,
+// would tell the client so by the platform's documentation. A request that may run again loses nothing by it.
+func (r *Request) mayNotPassOn(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !r.Route.Retryable()
+	}
+	return false
+}
+
 // canContinueOn reports whether a replica can continue the response to a request, if it has
 // begun.
 func (r *Request) canContinueOn(replica *gypsum.Replica) bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -138,6 +138,9 @@
 // errReplicaServerError means that a replica returned a server error instead of a stream.
 var errReplicaServerError = errors.New("replica returned a server error")
 
+// errStatusNotPassedOn means that a replica responded with a status that may not be passed on.
+var errStatusNotPassedOn = fmt.Errorf("%s: %w", unprovenDetail, gypsum.ErrIncompleteResponse)
+
 // streamAttempt streams the response of one replica.
 func (r *Relay) streamAttempt(ctx context.Context, request *Request, candidate *Candidate, sink Sink, begun *bool, lastEvent *int64) error {
 	replica, startedAt := candidate.Replica, time.Now()
@@ -199,6 +202,9 @@
 	if !*begun && response.Status >= http.StatusInternalServerError && request.Route.Retryable() && !r.isLastAttempt(request) {
 		return response, errReplicaServerError
 	}
+	if !*begun && request.mayNotPassOn(response.Status) {
+		return response, errStatusNotPassedOn
+	}
 	if !*begun {
 		*begun = true
 		if err := sink.BeginResponse(response); err != nil {
