--- a/front/server_test.go
+++ b/front/server_test.go
@@ -593,3 +593,27 @@
 		is.Equal(status, http.StatusOK)
 	}
 }
+
+// TestTargetIsNotChanged guards against a path that reaches replicas with other bytes than the client has sent: browsers
+// send some that a URL may not contain, and a fragment is one by its reader alone.
+func TestTargetIsNotChanged(t *testing.T) {
+	for name, start := range map[string]func(*testing.T, int) *testServer{"directly": newTestServer, "through another host": newCutOffServer} {
+		for _, target := range []string{"/i/a|b", "/i/{a}", "/i/a^b", "/i/\xc3\xa9", "/i/a#b", "/i/a#b?c=|", "/i/a?q={x}|y", "/i//a", "/i/%7Ca%2f", "/i/a\"b", "/i/a\\b", "/i/./a/../b", "/i/a?", "/i/a??b"} {
+			t.Run(name+target, func(t *testing.T) {
+				is := is.New(t)
+				s := start(t, 1)
+				s.applyConfig()
+				conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\n%s: q\r\nConnection: close\r\n\r\n", target, platform.HeaderRequestID)
+				is.NoErr(err)
+				content, err := io.ReadAll(conn)
+				is.NoErr(err)
+				if !strings.HasSuffix(string(content), mimic.PlainResponseBody("q", target, nil)) {
+					t.Errorf("the response to %s is %q", target, content)
+				}
+			})
+		}
+	}
+}
