runner: a batch runs at a service that its route gives a share

Cause: batches were assigned to the first service of their route, whatever the weights.

Change: a batch stays at the service for which it was accepted, by the weights, while the route gives that a share; otherwise its ID and the weights choose one, the same at all daemons.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -78,8 +78,8 @@
 	for _, header := range d.batchState.OpenBatches() {
 		service := header.Service
 		if config != nil {
-			if route := config.FindRoute(header.Route); route != nil && len(route.Services) > 0 {
-				service = route.Services[0].Service
+			if route := config.FindRoute(header.Route); route != nil {
+				service = route.ServiceFor(string(header.ID), header.Service)
 			}
 		}
 		d.batchState.VisitProgress(header.ID, func(hasResult map[gypsum.ItemID]bool, _ bool) {
--- a/routing.go
+++ b/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -51,6 +52,29 @@
 	return r.Kind == RouteIdempotent || r.Kind == RouteRollout || (r.Kind == RouteStreaming && r.Resumable)
 }
 
+// ServiceFor returns the service that runs work which was accepted for a service: that one, while the route gives it a
+// share. Otherwise it is chosen by a key of the work and by the weights, in the same way at all daemons.
+func (r *Route) ServiceFor(key string, accepted ServiceName) ServiceName {
+	if len(r.Services) == 0 {
+		return accepted
+	}
+	chosen, best := r.Services[0].Service, math.Inf(-1)
+	for _, weighted := range r.Services {
+		switch {
+		case weighted.Weight <= 0:
+			continue
+		case weighted.Service == accepted:
+			return accepted
+		}
+		// Weighted rendezvous hashing: the score is that of the largest of as many hashes as the weight says.
+		uniform := (float64(RendezvousScore(key, string(weighted.Service))) + 1) / (math.MaxUint64 + 1)
+		if score := math.Log(uniform) / weighted.Weight; score > best {
+			chosen, best = weighted.Service, score
+		}
+	}
+	return chosen
+}
+
 // PickService returns a random service of the route, chosen by the services' weights. It
 // returns the empty name if the route has no services.
 func (r *Route) PickService() ServiceName {
--- a/runner/routes_test.go
+++ b/runner/routes_test.go
@@ -62,3 +62,24 @@
 		is.True(d.clock()-removedAt < 200*time.Millisecond)
 	})
 }
+
+// TestBatchOnSplitRoute guards against a batch that runs at a service to which its route gives no share.
+func TestBatchOnSplitRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment(t, newEngines(4), 0.8)
+		config := newConfig(2, "rank")
+		for i := range config.Routes {
+			if config.Routes[i].Name == "rank" {
+				config.Routes[i].Services = []gypsum.WeightedService{{Service: "former", Weight: 0}, {Service: testService, Weight: 100}}
+			}
+		}
+		d.daemons[0].registry.ApplyConfig(config)
+		submitted := newBatch("bat", 1, itemLengths(4, 0)...)
+		submitted.Route = "rank"
+		d.submitBatch(0, submitted)
+		results, _ := d.awaitResults(0, submitted, 10*time.Second)
+		is.Equal(len(results), 4)
+		is.Equal(errored(results), 0)
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -264,8 +264,8 @@
 	batches := make(map[gypsum.ServiceName][]batch.Header)
 	for _, header := range r.Batches.State.OpenBatches() {
 		service := header.Service
-		if route := snapshot.Config.FindRoute(header.Route); route != nil && len(route.Services) > 0 {
-			service = route.Services[0].Service
+		if route := snapshot.Config.FindRoute(header.Route); route != nil {
+			service = route.ServiceFor(string(header.ID), header.Service)
 		}
 		batches[service] = append(batches[service], header)
 	}
