platform: no response is lost when its connection ends

Cause: the transport lends a connection out before it passes the response on. The next request was refused there, which closed the connection; the first one then failed with the error of that refusal, and was sent again as if none of its bytes had been written.

Change: where the head of an error is read, the field 'Connection: close' is added, so that the transport lends the connection to nobody. Nothing is sent again any more.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -10,7 +10,6 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
-
 	"golang.org/x/sync/singleflight"
 
 	"github.com/gypsumhook/gypsum"
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -7,9 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,14 +18,10 @@
 type ResponseTransport struct {
 	transport *http.Transport
 	// EndsAfterError means that a connection carries no further request after a response with an error
-	// status. It must be set before use.
+	// status, as if that said so. It must be set before use.
 	EndsAfterError bool
 }
 
-// ErrConnEnded is returned for a request that was given a connection after its last response. No byte of the request was
-// sent, nor will be.
-var ErrConnEnded = errors.New("connection has carried its last response")
-
 // NewResponseTransport returns a transport that sends requests with another one, of which it takes ownership.
 // Its dialer is Dial if it has none.
 func NewResponseTransport(transport *http.Transport) *ResponseTransport {
@@ -56,82 +52,79 @@
 
 // RoundTrip implements http.RoundTripper. The error of an invalid response is ErrInvalidResponse.
 func (t *ResponseTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	hasEnded := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { hasEnded = !info.Conn.(*responseConn).expectHead() }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*responseConn).expectHead() }}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	switch {
-	case err != nil && hasEnded:
-		return nil, fmt.Errorf("exchange request and response: %w: %w", ErrConnEnded, err)
-	case err != nil:
+	if err != nil {
 		return nil, fmt.Errorf("exchange request and response: %w", err)
 	}
 	return response, nil
 }
 
-// minErrorStatus is the lowest status of an error (RFC 9110, 15.5).
-const minErrorStatus = "400"
-
 // responseConn is a connection on which responses are read.
 type responseConn struct {
 	net.Conn
 	endsAfterError bool
+	// unread are bytes that were read from the connection, and unreadErr the error behind them. Only Read uses them.
+	unread    []byte
+	unreadErr error
 
 	mu sync.Mutex
-	// hasEnded means that the last response on the connection has begun. Nothing more is written.
-	hasEnded bool
 	// head checks the head of the response that is expected, nil before the first request.
 	head *headScanner
 }
 
-// expectHead begins to check the head of the response to a request that is about to be written. It returns false if
-// the connection has carried its last response.
-func (c *responseConn) expectHead() bool {
+// expectHead begins to check the head of the response to a request that is about to be written.
+func (c *responseConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hasEnded {
-		return false
-	}
 	c.head = &headScanner{}
-	return true
 }
 
-// Write implements net.Conn.
-func (c *responseConn) Write(data []byte) (int, error) {
-	c.mu.Lock()
-	hasEnded := c.hasEnded
-	c.mu.Unlock()
-	if hasEnded {
-		return 0, ErrConnEnded
-	}
-	return c.Conn.Write(data)
-}
-
-// scan checks bytes that were read.
-func (c *responseConn) scan(data []byte) error {
+// scan checks bytes that were read. errorAt is where among them the status line of an error ends, 0 if it does not.
+func (c *responseConn) scan(data []byte) (errorAt int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.head == nil {
-		return nil
+		return 0, nil
 	}
-	err := c.head.scan(data)
-	// The transport sees the response, and may use the connection for another request, only after this.
-	c.hasEnded = c.hasEnded || (c.endsAfterError && c.head.status >= minErrorStatus)
-	return err
+	err = c.head.scan(data)
+	return c.head.errorAt, err
 }
 
+// lastResponseField tells the transport to use the connection for no further request (RFC 9112, 9.6). The transport may
+// lend a connection to another request as soon as it has read the head.
+const lastResponseField = "Connection: close\r\n"
+
 // Read implements net.Conn. It checks the heads of responses, and fails at the end of a connection that was reset. The
 // kernel reports a reset once, to the first call: after a write that failed, a read returns the end of the file.
 func (c *responseConn) Read(buffer []byte) (int, error) {
+	if len(c.unread) > 0 {
+		return c.readUnread(buffer)
+	}
 	n, err := c.Conn.Read(buffer)
-	if err := c.scan(buffer[:n]); err != nil {
-		return 0, err
+	errorAt, scanErr := c.scan(buffer[:n])
+	if scanErr != nil {
+		return 0, scanErr
 	}
 	if err == io.EOF && wasReset(c.Conn) {
 		err = fmt.Errorf("read from connection that was reset: %w", unix.ECONNRESET)
 	}
+	if c.endsAfterError && errorAt > 0 {
+		c.unread, c.unreadErr = slices.Concat(buffer[:errorAt], []byte(lastResponseField), buffer[errorAt:n]), err
+		return c.readUnread(buffer)
+	}
 	return n, err
 }
 
+// readUnread reads bytes that were read from the connection before.
+func (c *responseConn) readUnread(buffer []byte) (int, error) {
+	n := copy(buffer, c.unread)
+	if c.unread = c.unread[n:]; len(c.unread) > 0 {
+		return n, nil
+	}
+	return n, c.unreadErr
+}
+
 // wasReset reports whether a connection at whose end a read has arrived was reset: it is in the state CLOSE then, and
 // in CLOSE-WAIT after an orderly close by the peer (RFC 9293, 3.3.2). One whose state is not known counts as closed in
 // order.
--- a/wire/head.go
+++ b/wire/head.go
@@ -33,6 +33,8 @@
 const (
 	minFinalStatus = 200
 	maxStatus      = 599
+	// minErrorStatus is the lowest status of an error.
+	minErrorStatus = "400"
 )
 
 // CheckHead returns ErrInvalidResponse if the status is not that of a final response, or a name or value of the
@@ -68,10 +70,15 @@
 	hasCoding      bool
 	// isFinished means that the final head is complete.
 	isFinished bool
+	// errorAt is where the status line of an error ends among the bytes that were scanned last, 0 if it does not.
+	errorAt int
 }
 
 // scan checks bytes of heads. It ignores those after the final head.
 func (s *headScanner) scan(data []byte) error {
+	s.errorAt = 0
+	errorAt, size := 0, len(data)
+	defer func() { s.errorAt = errorAt }()
 	for len(data) > 0 && !s.isFinished {
 		part, rest, isEnded := bytes.Cut(data, []byte("\n"))
 		data = rest
@@ -83,6 +90,9 @@
 			return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 		}
 		s.line = s.line[:0]
+		if s.lines == 1 && s.status >= minErrorStatus {
+			errorAt = size - len(data)
+		}
 	}
 	return nil
 }
