One function for the host name of a request

front and relay each removed the port from a Host header: now gypsum.HostNameOf. Behaviour is unchanged.

Run: wire, access, the root package; front's tests of crashes, routes and explain; the linter on the changed packages.

--- a/front/explain.go
+++ b/front/explain.go
@@ -41,7 +41,7 @@
 	if request.Header != nil {
 		r.Header = request.Header
 	}
-	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
+	route := config.MatchRoute(gypsum.HostNameOf(r.Host), r.URL.EscapedPath())
 	batchRequest, batchErr := platform.DecodeBatchRequest(r)
 	if s.isBatchCall(r.Header, batchRequest, batchErr) {
 		explanation.Verdict = "a request about a batch, which no route takes"
--- a/front/server.go
+++ b/front/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -83,7 +82,7 @@
 		s.logAndRefuse(w, r, gypsum.NotRunRefusal(gypsum.ReasonNoConfiguration, http.StatusServiceUnavailable, time.Second, "no configuration was learned yet"))
 		return
 	}
-	route := config.MatchRoute(requestHostName(r), r.URL.EscapedPath())
+	route := config.MatchRoute(gypsum.HostNameOf(r.Host), r.URL.EscapedPath())
 	batchRequest, err := platform.DecodeBatchRequest(r)
 	if route == nil || s.isBatchCall(r.Header, batchRequest, err) {
 		s.serveUnrouted(w, r, view, credential, batchRequest, err)
@@ -149,7 +148,7 @@
 			"no route is known, and the configuration may have changed"))
 	default:
 		s.Stats.UnknownRoute.Add(1)
-		s.Logger.Info("no route matches request", "request", r.Header.Get(platform.HeaderRequestID), "host_name", requestHostName(r),
+		s.Logger.Info("no route matches request", "request", r.Header.Get(platform.HeaderRequestID), "host_name", gypsum.HostNameOf(r.Host),
 			"path", r.URL.EscapedPath(), "revision", view.Config.Revision)
 		http.Error(w, "no route", http.StatusNotFound)
 	}
@@ -166,20 +165,12 @@
 // refuseAccess logs and writes the refusal of a request for its key, which is logged as a prefix of
 // its hash.
 func (s *Server) refuseAccess(w http.ResponseWriter, r *http.Request, credential access.Credential, refusal *gypsum.Refusal) {
-	s.Logger.Info("request refused for its key", "request", r.Header.Get(platform.HeaderRequestID), "method", r.Method, "host_name", requestHostName(r),
+	s.Logger.Info("request refused for its key", "request", r.Header.Get(platform.HeaderRequestID), "method", r.Method, "host_name", gypsum.HostNameOf(r.Host),
 		"path", r.URL.EscapedPath(), "key", credential.String(), "status", refusal.Status, "detail", refusal.Detail,
 		"retry_after_ms", refusal.RetryAfter.Milliseconds(), "store_away_ms", s.StoreDowntime().Milliseconds())
 	writeRefusal(w, refusal)
 }
 
-// requestHostName returns the host name of a request, without the port.
-func requestHostName(r *http.Request) string {
-	if name, _, err := net.SplitHostPort(r.Host); err == nil {
-		return name
-	}
-	return r.Host
-}
-
 // serveLive serves a live request, whose response may be streamed.
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, config *gypsum.RoutingConfig, route *gypsum.Route, grant *access.Grant, arrived time.Time) {
 	body, held, ok := s.readBody(w, r, config.Limits.MaxBody, bodyWork(r, route, grant, arrived))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -165,7 +164,7 @@
 	request.tried, request.reached = make(map[attemptPath]bool), make(map[gypsum.BackendID]bool)
 	request.foundFull = make(map[gypsum.BackendID]bool)
 	// The service is no part of it: crashes count wherever the route of the request moves.
-	request.fingerprint = gypsum.FingerprintOf(hostNameWithoutPort(request.HostName), request.Target, request.Body)
+	request.fingerprint = gypsum.FingerprintOf(gypsum.HostNameOf(request.HostName), request.Target, request.Body)
 	switch {
 	case !time.Now().Before(request.Deadline):
 		return r.requestRefusal(request, gypsum.ReasonDeadlineExceeded, 0, "no time is left")
@@ -175,14 +174,6 @@
 	return nil
 }
 
-// hostNameWithoutPort returns the host name of a Host header.
-func hostNameWithoutPort(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // admitFunc is share.Sends.Admit or Peek.
 type admitFunc func(service gypsum.ServiceName, account gypsum.AccountName, now time.Time) (ok bool, retryAfter time.Duration)
 
--- a/routing.go
+++ b/routing.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"time"
 )
@@ -142,6 +143,14 @@
 	Accounts *Accounts
 }
 
+// HostNameOf returns the host name in a Host header, without the port.
+func HostNameOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
 // MatchRoute returns the route with the given host name and the longest prefix of the
 // path. It returns nil if there is none.
 func (c *RoutingConfig) MatchRoute(hostName, path string) *Route {
--- a/wire/cut_test.go
+++ b/wire/cut_test.go
@@ -52,7 +52,7 @@
 
 // Forward implements gypsum.RemoteReplicas.
 func (p *wholePeer) Forward(context.Context, *gypsum.ForwardedRequest) (*gypsum.ForwardedResponse, error) {
-	return &gypsum.ForwardedResponse{Status: http.StatusOK, Header: http.Header{"Server-Stamp": {"s"}}, Body: io.NopCloser(strings.NewReader("the whole body"))}, nil
+	return &gypsum.ForwardedResponse{Status: http.StatusOK, Header: http.Header{"X-Header": {"1"}}, Body: io.NopCloser(strings.NewReader("the whole body"))}, nil
 }
 
 // serveWholePeer serves all procedures until the test ends and returns the addresses of those of serve, which need
