--- a/relay/replicastate.go
+++ b/relay/replicastate.go
@@ -299,14 +299,22 @@
 	}
 }
 
+// isDown reports whether a replica accepts connections of no host.
+func (r *Relay) isDown(ctx context.Context, replica *gypsum.Replica) bool {
+	outOfReach := r.Reach.Detour(replica.Service) != nil
+	if !outOfReach && r.Transport.AcceptsConnections(ctx, replica) {
+		return false
+	}
+	return ctx.Err() == nil && r.Reach.ConfirmDown(ctx, replica)
+}
+
 // checkCrash records a crash if the replica no longer accepts connections, or was silent and has started again.
 func (r *Relay) checkCrash(ctx context.Context, probe crashProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	current := r.Registry.Current().Replicas[probe.replica.ID]
 	hasRestarted := probe.wasSilent && current != nil && current.Incarnation > probe.replica.Incarnation
-	outOfReach := r.Reach.Detour(probe.replica.Service) != nil
-	if !hasRestarted && ((!outOfReach && r.Transport.AcceptsConnections(ctx, probe.replica)) || ctx.Err() != nil || !r.Reach.ConfirmDown(ctx, probe.replica)) {
+	if !hasRestarted && !r.isDown(ctx, probe.replica) {
 		return
 	}
 	evidence := r.serving.evidence(probe.fingerprint, probe.replica, time.Now())
